--- /dev/null
+++ b/crates/core/src/admit/mod.rs
@@ -0,0 +1,1 @@
+//! Admission by team, priority, limit and deadline.
--- /dev/null
+++ b/crates/core/src/claim/mod.rs
@@ -0,0 +1,6 @@
+//! At-most-once execution of calls that may not be repeated.
+
+mod messages;
+
+pub use messages::ClaimMessage;
+pub use messages::ClaimReply;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decision modules and shared types of yuccanotch.
+//!
+//! Nothing in this crate performs I/O, reads a clock or draws entropy by itself. Each slice is a
+//! directory with its own state, messages and tests, and is driven by events that carry the time.
+
+pub mod admit;
+pub mod claim;
+pub mod clock;
+pub mod config;
+pub mod digest;
+pub mod engine;
+pub mod finding;
+pub mod fleet;
+pub mod ids;
+pub mod name;
+pub mod orders;
+pub mod peer;
+pub mod quarantine;
+pub mod reason;
+pub mod retry;
+pub mod route;
+pub mod share;
+pub mod store;
+pub mod stream;
--- /dev/null
+++ b/crates/core/src/orders/mod.rs
@@ -0,0 +1,1 @@
+//! Orders that bring backend servers to their declared placement.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Budgets, caps and backoff of retries.
--- /dev/null
+++ b/crates/core/src/share/mod.rs
@@ -0,0 +1,6 @@
+//! Shares of team limits over the entry hosts.
+
+mod messages;
+
+pub use messages::ShareMessage;
+pub use messages::ShareReply;
--- /dev/null
+++ b/crates/core/src/stream/mod.rs
@@ -0,0 +1,1 @@
+//! Checks and resumption of token streams.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! `yuccanotch-ctl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry host: callers, routing, pipeline streams, peer links, admin port.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! `yuccanotch-entry`.
+
+fn main() {}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool: open-loop callers, faults, reports.
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! `yuccanotch-load`.
+
+fn main() {}
--- /dev/null
+++ b/crates/local/src/lib.rs
@@ -0,0 +1,1 @@
+//! Embedded deployment: the platform, backend servers and entry hosts in one process.
--- /dev/null
+++ b/crates/local/src/main.rs
@@ -0,0 +1,3 @@
+//! `yuccanotch-local`.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the backend servers, with faults and execution records.
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! `yuccanotch-standin`.
+
+fn main() {}
