Add the randomised-run tool

Cause: the decision modules need seeded runs with invariants, and a way to show that the checks can fail.

Change: yuccanotch-check random|defects with a closed set of cases, and core::defect, a switch for deliberate faults that is compiled only for tests and with the feature planted-defects.

--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -1,3 +1,55 @@
-//! `yuccanotch-check`: randomised runs, planted defects and measurements of the decision modules.
+//! Randomised runs, planted defects and figures of the decision modules.
 
-fn main() {}
+use std::process::ExitCode;
+
+use lexopt::Arg;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+
+mod case;
+mod cmd_defects;
+mod cmd_random;
+mod error;
+mod rendezvous_case;
+mod trace;
+
+const USAGE: &str = "
+Randomised runs, planted defects and figures of the decision modules.
+
+Usage: yuccanotch-check COMMAND [options]
+
+Commands:
+    defects    Shows that the randomised runs find every planted defect.
+    random     Runs the decision modules under seeded faults.
+
+Run `yuccanotch-check COMMAND --help` for the options of a command.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn run() -> CliResult<()> {
+    let mut args = lexopt::Parser::from_env();
+    let command = match args.next()? {
+        Some(Arg::Value(command)) => command,
+        Some(Arg::Long("help") | Arg::Short('h')) => {
+            println!("{}", USAGE.trim());
+            return Ok(());
+        }
+        Some(arg) => return Err(arg.unexpected().into()),
+        None => return Err(CliError::Usage(USAGE.trim().to_owned())),
+    };
+    match command.to_str() {
+        Some("defects") => cmd_defects::run(args),
+        Some("random") => cmd_random::run(args),
+        _ => Err(CliError::Usage(format!("unknown command {command:?}\n\n{}", USAGE.trim()))),
+    }
+}
--- /dev/null
+++ b/crates/check/src/rendezvous_case.rs
@@ -0,0 +1,31 @@
+//! Randomised case: rendezvous hashing.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::digest::rendezvous;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+const MAX_MEMBERS: usize = 12;
+const KEYS: usize = 32;
+
+/// Checks that the leaving of one member moves only the keys that it held.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let count = rng.random_range(2..=MAX_MEMBERS);
+    let members: Vec<String> = (0..count).map(|i| format!("host-{i}")).collect();
+    let gone = &members[rng.random_range(0..count)];
+    trace.add(format!("{count} members, {gone} leaves"));
+    for _ in 0..KEYS {
+        let key = rng.random();
+        let before = rendezvous(key, members.iter().map(String::as_str));
+        let rest = members.iter().filter(|member| *member != gone);
+        let after = rendezvous(key, rest.map(String::as_str));
+        if before != Some(gone) && before != after {
+            return Err(format!("key {key} moved from {before:?} to {after:?}"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/check/src/trace.rs
@@ -0,0 +1,25 @@
+//! The record of one run, printed when the run fails.
+
+/// Records the steps of one run.
+#[derive(Debug, Default)]
+pub struct Trace {
+    lines: Vec<String>,
+}
+
+impl Trace {
+    /// Most lines that are kept; earlier ones are dropped.
+    const MAX_LINES: usize = 4_000;
+
+    /// Adds one step.
+    pub fn add(&mut self, line: impl Into<String>) {
+        if self.lines.len() == Self::MAX_LINES {
+            self.lines.drain(..Self::MAX_LINES / 2);
+        }
+        self.lines.push(line.into());
+    }
+
+    /// Returns the steps that were kept.
+    pub fn lines(&self) -> &[String] {
+        &self.lines
+    }
+}
--- /dev/null
+++ b/crates/check/tests/random.rs
@@ -0,0 +1,18 @@
+//! A fixed set of seeds of every randomised case.
+
+mod util;
+
+use util::check;
+use util::check_passes;
+
+#[test]
+fn random_holds_every_invariant_for_the_fixed_seeds() {
+    check_passes(&["random", "--case", "all", "--seeds", "300"]);
+}
+
+#[test]
+fn random_refuses_an_unknown_case() {
+    let output = check(&["random", "--case", "nonesuch"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("rendezvous"));
+}
--- /dev/null
+++ b/crates/check/tests/util/mod.rs
@@ -0,0 +1,16 @@
+//! Runs the command under test.
+
+use std::process::Command;
+use std::process::Output;
+
+/// Runs `yuccanotch-check` with `args` to its end.
+pub fn check(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_yuccanotch-check")).args(args).output().expect("it starts")
+}
+
+/// Runs `yuccanotch-check` and asserts that it succeeds.
+pub fn check_passes(args: &[&str]) {
+    let output = check(args);
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{args:?} failed:\n{stdout}");
+}
--- /dev/null
+++ b/crates/core/src/defect.rs
@@ -0,0 +1,78 @@
+//! Deliberate faults in the decision modules, which show that the randomised runs can fail.
+//!
+//! They are compiled only for tests and with the feature `planted-defects`; elsewhere
+//! [`planted`] is the constant `false`.
+
+#[cfg(any(test, feature = "planted-defects"))]
+mod switch {
+    use std::cell::Cell;
+
+    macro_rules! defects {
+        ($($(#[$doc:meta])* $variant:ident => $text:literal,)*) => {
+            /// A deliberate fault.
+            #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+            pub enum Defect {
+                $($(#[$doc])* $variant,)*
+            }
+
+            impl Defect {
+                /// All deliberate faults.
+                pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+                /// Returns the text that names the fault on the command line.
+                pub fn as_str(self) -> &'static str {
+                    match self {
+                        $(Self::$variant => $text,)*
+                    }
+                }
+            }
+        };
+    }
+
+    defects! {
+        /// The host dispatches before its claim is in the store.
+        DispatchBeforeClaim => "dispatch-before-claim",
+    }
+
+    thread_local! {
+        static PLANTED: Cell<Option<Defect>> = const { Cell::new(None) };
+    }
+
+    /// Switches one fault on for the current thread, or all off.
+    pub fn plant(defect: Option<Defect>) {
+        PLANTED.set(defect);
+    }
+
+    /// Returns whether `defect` is switched on for the current thread.
+    pub fn is_planted(defect: Defect) -> bool {
+        PLANTED.get() == Some(defect)
+    }
+}
+
+#[cfg(any(test, feature = "planted-defects"))]
+pub use switch::is_planted;
+#[cfg(any(test, feature = "planted-defects"))]
+pub use switch::plant;
+#[cfg(any(test, feature = "planted-defects"))]
+pub use switch::Defect;
+
+/// Returns whether the named member of [`Defect`] is switched on.
+#[cfg(any(test, feature = "planted-defects"))]
+#[allow(unused_macros)]
+macro_rules! planted {
+    ($variant:ident) => {
+        crate::defect::is_planted(crate::defect::Defect::$variant)
+    };
+}
+
+/// Returns `false`.
+#[cfg(not(any(test, feature = "planted-defects")))]
+#[allow(unused_macros)]
+macro_rules! planted {
+    ($variant:ident) => {
+        false
+    };
+}
+
+#[allow(unused_imports)]
+pub(crate) use planted;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod claim;
 pub mod clock;
 pub mod config;
+pub mod defect;
 pub mod digest;
 pub mod engine;
 pub mod finding;
