--- /dev/null
+++ b/crates/core/src/stream/check.rs
@@ -0,0 +1,68 @@
+//! Checks of single frames.
+
+use crate::engine::EndFrame;
+use crate::engine::Hop;
+use crate::engine::LayerReceipt;
+use crate::engine::TokenFrame;
+use crate::name::ModelVersion;
+use crate::name::ServerName;
+use crate::reason::FrameFault;
+
+/// A receipt that does not match its chain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct ReceiptFault {
+    pub(super) fault: FrameFault,
+    pub(super) server: Option<ServerName>,
+}
+
+/// Checks that every layer ran exactly once, in order, on the chain and with `version`.
+pub(super) fn check_receipt(
+    frame: &TokenFrame,
+    chain: &[Hop],
+    layers: u16,
+    version: &ModelVersion,
+) -> Result<(), ReceiptFault> {
+    let mut next = 0;
+    for entry in &frame.receipt {
+        check_entry(entry, chain, version)?;
+        let in_order = entry.layers.first == next && !entry.layers.is_empty();
+        if !in_order {
+            return Err(fault(FrameFault::Layers, entry));
+        }
+        next = entry.layers.end;
+    }
+    if next != layers {
+        return Err(ReceiptFault { fault: FrameFault::Layers, server: None });
+    }
+    Ok(())
+}
+
+fn check_entry(
+    entry: &LayerReceipt,
+    chain: &[Hop],
+    version: &ModelVersion,
+) -> Result<(), ReceiptFault> {
+    let Some(hop) = chain.iter().find(|hop| hop.server == entry.server) else {
+        return Err(ReceiptFault { fault: FrameFault::WrongServer, server: None });
+    };
+    if entry.version != *version {
+        return Err(fault(FrameFault::WrongVersion, entry));
+    }
+    if entry.layers != hop.layers {
+        return Err(fault(FrameFault::Layers, entry));
+    }
+    Ok(())
+}
+
+fn fault(fault: FrameFault, entry: &LayerReceipt) -> ReceiptFault {
+    ReceiptFault { fault, server: Some(entry.server.clone()) }
+}
+
+/// Checks a closing frame's count against the tokens released.
+pub(super) fn check_count(frame: &EndFrame, released: u32) -> Result<(), FrameFault> {
+    if frame.count == released {
+        Ok(())
+    } else {
+        Err(FrameFault::Count)
+    }
+}
