Bound retries by cap, budget and deadline

Cause: a failed attempt had no rule for what follows it.

Change: core::retry decides from the cap of attempts, a budget as a share of the live requests of the last ten seconds, the deadline, and whether a byte of a call that may not be repeated left.

--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -32,6 +32,10 @@
     defects! {
         /// The host dispatches before its claim is in the store.
         DispatchBeforeClaim => "dispatch-before-claim",
+        /// A call that may not be repeated is retried although a byte left.
+        RetryAfterByteLeft => "retry-after-byte-left",
+        /// Retries are granted beyond the budget.
+        RetryWithoutBudget => "retry-without-budget",
     }
 
     thread_local! {
@@ -58,7 +62,6 @@
 
 /// Returns whether the named member of [`Defect`] is switched on.
 #[cfg(any(test, feature = "planted-defects"))]
-#[allow(unused_macros)]
 macro_rules! planted {
     ($variant:ident) => {
         crate::defect::is_planted(crate::defect::Defect::$variant)
@@ -67,12 +70,10 @@
 
 /// Returns `false`.
 #[cfg(not(any(test, feature = "planted-defects")))]
-#[allow(unused_macros)]
 macro_rules! planted {
     ($variant:ident) => {
         false
     };
 }
 
-#[allow(unused_imports)]
 pub(crate) use planted;
--- /dev/null
+++ b/crates/core/src/retry/budget.rs
@@ -0,0 +1,64 @@
+//! Retries as a share of live requests.
+
+use crate::clock::Millis;
+
+const BUCKETS: usize = 10;
+const BUCKET_SPAN: Millis = Millis(1_000);
+const PERCENT: u64 = 100;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    second: u64,
+    requests: u64,
+    retries: u64,
+}
+
+/// Counts requests and retries of the last seconds, and grants retries up to a share.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    percent: u64,
+    floor: u64,
+    buckets: [Bucket; BUCKETS],
+}
+
+impl RetryBudget {
+    /// Creates a budget of `percent` retries per 100 requests, and `floor` retries per window of
+    /// ten seconds for hosts with little traffic.
+    pub fn new(percent: u8, floor: u32) -> Self {
+        Self { percent: percent.into(), floor: floor.into(), buckets: [Bucket::default(); BUCKETS] }
+    }
+
+    /// Counts a new request.
+    pub fn on_request(&mut self, now: Millis) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Takes one retry from the budget; returns whether there was one.
+    pub fn take(&mut self, now: Millis) -> bool {
+        let (requests, retries) = self.sums(now);
+        let allowed = self.floor.max(requests * self.percent / PERCENT);
+        if retries >= allowed && !crate::defect::planted!(RetryWithoutBudget) {
+            return false;
+        }
+        self.bucket(now).retries += 1;
+        true
+    }
+
+    /// Returns requests and retries of the last ten seconds.
+    pub fn sums(&self, now: Millis) -> (u64, u64) {
+        let second = now.0 / BUCKET_SPAN.0;
+        let live = |bucket: &&Bucket| bucket.second + (BUCKETS as u64) > second;
+        self.buckets.iter().filter(live).fold((0, 0), |(requests, retries), bucket| {
+            (requests + bucket.requests, retries + bucket.retries)
+        })
+    }
+
+    fn bucket(&mut self, now: Millis) -> &mut Bucket {
+        let second = now.0 / BUCKET_SPAN.0;
+        let bucket = &mut self.buckets[second as usize % BUCKETS];
+        if bucket.second != second {
+            *bucket = Bucket { second, ..Bucket::default() };
+        }
+        bucket
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/policy.rs
@@ -0,0 +1,113 @@
+//! The decision after a failed attempt.
+
+use rand::Rng;
+
+use super::RetryBudget;
+use crate::clock::Millis;
+use crate::defect::planted;
+use crate::ids::Attempt;
+use crate::reason::RefusalReason;
+use crate::reason::RetryReason;
+
+/// Bounds on retries.
+#[derive(Clone, Copy, Debug)]
+pub struct RetrySettings {
+    /// Most attempts of one request, the first one included.
+    pub max_attempts: u32,
+    /// Retries per 100 requests of the last ten seconds.
+    pub budget_percent: u8,
+    /// Retries per ten seconds that are granted without traffic.
+    pub budget_floor: u32,
+    /// Upper end of the first wait; it doubles with each attempt.
+    pub backoff_base: Millis,
+    /// Upper end of any wait.
+    pub backoff_max: Millis,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            max_attempts: 3,
+            budget_percent: 15,
+            budget_floor: 3,
+            backoff_base: Millis(8),
+            backoff_max: Millis(250),
+        }
+    }
+}
+
+/// An attempt that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt {
+    /// Number of the attempt.
+    pub attempt: Attempt,
+    /// Why it failed.
+    pub reason: RetryReason,
+    /// Whether a byte of the request may have reached the backend server.
+    pub byte_left: bool,
+    /// Whether the call may be repeated.
+    pub repeatable: bool,
+    /// When the caller stops waiting.
+    pub deadline: Millis,
+}
+
+/// What follows a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Another attempt after a wait.
+    Retry {
+        /// Span to wait.
+        wait: Millis,
+    },
+    /// No further attempt.
+    GiveUp(RefusalReason),
+}
+
+/// Decides on retries for one host.
+#[derive(Clone, Debug)]
+pub struct RetryPolicy {
+    settings: RetrySettings,
+    budget: RetryBudget,
+}
+
+impl RetryPolicy {
+    /// Creates a policy with an empty history.
+    pub fn new(settings: RetrySettings) -> Self {
+        let budget = RetryBudget::new(settings.budget_percent, settings.budget_floor);
+        Self { settings, budget }
+    }
+
+    /// Counts a new request towards the budget.
+    pub fn on_request(&mut self, now: Millis) {
+        self.budget.on_request(now);
+    }
+
+    /// Decides what follows a failed attempt.
+    pub fn on_failure<R: Rng>(
+        &mut self,
+        now: Millis,
+        failed: FailedAttempt,
+        rng: &mut R,
+    ) -> Decision {
+        if !failed.repeatable && failed.byte_left && !planted!(RetryAfterByteLeft) {
+            return Decision::GiveUp(RefusalReason::ServerFailed);
+        }
+        if failed.attempt.0 >= self.settings.max_attempts {
+            return Decision::GiveUp(RefusalReason::RetriesExhausted);
+        }
+        let wait = self.wait(failed.attempt, rng);
+        if now + wait >= failed.deadline {
+            return Decision::GiveUp(RefusalReason::DeadlineExceeded);
+        }
+        if !self.budget.take(now) {
+            return Decision::GiveUp(RefusalReason::RetriesExhausted);
+        }
+        Decision::Retry { wait }
+    }
+
+    fn wait<R: Rng>(&self, attempt: Attempt, rng: &mut R) -> Millis {
+        let doublings = attempt.0.saturating_sub(1).min(16);
+        let ceiling = (self.settings.backoff_base.0 << doublings).min(self.settings.backoff_max.0);
+        Millis(rng.random_range(0..=ceiling))
+    }
+}
