Serve callers on an entry host, thin

Cause: there is no path from a caller to a backend server. Change: settings with collected findings, callers' HTTP with limits, team keys, deadlines, problem bodies, model requests with server-sent events, plain calls with one store claim each, an admin port, counters and numbered log events. Callers are read by hyper: tiny_http bounds neither the time nor the size of a head.

--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,85 @@
+//! Numbered log events; `docs/EVENTS.md` is their catalogue.
+
+use std::fmt;
+
+use log::Level;
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered log event.
+        #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+        pub enum Event {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Event {
+            /// All events, in the order of their numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the number, which never changes its meaning.
+            pub fn number(self) -> u16 {
+                match self {
+                    $(Self::$name => $number,)*
+                }
+            }
+
+            /// Returns the level at which the event is logged.
+            pub fn level(self) -> Level {
+                match self {
+                    $(Self::$name => Level::$level,)*
+                }
+            }
+
+            /// Returns the constant part of the message.
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// The entry host serves callers.
+    HostStarted = 1001, Info, "entry host started";
+    /// The entry host takes no new requests.
+    HostDraining = 1002, Info, "entry host is draining";
+    /// The entry host has stopped.
+    HostStopped = 1003, Info, "entry host stopped";
+    /// A request was refused.
+    RequestRefused = 1101, Info, "request refused";
+    /// A request was answered whole.
+    RequestAnswered = 1102, Debug, "request answered";
+    /// A stream that had begun was ended without a whole answer.
+    AnswerCut = 1103, Warn, "answer given up";
+    /// An attempt failed and another one follows.
+    AttemptRetried = 1201, Info, "attempt retried";
+    /// A frame failed its checks.
+    FrameDropped = 1202, Warn, "frame dropped";
+    /// A configuration was adopted.
+    ConfigAdopted = 1301, Info, "configuration adopted";
+    /// The store shows a configuration with a lower number than the one in force.
+    ConfigWentBack = 1302, Error, "store shows an older configuration";
+    /// A configuration failed its checks and was not adopted.
+    ConfigInvalid = 1303, Error, "configuration is invalid";
+    /// The store does not answer.
+    StoreAway = 1401, Warn, "store does not answer";
+    /// The store answers again.
+    StoreBack = 1402, Info, "store answers again";
+    /// A connection of a caller ended with an error before a whole request.
+    CallerConnection = 1501, Debug, "caller connection failed";
+    /// The outcome of a claimed call is not known.
+    OutcomeUnknown = 1601, Warn, "outcome of a claimed call is unknown";
+}
+
+/// Logs `event` with its number and `details`.
+pub fn emit(event: Event, details: fmt::Arguments<'_>) {
+    log::log!(
+        target: "yuccanotch",
+        event.level(),
+        event = event.number();
+        "{}: {details}",
+        event.text()
+    );
+}
--- /dev/null
+++ b/crates/core/src/fields.rs
@@ -0,0 +1,136 @@
+//! Typed reading of JSON objects with all findings collected.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::finding::pointer_token;
+use crate::finding::Findings;
+use crate::name::is_valid_name;
+
+/// Reads the fields of one JSON object; fields that nobody asked for are findings.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    map: Option<&'a Map<String, Value>>,
+    at: String,
+    seen: Vec<&'static str>,
+}
+
+impl<'a> Fields<'a> {
+    /// Starts to read `value`, which stands at the JSON pointer `at`.
+    pub fn new(value: &'a Value, at: &str, findings: &mut Findings) -> Self {
+        let map = value.as_object();
+        findings.check(map.is_some(), at, || "must be an object".to_owned());
+        Self { map, at: at.to_owned(), seen: Vec::new() }
+    }
+
+    /// Returns the JSON pointer of a field.
+    pub fn place(&self, field: &str) -> String {
+        format!("{}/{}", self.at, pointer_token(field))
+    }
+
+    /// Returns the raw value of a field.
+    pub fn value(&mut self, field: &'static str) -> Option<&'a Value> {
+        self.seen.push(field);
+        self.map.and_then(|map| map.get(field))
+    }
+
+    /// Returns a required text.
+    pub fn text(&mut self, field: &'static str, findings: &mut Findings) -> String {
+        match self.value(field) {
+            Some(Value::String(text)) => text.clone(),
+            Some(_) => self.fault(field, "must be a text", findings),
+            None => self.fault(field, "is required", findings),
+        }
+    }
+
+    /// Returns a required name; see [`is_valid_name`].
+    pub fn name(&mut self, field: &'static str, findings: &mut Findings) -> String {
+        let text = self.text(field, findings);
+        findings.check(text.is_empty() || is_valid_name(&text), &self.place(field), || {
+            "a name has 1 to 64 of a-z, 0-9, '-', '_' and '.'".to_owned()
+        });
+        text
+    }
+
+    /// Returns a required IP address and port.
+    pub fn address(&mut self, field: &'static str, findings: &mut Findings) -> SocketAddr {
+        let text = self.text(field, findings);
+        if let Ok(address) = text.parse() {
+            return address;
+        }
+        if !text.is_empty() {
+            findings.add(self.place(field), "must be an IP address and a port");
+        }
+        SocketAddr::from(([0, 0, 0, 0], 0))
+    }
+
+    /// Returns a whole number within `range`, or `default` when the field is absent.
+    pub fn number(
+        &mut self,
+        field: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+        findings: &mut Findings,
+    ) -> u64 {
+        let Some(value) = self.value(field) else {
+            return default;
+        };
+        if let Some(number) = value.as_u64().filter(|number| range.contains(number)) {
+            return number;
+        }
+        let text = format!("must be a whole number from {} to {}", range.start(), range.end());
+        findings.add(self.place(field), text);
+        default
+    }
+
+    /// Returns a truth value, or `default` when the field is absent.
+    pub fn flag(&mut self, field: &'static str, default: bool, findings: &mut Findings) -> bool {
+        match self.value(field) {
+            None => default,
+            Some(Value::Bool(flag)) => *flag,
+            Some(_) => {
+                findings.add(self.place(field), "must be true or false");
+                default
+            }
+        }
+    }
+
+    /// Returns the elements of a list with their JSON pointers; an absent list is empty.
+    pub fn list(
+        &mut self,
+        field: &'static str,
+        findings: &mut Findings,
+    ) -> Vec<(String, &'a Value)> {
+        match self.value(field) {
+            None => Vec::new(),
+            Some(Value::Array(list)) => {
+                let place = self.place(field);
+                list.iter().enumerate().map(|(i, value)| (format!("{place}/{i}"), value)).collect()
+            }
+            Some(_) => {
+                findings.add(self.place(field), "must be a list");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Reports the fields that were not read.
+    pub fn finish(self, findings: &mut Findings) {
+        let Some(map) = self.map else {
+            return;
+        };
+        for field in map.keys().filter(|field| !self.seen.contains(&field.as_str())) {
+            findings.add(self.place(field), "is not known");
+        }
+    }
+
+    fn fault<T: Default>(&self, field: &str, text: &str, findings: &mut Findings) -> T {
+        if self.map.is_some() {
+            findings.add(self.place(field), text);
+        }
+        T::default()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod defect;
 pub mod digest;
 pub mod engine;
+pub mod event;
+pub mod fields;
 pub mod finding;
 pub mod fleet;
 pub mod ids;
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,298 @@
+//! Callers' requests to models, in the OpenAI style.
+
+use http::HeaderMap;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use yuccanotch_core::engine::Finish;
+use yuccanotch_core::event::emit;
+use yuccanotch_core::event::Event;
+use yuccanotch_core::ids::RequestId;
+use yuccanotch_core::name::ModelName;
+use yuccanotch_core::reason::RefusalReason;
+
+use crate::answer::CallerGone;
+use crate::answer::ChunkWriter;
+use crate::answer::Responder;
+use crate::callers::CallerRequest;
+use crate::host::Host;
+use crate::pipelines;
+use crate::pipelines::ChatJob;
+use crate::pipelines::Closing;
+use crate::pipelines::TokenSink;
+use crate::problem::Refusal;
+
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+/// Serves `POST /v1/chat/completions`.
+pub fn serve(host: &Host, req: &CallerRequest, responder: Responder) {
+    let prepared = prepare(host, req);
+    let (job, stream, ticket) = match prepared {
+        Ok(prepared) => prepared,
+        Err(refusal) => return host.refuse(responder, &refusal),
+    };
+    if stream {
+        serve_stream(host, &job, responder);
+    } else {
+        serve_whole(host, &job, responder);
+    }
+    drop(ticket);
+}
+
+fn prepare(
+    host: &Host,
+    req: &CallerRequest,
+) -> Result<(ChatJob, bool, crate::admission::Ticket), Refusal> {
+    let (active, team) = host.authenticate(req)?;
+    if req.method != http::Method::POST {
+        let text = "this path takes POST only";
+        return Err(Refusal::not_run(RefusalReason::MethodNotAllowed, text));
+    }
+    let chat = parse(&req.body)?;
+    let model = ModelName::new(&chat.model);
+    let Some(declared) = active.declaration.models.get(&model) else {
+        let text = format!("no model {:?}", chat.model);
+        return Err(Refusal::not_run(RefusalReason::UnknownModel, text));
+    };
+    let deadline = host.deadline(req, declared.deadline_ms)?;
+    let settings = &active.declaration.teams[&team];
+    let ticket = host.admission.admit(&team, settings)?;
+    let job = ChatJob {
+        request: req.id,
+        team,
+        model,
+        version: declared.version.clone(),
+        layers: declared.layers,
+        prompt: prompt(&chat.messages),
+        max_tokens: chat.max_tokens.unwrap_or(declared.max_tokens).min(declared.max_tokens),
+        priority: settings.priority.engine_level(),
+        deadline,
+    };
+    Ok((job, chat.stream, ticket))
+}
+
+fn parse(body: &[u8]) -> Result<ChatRequest, Refusal> {
+    let text = std::str::from_utf8(body)
+        .map_err(|e| Refusal::not_run(RefusalReason::InvalidUtf8, e.to_string()))?;
+    let chat: ChatRequest = serde_json::from_str(text)
+        .map_err(|e| Refusal::not_run(RefusalReason::Malformed, e.to_string()))?;
+    if chat.messages.is_empty() {
+        return Err(Refusal::not_run(RefusalReason::Malformed, "messages must not be empty"));
+    }
+    if chat.max_tokens == Some(0) {
+        return Err(Refusal::not_run(RefusalReason::Malformed, "max_tokens must be at least 1"));
+    }
+    Ok(chat)
+}
+
+fn prompt(messages: &[Message]) -> String {
+    let lines: Vec<String> =
+        messages.iter().map(|message| format!("{}: {}", message.role, message.content)).collect();
+    lines.join("\n")
+}
+
+struct Collector<'a> {
+    text: String,
+    responder: &'a Responder,
+}
+
+impl TokenSink for Collector<'_> {
+    fn token(&mut self, token: &str) -> Result<(), CallerGone> {
+        self.text.push_str(token);
+        Ok(())
+    }
+
+    fn is_gone(&self) -> bool {
+        self.responder.is_gone()
+    }
+}
+
+fn serve_whole(host: &Host, job: &ChatJob, responder: Responder) {
+    let mut sink = Collector { text: String::new(), responder: &responder };
+    let result = pipelines::run(host, job, &mut sink);
+    let text = sink.text;
+    let closing = match result {
+        Ok(closing) => closing,
+        Err(refusal) => return host.refuse(responder, &refusal),
+    };
+    log_answered(host, job, &closing);
+    let body = json!({
+        "id": completion_id(job.request),
+        "object": "chat.completion",
+        "created": host.clock.unix_now().0 / 1000,
+        "model": job.model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": finish_reason(closing.finish),
+        }],
+        "usage": Usage::from(&closing),
+        "yuccanotch": ClosingWire::new(job, &closing),
+    });
+    responder.whole(200, "application/json", HeaderMap::new(), body.to_string());
+}
+
+/// Streams tokens as server-sent events; the head leaves with the first token.
+struct EventSink<'a> {
+    host: &'a Host,
+    job: &'a ChatJob,
+    responder: Option<Responder>,
+    writer: Option<ChunkWriter>,
+}
+
+impl EventSink<'_> {
+    fn write(&mut self, data: &str) -> Result<(), CallerGone> {
+        if let Some(responder) = self.responder.take() {
+            let mut headers = HeaderMap::new();
+            headers.insert("cache-control", http::HeaderValue::from_static("no-store"));
+            self.writer = Some(responder.chunks(200, "text/event-stream", headers));
+        }
+        match &mut self.writer {
+            Some(writer) => writer.write(data.to_owned()),
+            None => Err(CallerGone::Closed),
+        }
+    }
+
+    fn chunk(&self, delta: serde_json::Value, finish: Option<&str>) -> serde_json::Value {
+        json!({
+            "id": completion_id(self.job.request),
+            "object": "chat.completion.chunk",
+            "created": self.host.clock.unix_now().0 / 1000,
+            "model": self.job.model,
+            "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+        })
+    }
+}
+
+impl TokenSink for EventSink<'_> {
+    fn token(&mut self, token: &str) -> Result<(), CallerGone> {
+        let chunk = self.chunk(json!({"content": token}), None);
+        self.write(&format!("data: {chunk}\n\n"))
+    }
+
+    fn is_gone(&self) -> bool {
+        match (&self.responder, &self.writer) {
+            (Some(responder), _) => responder.is_gone(),
+            (None, Some(writer)) => writer.is_gone(),
+            (None, None) => true,
+        }
+    }
+}
+
+fn serve_stream(host: &Host, job: &ChatJob, responder: Responder) {
+    let mut sink = EventSink { host, job, responder: Some(responder), writer: None };
+    match pipelines::run(host, job, &mut sink) {
+        Ok(closing) => {
+            let mut chunk = sink.chunk(json!({}), Some(finish_reason(closing.finish)));
+            chunk["usage"] = json!(Usage::from(&closing));
+            chunk["yuccanotch"] = json!(ClosingWire::new(job, &closing));
+            match sink.write(&format!("data: {chunk}\n\ndata: [DONE]\n\n")) {
+                Ok(()) => log_answered(host, job, &closing),
+                Err(e) => host.count_refusal(
+                    job.request,
+                    &Refusal::not_run(RefusalReason::CallerGone, e.to_string()),
+                ),
+            }
+        }
+        Err(refusal) => match sink.responder.take() {
+            Some(responder) => host.refuse(responder, &refusal),
+            None => cut(host, job, &mut sink, &refusal),
+        },
+    }
+}
+
+/// Ends a stream that had begun: an error event, and neither usage nor `[DONE]`.
+fn cut(host: &Host, job: &ChatJob, sink: &mut EventSink<'_>, refusal: &Refusal) {
+    host.count_refusal(job.request, refusal);
+    emit(
+        Event::AnswerCut,
+        format_args!("host={} request={}: {}", host.settings.host, job.request, refusal.detail),
+    );
+    let body = refusal.body(job.request);
+    let _ = sink.write(&format!("event: error\ndata: {body}\n\n"));
+}
+
+fn log_answered(host: &Host, job: &ChatJob, closing: &Closing) {
+    host.telemetry.counter("yuccanotch_answers_total", "model");
+    host.telemetry.counter_by("yuccanotch_tokens_total", "", u64::from(closing.count));
+    emit(
+        Event::RequestAnswered,
+        format_args!(
+            "host={} request={} tokens={} attempts={}",
+            host.settings.host, job.request, closing.count, closing.attempts
+        ),
+    );
+}
+
+fn completion_id(request: RequestId) -> String {
+    format!("chatcmpl-{request}")
+}
+
+fn finish_reason(finish: Finish) -> &'static str {
+    match finish {
+        Finish::Stop => "stop",
+        Finish::Length => "length",
+    }
+}
+
+#[derive(Serialize)]
+struct Usage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+    prompt_tokens_details: CachedTokens,
+}
+
+#[derive(Serialize)]
+struct CachedTokens {
+    cached_tokens: u32,
+}
+
+impl From<&Closing> for Usage {
+    fn from(closing: &Closing) -> Self {
+        Self {
+            prompt_tokens: closing.prompt_tokens,
+            completion_tokens: closing.count,
+            total_tokens: closing.prompt_tokens + closing.count,
+            prompt_tokens_details: CachedTokens { cached_tokens: closing.cached_tokens },
+        }
+    }
+}
+
+/// Closing part of a whole answer; without it nothing is billable.
+#[derive(Serialize)]
+struct ClosingWire<'a> {
+    request: RequestId,
+    version: &'a str,
+    tokens: u32,
+    digest: String,
+    attempts: u32,
+    chain: Vec<&'a str>,
+}
+
+impl<'a> ClosingWire<'a> {
+    fn new(job: &'a ChatJob, closing: &'a Closing) -> Self {
+        Self {
+            request: job.request,
+            version: job.version.as_str(),
+            tokens: closing.count,
+            digest: closing.digest.to_string(),
+            attempts: closing.attempts,
+            chain: closing.chain.iter().map(|hop| hop.server.as_str()).collect(),
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,26 @@
-//! Entry host: callers, routing, pipeline streams, peer links, admin port.
+//! Entry host: callers' HTTP, routing, pipeline streams, peer links, admin port.
+//!
+//! All state hangs off one [`Host`]; several hosts can live in one process.
+
+pub mod admin;
+pub mod admission;
+pub mod answer;
+pub mod callers;
+pub mod chat;
+pub mod claims;
+pub mod configuration;
+pub mod engine_client;
+pub mod error;
+pub mod fleet;
+pub mod host;
+pub mod logging;
+pub mod pipelines;
+pub mod plain;
+pub mod problem;
+pub mod settings;
+pub mod store_client;
+pub mod telemetry;
+
+pub use error::EntryError;
+pub use host::Host;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/plain.rs
@@ -0,0 +1,269 @@
+//! Callers' requests to plain services.
+
+use http::header;
+use http::HeaderMap;
+use http::HeaderValue;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::Route;
+use yuccanotch_core::config::ServerUse;
+use yuccanotch_core::digest::Digest;
+use yuccanotch_core::event::emit;
+use yuccanotch_core::event::Event;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::name::ServiceName;
+use yuccanotch_core::name::TeamName;
+use yuccanotch_core::reason::RefusalReason;
+use yuccanotch_core::reason::RetryReason;
+
+use crate::answer::Responder;
+use crate::callers::CallerRequest;
+use crate::claims::Begin;
+use crate::claims::ClaimRequest;
+use crate::claims::Finished;
+use crate::claims::StoredAnswer;
+use crate::configuration::Active;
+use crate::engine_client::CallError;
+use crate::engine_client::PlainCall;
+use crate::engine_client::PlainReply;
+use crate::fleet::Health;
+use crate::host::Host;
+use crate::problem::Refusal;
+
+/// Header that names a call that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+const OUTCOME_HEADER: &str = "yuccanotch-outcome";
+const DIGEST_HEADER: &str = "yuccanotch-digest";
+const MAX_KEY_BYTES: usize = 128;
+const RETRY_AFTER: Millis = Millis(500);
+
+struct PlainJob<'a> {
+    req: &'a CallerRequest,
+    active: &'a Active,
+    team: TeamName,
+    service: ServiceName,
+    target: String,
+    repeatable: bool,
+    deadline: Millis,
+}
+
+/// Serves `/SERVICE/...`.
+pub fn serve(host: &Host, req: &CallerRequest, responder: Responder) {
+    let (active, team) = match host.authenticate(req) {
+        Ok(authenticated) => authenticated,
+        Err(refusal) => return host.refuse(responder, &refusal),
+    };
+    let result = prepare(host, req, &active, team).and_then(|job| {
+        let settings = &active.declaration.teams[&job.team];
+        let ticket = host.admission.admit(&job.team, settings)?;
+        let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
+        drop(ticket);
+        answer
+    });
+    match result {
+        Ok(answer) => respond(host, req, responder, answer),
+        Err(refusal) => host.refuse(responder, &refusal),
+    }
+}
+
+fn prepare<'a>(
+    host: &Host,
+    req: &'a CallerRequest,
+    active: &'a Active,
+    team: TeamName,
+) -> Result<PlainJob<'a>, Refusal> {
+    let path = req.path().trim_start_matches('/');
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    let Some(declared) = active.declaration.services.get(service) else {
+        let text = format!("no service {service:?}");
+        return Err(Refusal::not_run(RefusalReason::UnknownService, text));
+    };
+    let rest = format!("/{rest}");
+    let route = find_route(&declared.routes, req, &rest)?;
+    let deadline = host.deadline(req, route.deadline_ms)?;
+    let query = req.target.split_once('?').map(|(_, query)| format!("?{query}"));
+    Ok(PlainJob {
+        req,
+        active,
+        team,
+        service: ServiceName::new(service),
+        target: format!("{rest}{}", query.unwrap_or_default()),
+        repeatable: route.repeatable,
+        deadline,
+    })
+}
+
+fn find_route<'a>(
+    routes: &'a [Route],
+    req: &CallerRequest,
+    path: &str,
+) -> Result<&'a Route, Refusal> {
+    let mut same_path = routes.iter().filter(|route| route.path == path).peekable();
+    if same_path.peek().is_none() {
+        let text = format!("the service has no path {path:?}");
+        return Err(Refusal::not_run(RefusalReason::NotFound, text));
+    }
+    same_path.find(|route| route.method.as_str() == req.method.as_str()).ok_or_else(|| {
+        let text = format!("{path:?} does not take {}", req.method);
+        Refusal::not_run(RefusalReason::MethodNotAllowed, text)
+    })
+}
+
+/// Runs a call that may be repeated, on one server after the other.
+fn run_repeatable(host: &Host, job: &PlainJob<'_>) -> Result<StoredAnswer, Refusal> {
+    let mut refusal = no_server(job);
+    for (i, (server, address)) in candidates(host, job).iter().enumerate() {
+        if host.clock.now() >= job.deadline {
+            return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, "the deadline passed"));
+        }
+        if i > 0 {
+            host.telemetry.retry(RetryReason::ConnectRefused);
+        }
+        match call(host, job, server, address) {
+            Ok(reply) => return Ok(reply.into()),
+            Err(e) => {
+                refusal = Refusal::not_run(RefusalReason::ServerFailed, e.to_string())
+                    .retry_after(RETRY_AFTER);
+            }
+        }
+    }
+    Err(refusal)
+}
+
+/// Runs a call that may not be repeated, under a claim.
+fn run_once(host: &Host, job: &PlainJob<'_>) -> Result<StoredAnswer, Refusal> {
+    let claim = ClaimRequest {
+        team: job.team.clone(),
+        service: job.service.clone(),
+        key: idempotency_key(job.req)?,
+        digest: call_digest(job),
+        deadline: job.deadline,
+    };
+    let permit = match host.claims.begin(&claim) {
+        Begin::Run(permit) => permit,
+        Begin::Answer(answer) => return Ok(answer),
+        Begin::Refuse(refusal) => return Err(refusal),
+    };
+    for (server, address) in candidates(host, job) {
+        match call(host, job, &server, &address) {
+            Ok(reply) => {
+                let answer = StoredAnswer::from(reply);
+                host.claims.finish(permit, Finished::Answer(answer.clone()));
+                return Ok(answer);
+            }
+            Err(CallError::NotSent) => host.telemetry.retry(RetryReason::ConnectRefused),
+            Err(e) => {
+                host.claims.finish(permit, Finished::Unknown);
+                emit(
+                    Event::OutcomeUnknown,
+                    format_args!("host={} request={}: {e}", host.settings.host, job.req.id),
+                );
+                return Err(Refusal::unknown(RefusalReason::ServerFailed, e.to_string()));
+            }
+        }
+    }
+    if host.claims.finish(permit, Finished::NotRun(RefusalReason::NoServer)) {
+        return Err(no_server(job));
+    }
+    Err(Refusal::unknown(
+        RefusalReason::StoreUnavailable,
+        "the refusal could not be recorded; ask again with the same key",
+    )
+    .retry_after(RETRY_AFTER))
+}
+
+fn no_server(job: &PlainJob<'_>) -> Refusal {
+    let text = format!("no backend server of {} can be reached", job.service);
+    Refusal::not_run(RefusalReason::NoServer, text).retry_after(RETRY_AFTER)
+}
+
+fn idempotency_key(req: &CallerRequest) -> Result<String, Refusal> {
+    let Some(value) = req.headers.get(KEY_HEADER) else {
+        let text = "this call may not be repeated and needs an Idempotency-Key header";
+        return Err(Refusal::not_run(RefusalReason::MissingKey, text));
+    };
+    let key = value.to_str().unwrap_or_default();
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let text = format!("the idempotency key must have 1 to {MAX_KEY_BYTES} ASCII characters");
+        return Err(Refusal::not_run(RefusalReason::BadKey, text));
+    }
+    Ok(key.to_owned())
+}
+
+fn call_digest(job: &PlainJob<'_>) -> Digest {
+    let mut buf = format!("{} {}\n", job.req.method, job.target).into_bytes();
+    buf.extend_from_slice(&job.req.body);
+    Digest::of(&buf)
+}
+
+/// Returns the servers of the service that may take the call, own failure domain first.
+fn candidates(host: &Host, job: &PlainJob<'_>) -> Vec<(ServerName, String)> {
+    let view = host.fleet.view();
+    let mut found: Vec<_> = job
+        .active
+        .declaration
+        .servers
+        .iter()
+        .filter(
+            |(_, server)| matches!(&server.used_for, ServerUse::Service(s) if *s == job.service),
+        )
+        .filter(|(name, server)| {
+            !server.drain && !view.servers.get(*name).is_some_and(|server| server.leaving)
+        })
+        .collect();
+    let suspected =
+        |name: &ServerName| view.servers.get(name).is_some_and(|server| server.suspected);
+    let start = host.random_u64();
+    found.sort_by_key(|(name, server)| {
+        let spread = yuccanotch_core::digest::rendezvous_weight(start, name.as_str());
+        (suspected(name), server.domain != host.settings.domain, spread)
+    });
+    found.into_iter().map(|(name, server)| (name.clone(), server.address.clone())).collect()
+}
+
+fn call(
+    host: &Host,
+    job: &PlainJob<'_>,
+    server: &ServerName,
+    address: &str,
+) -> Result<PlainReply, CallError> {
+    let mut headers = HeaderMap::new();
+    for name in [header::CONTENT_TYPE.as_str(), header::ACCEPT.as_str(), KEY_HEADER] {
+        if let Some(value) = job.req.headers.get(name) {
+            if let Ok(name) = name.parse::<http::HeaderName>() {
+                headers.insert(name, value.clone());
+            }
+        }
+    }
+    let result = host.engines.plain(PlainCall {
+        address,
+        method: job.req.method.as_str(),
+        target: &job.target,
+        headers,
+        body: &job.req.body,
+        timeout: job.deadline.since(host.clock.now()),
+    });
+    let health = if result.is_ok() { Health::Answered } else { Health::Failed };
+    host.fleet.report(server, health);
+    result
+}
+
+impl From<PlainReply> for StoredAnswer {
+    fn from(reply: PlainReply) -> Self {
+        Self { status: reply.status, content_type: reply.content_type, body: reply.body }
+    }
+}
+
+fn respond(host: &Host, req: &CallerRequest, responder: Responder, answer: StoredAnswer) {
+    host.telemetry.counter("yuccanotch_answers_total", "plain");
+    emit(
+        Event::RequestAnswered,
+        format_args!("host={} request={} status={}", host.settings.host, req.id, answer.status),
+    );
+    let mut headers = HeaderMap::new();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("ran"));
+    if let Ok(digest) = HeaderValue::from_str(&Digest::of(&answer.body).to_string()) {
+        headers.insert(DIGEST_HEADER, digest);
+    }
+    responder.whole(answer.status, &answer.content_type, headers, answer.body);
+}
