Keep the configuration as a manifest and immutable chunks

Cause: 38,000 teams do not fit one value of the store, and a patch against a stale number must not win.

Change: documents are split into content-addressed chunks by the hash of the entry's name; one compare-and-swap of the manifest makes a patch current. Each patch writes its chunks under keys of its own, so that no patch depends on what another one left behind. A lost answer is settled by the patch's id, also when another patch followed. Faults of types are reported several at once, with their JSON pointers.

Conclusion: write_first and read_current serve hosts and the embedded deployment; the patch procedure is driven call by call, free of I/O.

--- a/crates/core/src/config/declaration.rs
+++ b/crates/core/src/config/declaration.rs
@@ -31,6 +31,26 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Backend servers.
     pub servers: BTreeMap<ServerName, Server>,
+    /// How changes of placement are brought about.
+    pub rollout: Rollout,
+}
+
+/// How changes of placement are brought about.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rollout {
+    /// Servers of a domain that keep serving each layer range throughout a change.
+    pub keep_serving: u16,
+    /// Servers of a domain that load weights at the same time.
+    pub loads_at_once: u16,
+    /// Rate that a domain may draw from the weight store, in megabytes per second.
+    pub weights_mb_per_s: u32,
+}
+
+impl Default for Rollout {
+    fn default() -> Self {
+        Self { keep_serving: 1, loads_at_once: 2, weights_mb_per_s: 1_000 }
+    }
 }
 
 /// A failure domain.
--- /dev/null
+++ b/crates/core/src/config/first.rs
@@ -0,0 +1,56 @@
+//! Reads and writes whole configurations, for hosts that start and for tests.
+
+use crate::clock::Millis;
+use crate::config::call::drive;
+use crate::config::document::Document;
+use crate::config::manifest::PatchId;
+use crate::config::publisher::Change;
+use crate::config::publisher::Published;
+use crate::config::publisher::Publisher;
+use crate::config::reader::Chunks;
+use crate::config::reader::Reader;
+use crate::config::Active;
+use crate::config::ConfigError;
+use crate::config::Declaration;
+use crate::digest::fast_hash;
+use crate::ids::ConfigNumber;
+use crate::store::Store;
+
+/// Writes the first configuration into an empty store.
+///
+/// Failed calls are repeated without a pause. The patch id is derived from the declaration, so
+/// that a repetition with the same declaration settles a lost answer.
+///
+/// # Errors
+///
+/// Returns an error when the declaration has faults, or the store holds one already or fails.
+pub fn write_first(
+    store: &dyn Store,
+    declaration: &Declaration,
+) -> Result<ConfigNumber, ConfigError> {
+    let value =
+        serde_json::to_value(declaration).map_err(|e| ConfigError::Malformed(e.to_string()))?;
+    let document = Document::try_from(value).map_err(ConfigError::Invalid)?;
+    let id = PatchId(fast_hash(document.to_value().to_string().as_bytes()));
+    let publisher = Publisher::new(id, Change::First(document));
+    match drive(publisher, store, &mut |_: Millis| {}) {
+        Published::Accepted(number) | Published::Unchanged(number) => Ok(number),
+        Published::Invalid(findings) => Err(ConfigError::Invalid(findings)),
+        Published::Failed(e) => Err(e),
+        Published::Stale { current } => Err(ConfigError::Exists(current)),
+        Published::Behind { store, .. } => Err(ConfigError::Exists(store)),
+        Published::Empty | Published::Unknown => Err(ConfigError::Unknown),
+    }
+}
+
+/// Reads the current configuration; `None` when the store holds none.
+///
+/// Failed calls are repeated without a pause.
+///
+/// # Errors
+///
+/// Returns an error when the store fails or its values are malformed.
+pub fn read_current(store: &dyn Store) -> Result<Option<Active>, ConfigError> {
+    let read = drive(Reader::new(Chunks::new()), store, &mut |_: Millis| {})?;
+    read.map(|stored| Active::new(stored.manifest, stored.chunks)).transpose()
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,12 +1,26 @@
 //! Numbered declarations: what operators submit, checked and spread to all hosts.
+//!
+//! A declaration is kept as one manifest and immutable chunks; a patch swaps the manifest against
+//! the number that it was made against.
 
+mod active;
+pub mod call;
+pub mod chunk;
 mod declaration;
+pub mod document;
+mod error;
+mod first;
+mod locate;
+pub mod manifest;
 mod messages;
+pub mod publisher;
+pub mod reader;
 mod validate;
 
 #[cfg(test)]
 mod tests;
 
+pub use active::Active;
 pub use declaration::Accelerator;
 pub use declaration::Declaration;
 pub use declaration::Domain;
@@ -14,11 +28,17 @@
 pub use declaration::Model;
 pub use declaration::Placement;
 pub use declaration::Priority;
+pub use declaration::Rollout;
 pub use declaration::Route;
 pub use declaration::Server;
 pub use declaration::ServerUse;
 pub use declaration::Service;
 pub use declaration::Team;
+pub use error::ConfigError;
+pub use first::read_current;
+pub use first::write_first;
 pub use messages::ConfigMessage;
 pub use messages::ConfigReply;
+pub use validate::check_document;
 pub use validate::parse;
+pub use validate::parse_document;
--- /dev/null
+++ b/crates/core/src/config/publisher.rs
@@ -0,0 +1,383 @@
+//! Brings a change of the configuration into the store by compare-and-swap.
+//!
+//! Chunks are written first, under keys of the patch's own; then one swap of the manifest makes
+//! the patch current. A lost answer is settled by looking for the patch's id in the manifest.
+
+use serde_json::Value;
+
+use crate::clock::Millis;
+use crate::config::call::Attempts;
+use crate::config::call::Procedure;
+use crate::config::call::Step;
+use crate::config::call::StoreAnswer;
+use crate::config::call::StoreCall;
+use crate::config::chunk;
+use crate::config::chunk::NewChunk;
+use crate::config::document::Document;
+use crate::config::manifest::next_epoch;
+use crate::config::manifest::Fate;
+use crate::config::manifest::Manifest;
+use crate::config::manifest::PatchId;
+use crate::config::manifest::MANIFEST_KEY;
+use crate::config::reader::Chunks;
+use crate::config::reader::Reader;
+use crate::config::reader::Stored;
+use crate::config::validate;
+use crate::config::ConfigError;
+use crate::finding::Finding;
+use crate::ids::ConfigNumber;
+use crate::ids::KeyVersion;
+use crate::store::StoreError;
+use crate::store::Versioned;
+
+/// What to publish.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// The first configuration of an empty store.
+    First(Document),
+    /// A JSON merge patch (RFC 7396) against a number.
+    Patch {
+        /// Number that the patch was made against.
+        base: ConfigNumber,
+        /// The patch.
+        patch: Value,
+    },
+    /// The configuration that entry hosts hold, after the store was restored from an old copy.
+    Recovery {
+        /// Highest number that any entry host holds.
+        highest: ConfigNumber,
+        /// Declaration of that number.
+        document: Document,
+    },
+}
+
+/// How a publication ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Published {
+    /// The change was accepted under this number.
+    Accepted(ConfigNumber),
+    /// The change leaves the configuration as it is; nothing was written.
+    Unchanged(ConfigNumber),
+    /// The base is not current; the change was not and will not be accepted.
+    Stale {
+        /// Current number.
+        current: ConfigNumber,
+    },
+    /// The changed declaration has faults; nothing was written.
+    Invalid(Vec<Finding>),
+    /// The store is behind the entry hosts and has to be recovered first.
+    Behind {
+        /// Number in the store.
+        store: ConfigNumber,
+        /// Number that an entry host holds.
+        hosts: ConfigNumber,
+    },
+    /// There is no configuration to patch.
+    Empty,
+    /// The change may have been accepted; publishing it again with the same id settles it.
+    Unknown,
+    /// The change was not accepted.
+    Failed(ConfigError),
+}
+
+#[derive(Debug)]
+struct Plan {
+    manifest: Manifest,
+    expect: KeyVersion,
+    new: Vec<NewChunk>,
+    written: usize,
+}
+
+impl Plan {
+    fn chunk_call(&self) -> Option<StoreCall> {
+        self.new.get(self.written).map(|new| StoreCall::Swap {
+            key: new.chunk.key(),
+            expect: KeyVersion(0),
+            value: new.bytes.clone(),
+        })
+    }
+
+    fn swap_call(&self) -> StoreCall {
+        StoreCall::Swap {
+            key: MANIFEST_KEY.to_owned(),
+            expect: self.expect,
+            value: self.manifest.encode(),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Reading(Reader),
+    Writing(Plan),
+    Swapping(Plan),
+    Settling(Plan),
+    Ended,
+}
+
+/// Publishes one change.
+#[derive(Debug)]
+pub struct Publisher {
+    id: PatchId,
+    change: Change,
+    resumed: bool,
+    attempts: Attempts,
+    maybe_accepted: bool,
+    state: State,
+}
+
+impl Publisher {
+    /// Creates a publication of `change` under a fresh `id`.
+    pub fn new(id: PatchId, change: Change) -> Self {
+        Self {
+            id,
+            change,
+            resumed: false,
+            attempts: Attempts::new(),
+            maybe_accepted: false,
+            state: State::Reading(Reader::new(Chunks::new())),
+        }
+    }
+
+    /// Creates a publication that settles an earlier one with the same `id` and an unknown end.
+    pub fn resumed(id: PatchId, change: Change) -> Self {
+        Self { resumed: true, ..Self::new(id, change) }
+    }
+
+    fn done(&mut self, outcome: Published) -> Step<Published> {
+        self.state = State::Ended;
+        Step::Done(outcome)
+    }
+
+    fn base(&self) -> ConfigNumber {
+        match &self.change {
+            Change::First(_) => ConfigNumber(0),
+            Change::Patch { base, .. } => *base,
+            Change::Recovery { highest, .. } => *highest,
+        }
+    }
+
+    fn read(&mut self, mut reader: Reader, answer: Option<StoreAnswer>) -> Step<Published> {
+        match reader.next(answer) {
+            Step::Call { call, pause } => {
+                self.state = State::Reading(reader);
+                Step::Call { call, pause }
+            }
+            Step::Done(Ok(stored)) => self.plan(stored),
+            Step::Done(Err(e)) if self.maybe_accepted => {
+                log::debug!("outcome unknown: {e}");
+                self.done(Published::Unknown)
+            }
+            Step::Done(Err(e)) => self.done(Published::Failed(e)),
+        }
+    }
+
+    fn plan(&mut self, stored: Option<Stored>) -> Step<Published> {
+        if let Some(ended) = self.ended_before(stored.as_ref()) {
+            return self.done(ended);
+        }
+        let planned = match self.changed(stored.as_ref()) {
+            Ok(Some((number, document))) => self.split(stored.as_ref(), number, &document),
+            Ok(None) => {
+                return self.done(Published::Unchanged(self.base()));
+            }
+            Err(e) => Err(e),
+        };
+        match planned {
+            Ok(plan) => self.write(plan),
+            Err(ConfigError::Invalid(findings)) => self.done(Published::Invalid(findings)),
+            Err(e) => self.done(Published::Failed(e)),
+        }
+    }
+
+    /// Returns the outcome that the manifest in the store settles by itself.
+    fn ended_before(&self, stored: Option<&Stored>) -> Option<Published> {
+        let Some(stored) = stored else {
+            return match self.change {
+                Change::Patch { .. } => Some(Published::Empty),
+                Change::First(_) | Change::Recovery { .. } => None,
+            };
+        };
+        let manifest = &stored.manifest;
+        let fate = manifest.fate(self.base(), self.id);
+        if let Fate::Accepted(number) = fate {
+            return Some(Published::Accepted(number));
+        }
+        match &self.change {
+            Change::First(_) => Some(Published::Failed(ConfigError::Exists(manifest.number))),
+            Change::Patch { base, .. } => {
+                if let Some(hosts) = manifest.behind() {
+                    return Some(Published::Behind { store: manifest.number, hosts });
+                }
+                if *base == manifest.number {
+                    return None;
+                }
+                let open = (self.resumed || self.maybe_accepted) && fate == Fate::Forgotten;
+                let stale = Published::Stale { current: manifest.number };
+                Some(if open { Published::Unknown } else { stale })
+            }
+            Change::Recovery { highest, .. } => (*highest <= manifest.number)
+                .then_some(Published::Stale { current: manifest.number }),
+        }
+    }
+
+    fn changed(
+        &self,
+        stored: Option<&Stored>,
+    ) -> Result<Option<(ConfigNumber, Document)>, ConfigError> {
+        let (number, document) = match &self.change {
+            Change::First(document) => (ConfigNumber(1), document.clone()),
+            Change::Recovery { highest, document } => {
+                let floor = stored.and_then(|stored| stored.manifest.behind());
+                let highest = floor.map_or(*highest, |floor| floor.max(*highest));
+                (next_epoch(highest), document.clone())
+            }
+            Change::Patch { base, patch } => {
+                let old = match stored {
+                    Some(stored) => stored.document()?,
+                    None => Document::new(),
+                };
+                let new = old.merged(patch).map_err(ConfigError::Invalid)?;
+                if new == old {
+                    return Ok(None);
+                }
+                (base.next(), new)
+            }
+        };
+        validate::check_document(&document).map_err(ConfigError::Invalid)?;
+        Ok(Some((number, document)))
+    }
+
+    fn split(
+        &self,
+        stored: Option<&Stored>,
+        number: ConfigNumber,
+        document: &Document,
+    ) -> Result<Plan, ConfigError> {
+        let base = stored.map(|stored| &stored.manifest);
+        // A recovery writes all chunks anew: those of the old copy may be incomplete.
+        let kept = base.filter(|_| matches!(self.change, Change::Patch { .. }));
+        let split = chunk::split(document, kept, number, self.id).map_err(ConfigError::Invalid)?;
+        Ok(Plan {
+            manifest: Manifest::following(base, number, self.id, split.sections),
+            expect: stored.map_or(KeyVersion(0), |stored| stored.version),
+            new: split.new,
+            written: 0,
+        })
+    }
+
+    fn write(&mut self, plan: Plan) -> Step<Published> {
+        match plan.chunk_call() {
+            Some(call) => {
+                self.state = State::Writing(plan);
+                Step::call(call)
+            }
+            None => self.swap(plan, Millis::ZERO),
+        }
+    }
+
+    fn wrote(&mut self, mut plan: Plan, answer: Option<StoreAnswer>) -> Step<Published> {
+        match answer {
+            // The key is this patch's own: a version there is an earlier try of the same bytes.
+            Some(StoreAnswer::Written(_)) | Some(StoreAnswer::Failed(StoreError::Conflict(_))) => {
+                self.attempts.succeeded();
+                plan.written += 1;
+                self.write(plan)
+            }
+            Some(StoreAnswer::Failed(e)) => match (self.attempts.failed(), plan.chunk_call()) {
+                (Some(pause), Some(call)) => {
+                    self.state = State::Writing(plan);
+                    Step::Call { call, pause }
+                }
+                _ if self.maybe_accepted => self.done(Published::Unknown),
+                _ => self.done(Published::Failed(ConfigError::Store(e))),
+            },
+            _ => self.write(plan),
+        }
+    }
+
+    fn swap(&mut self, plan: Plan, pause: Millis) -> Step<Published> {
+        let call = plan.swap_call();
+        self.state = State::Swapping(plan);
+        Step::Call { call, pause }
+    }
+
+    fn swapped(&mut self, plan: Plan, answer: Option<StoreAnswer>) -> Step<Published> {
+        match answer {
+            Some(StoreAnswer::Written(_)) => {
+                let number = plan.manifest.number;
+                self.done(Published::Accepted(number))
+            }
+            Some(StoreAnswer::Failed(StoreError::Conflict(_))) => self.settle(plan, Millis::ZERO),
+            Some(StoreAnswer::Failed(StoreError::AnswerLost)) => {
+                self.maybe_accepted = true;
+                self.settle_later(plan, StoreError::AnswerLost)
+            }
+            Some(StoreAnswer::Failed(e)) if self.maybe_accepted => self.settle_later(plan, e),
+            Some(StoreAnswer::Failed(e)) => match self.attempts.failed() {
+                Some(pause) => self.swap(plan, pause),
+                None => self.done(Published::Failed(ConfigError::Store(e))),
+            },
+            _ => self.settle(plan, Millis::ZERO),
+        }
+    }
+
+    fn settle(&mut self, plan: Plan, pause: Millis) -> Step<Published> {
+        self.state = State::Settling(plan);
+        Step::Call { call: StoreCall::Get(MANIFEST_KEY.to_owned()), pause }
+    }
+
+    fn settle_later(&mut self, plan: Plan, e: StoreError) -> Step<Published> {
+        match self.attempts.failed() {
+            Some(pause) => self.settle(plan, pause),
+            None if self.maybe_accepted => self.done(Published::Unknown),
+            None => self.done(Published::Failed(ConfigError::Store(e))),
+        }
+    }
+
+    fn settled(&mut self, plan: Plan, answer: Option<StoreAnswer>) -> Step<Published> {
+        let value = match answer {
+            Some(StoreAnswer::Value(value)) => value,
+            Some(StoreAnswer::Failed(e)) => return self.settle_later(plan, e),
+            _ => return self.settle_later(plan, StoreError::AnswerLost),
+        };
+        let version = value.as_ref().map_or(KeyVersion(0), |value| value.version);
+        if version == plan.expect {
+            // The lost swap may still take effect; the same swap again is safe either way.
+            return match self.attempts.failed() {
+                Some(pause) => self.swap(plan, pause),
+                None if self.maybe_accepted => self.done(Published::Unknown),
+                None => self.done(Published::Failed(StoreError::AnswerLost.into())),
+            };
+        }
+        if version < plan.expect {
+            // The store went back: what it held before can't be told from it any more.
+            return self.went_back(value);
+        }
+        self.state = State::Ended;
+        let reader = Reader::new(Chunks::new());
+        self.read(reader, Some(StoreAnswer::Value(value)))
+    }
+
+    fn went_back(&mut self, value: Option<Versioned>) -> Step<Published> {
+        if self.maybe_accepted {
+            return self.done(Published::Unknown);
+        }
+        let reader = Reader::new(Chunks::new());
+        self.read(reader, Some(StoreAnswer::Value(value)))
+    }
+}
+
+impl Procedure for Publisher {
+    type Outcome = Published;
+
+    fn next(&mut self, answer: Option<StoreAnswer>) -> Step<Published> {
+        match std::mem::replace(&mut self.state, State::Ended) {
+            State::Reading(reader) => self.read(reader, answer),
+            State::Writing(plan) => self.wrote(plan, answer),
+            State::Swapping(plan) => self.swapped(plan, answer),
+            State::Settling(plan) => self.settled(plan, answer),
+            State::Ended => Step::Done(Published::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/reader.rs
@@ -0,0 +1,168 @@
+//! Reads the current manifest and its chunks from the store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::config::call::Attempts;
+use crate::config::call::Procedure;
+use crate::config::call::Step;
+use crate::config::call::StoreAnswer;
+use crate::config::call::StoreCall;
+use crate::config::chunk;
+use crate::config::document::Document;
+use crate::config::manifest::ChunkRef;
+use crate::config::manifest::Manifest;
+use crate::config::manifest::MANIFEST_KEY;
+use crate::config::ConfigError;
+use crate::digest::Digest;
+use crate::ids::KeyVersion;
+use crate::store::StoreError;
+
+/// Chunks by digest.
+pub type Chunks = BTreeMap<Digest, Arc<[u8]>>;
+
+/// A configuration as it stands in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Stored {
+    /// The manifest.
+    pub manifest: Manifest,
+    /// Version of the manifest's key.
+    pub version: KeyVersion,
+    /// Chunks of the manifest, checked against their digests.
+    pub chunks: Chunks,
+}
+
+impl Stored {
+    /// Joins the chunks to one document.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a chunk is missing or not an object.
+    pub fn document(&self) -> Result<Document, ConfigError> {
+        join(&self.manifest, &self.chunks)
+    }
+}
+
+/// Joins the chunks of `manifest` to one document.
+///
+/// # Errors
+///
+/// Returns an error when a chunk is missing or does not have its digest.
+pub fn join(manifest: &Manifest, chunks: &Chunks) -> Result<Document, ConfigError> {
+    let mut document = Document::new();
+    for (section, chunk) in manifest.chunks() {
+        let bytes =
+            chunks.get(&chunk.digest).ok_or_else(|| ConfigError::MissingChunk(chunk.key()))?;
+        document.extend(section, chunk::decode(chunk.digest, bytes)?);
+    }
+    Ok(document)
+}
+
+#[derive(Debug)]
+struct Partial {
+    stored: Stored,
+    missing: Vec<ChunkRef>,
+}
+
+/// Reads the current configuration; chunks that are at hand are not read again.
+#[derive(Debug)]
+pub struct Reader {
+    held: Chunks,
+    attempts: Attempts,
+    partial: Option<Partial>,
+}
+
+impl Reader {
+    /// Creates a reader that takes chunks from `held` where it can.
+    pub fn new(held: Chunks) -> Self {
+        Self { held, attempts: Attempts::new(), partial: None }
+    }
+
+    fn call(&self) -> StoreCall {
+        let chunk = self.partial.as_ref().and_then(|partial| partial.missing.last());
+        StoreCall::Get(chunk.map_or_else(|| MANIFEST_KEY.to_owned(), ChunkRef::key))
+    }
+
+    fn retry(&mut self, e: ConfigError) -> Step<Result<Option<Stored>, ConfigError>> {
+        match self.attempts.failed() {
+            Some(pause) => Step::Call { call: self.call(), pause },
+            None => Step::Done(Err(e)),
+        }
+    }
+
+    fn begin(&mut self, version: KeyVersion, bytes: &[u8]) -> Result<(), ConfigError> {
+        let manifest = Manifest::decode(bytes)?;
+        let mut chunks = Chunks::new();
+        let mut missing = Vec::new();
+        for (_, chunk) in manifest.chunks() {
+            match self.held.get(&chunk.digest) {
+                Some(bytes) => {
+                    chunks.insert(chunk.digest, Arc::clone(bytes));
+                }
+                None => missing.push(chunk),
+            }
+        }
+        self.partial = Some(Partial { stored: Stored { manifest, version, chunks }, missing });
+        Ok(())
+    }
+
+    fn take_chunk(&mut self, bytes: Vec<u8>) -> Result<(), ConfigError> {
+        let Some(partial) = &mut self.partial else { return Ok(()) };
+        let Some(chunk) = partial.missing.last() else { return Ok(()) };
+        if Digest::of(&bytes) != chunk.digest {
+            return Err(ConfigError::Malformed(format!("{} has other bytes", chunk.key())));
+        }
+        partial.stored.chunks.insert(chunk.digest, bytes.into());
+        partial.missing.pop();
+        Ok(())
+    }
+
+    fn advance(&mut self) -> Step<Result<Option<Stored>, ConfigError>> {
+        let whole = self.partial.as_ref().is_some_and(|partial| partial.missing.is_empty());
+        if whole {
+            if let Some(partial) = self.partial.take() {
+                return Step::Done(Ok(Some(partial.stored)));
+            }
+        }
+        Step::call(self.call())
+    }
+
+    /// Starts over: a chunk that is gone belonged to a manifest that was replaced meanwhile.
+    fn restart(&mut self, key: String) -> Step<Result<Option<Stored>, ConfigError>> {
+        if let Some(partial) = self.partial.take() {
+            self.held.extend(partial.stored.chunks);
+        }
+        self.retry(ConfigError::MissingChunk(key))
+    }
+}
+
+impl Procedure for Reader {
+    type Outcome = Result<Option<Stored>, ConfigError>;
+
+    fn next(&mut self, answer: Option<StoreAnswer>) -> Step<Self::Outcome> {
+        let value = match answer {
+            None => return Step::call(self.call()),
+            Some(StoreAnswer::Value(value)) => value,
+            Some(StoreAnswer::Failed(e)) => return self.retry(ConfigError::Store(e)),
+            Some(_) => return self.retry(ConfigError::Store(StoreError::AnswerLost)),
+        };
+        let taken = match (value, &self.partial) {
+            (None, None) => return Step::Done(Ok(None)),
+            (None, Some(partial)) => {
+                let key = partial.missing.last().map(ChunkRef::key).unwrap_or_default();
+                return self.restart(key);
+            }
+            (Some(value), None) => self.begin(value.version, &value.value),
+            (Some(value), Some(_)) => self.take_chunk(value.value),
+        };
+        match taken {
+            Ok(()) => {
+                if self.partial.is_some() {
+                    self.attempts.succeeded();
+                }
+                self.advance()
+            }
+            Err(e) => Step::Done(Err(e)),
+        }
+    }
+}
--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -1,9 +1,17 @@
 //! Checks of declarations, with all findings collected.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::config::document::Document;
+use crate::config::document::Section;
+use crate::config::locate::read_located;
 use crate::config::Declaration;
 use crate::config::Model;
+use crate::config::Rollout;
 use crate::config::Server;
 use crate::config::ServerUse;
 use crate::config::Service;
@@ -13,24 +21,71 @@
 use crate::finding::Findings;
 use crate::name::is_valid_name;
 
+const UNKNOWN_SECTION: &str =
+    "no such section; there are domains, models, rollout, servers, services and teams";
+
 /// Parses and checks a declaration.
 ///
 /// # Errors
 ///
 /// Returns every finding with its JSON pointer.
 pub fn parse(text: &[u8]) -> Result<Declaration, Vec<Finding>> {
-    let declaration: Declaration = match serde_json::from_slice(text) {
-        Ok(declaration) => declaration,
-        Err(e) => {
-            return Err(vec![Finding { pointer: String::new(), text: e.to_string() }]);
-        }
-    };
+    check_document(&parse_document(text)?)
+}
+
+/// Parses a declaration without checking its entries.
+///
+/// # Errors
+///
+/// Returns findings when the text is not a JSON object of objects.
+pub fn parse_document(text: &[u8]) -> Result<Document, Vec<Finding>> {
+    let value: Value = serde_json::from_slice(text)
+        .map_err(|e| vec![Finding { pointer: String::new(), text: e.to_string() }])?;
+    Document::try_from(value)
+}
+
+/// Checks the entries of a document.
+///
+/// # Errors
+///
+/// Returns every finding with its JSON pointer.
+pub fn check_document(document: &Document) -> Result<Declaration, Vec<Finding>> {
     let mut findings = Findings::new();
-    check(&declaration, &mut findings);
+    let mut declaration = Declaration::default();
+    for (name, entries) in document.sections() {
+        match name.as_str() {
+            "domains" => declaration.domains = section("/domains", entries, &mut findings),
+            "teams" => declaration.teams = section("/teams", entries, &mut findings),
+            "models" => declaration.models = section("/models", entries, &mut findings),
+            "services" => declaration.services = section("/services", entries, &mut findings),
+            "servers" => declaration.servers = section("/servers", entries, &mut findings),
+            "rollout" => {
+                let value = Value::Object(entries.clone());
+                let rollout = read_located("/rollout", &value, &mut findings);
+                declaration.rollout = rollout.unwrap_or_default();
+            }
+            _ => findings.add(place("", name), UNKNOWN_SECTION),
+        }
+    }
+    check(&declaration, document, &mut findings);
     findings.into_result(declaration)
 }
 
-fn check(declaration: &Declaration, findings: &mut Findings) {
+fn section<N: for<'a> From<&'a str> + Ord, T: DeserializeOwned>(
+    at: &str,
+    entries: &Section,
+    findings: &mut Findings,
+) -> BTreeMap<N, T> {
+    let mut read = BTreeMap::new();
+    for (name, entry) in entries {
+        if let Some(entry) = read_located(&place(at, name), entry, findings) {
+            read.insert(N::from(name), entry);
+        }
+    }
+    read
+}
+
+fn check(declaration: &Declaration, document: &Document, findings: &mut Findings) {
     for name in declaration.domains.keys() {
         check_name(findings, "/domains", name.as_str());
     }
@@ -48,10 +103,50 @@
     }
     for (name, server) in &declaration.servers {
         check_name(findings, "/servers", name.as_str());
-        check_server(declaration, findings, &place("/servers", name.as_str()), server);
+        let at = place("/servers", name.as_str());
+        check_server(declaration, document, findings, &at, server);
+    }
+    check_keys(declaration, findings);
+    check_addresses(declaration, findings);
+    check_rollout(&declaration.rollout, findings);
+}
+
+/// Returns whether the document has an entry, be it faulty or not.
+fn has_entry(document: &Document, section: &str, name: &str) -> bool {
+    document.sections().get(section).is_some_and(|entries| entries.contains_key(name))
+}
+
+fn check_keys(declaration: &Declaration, findings: &mut Findings) {
+    let mut owners = BTreeMap::new();
+    for (name, team) in &declaration.teams {
+        for (i, key) in team.keys.iter().enumerate() {
+            if let Some(owner) = owners.insert(*key, name) {
+                let at = format!("{}/keys/{i}", place("/teams", name.as_str()));
+                findings.add(at, format!("is a key of team {:?} already", owner.as_str()));
+            }
+        }
     }
 }
 
+fn check_addresses(declaration: &Declaration, findings: &mut Findings) {
+    let mut owners = BTreeMap::new();
+    for (name, server) in &declaration.servers {
+        if let Some(owner) = owners.insert(server.address.as_str(), name) {
+            let at = format!("{}/address", place("/servers", name.as_str()));
+            findings.add(at, format!("is the address of server {:?} already", owner.as_str()));
+        }
+    }
+}
+
+fn check_rollout(rollout: &Rollout, findings: &mut Findings) {
+    findings.check(rollout.weights_mb_per_s > 0, "/rollout/weights_mb_per_s", || {
+        "must be at least 1".to_owned()
+    });
+    findings.check(rollout.loads_at_once > 0, "/rollout/loads_at_once", || {
+        "must be at least 1".to_owned()
+    });
+}
+
 fn place(parent: &str, name: &str) -> String {
     format!("{parent}/{}", pointer_token(name))
 }
@@ -94,9 +189,15 @@
     }
 }
 
-fn check_server(declaration: &Declaration, findings: &mut Findings, at: &str, server: &Server) {
+fn check_server(
+    declaration: &Declaration,
+    document: &Document,
+    findings: &mut Findings,
+    at: &str,
+    server: &Server,
+) {
     findings.check(
-        declaration.domains.contains_key(&server.domain),
+        has_entry(document, "domains", server.domain.as_str()),
         &format!("{at}/domain"),
         || format!("no failure domain {:?}", server.domain.as_str()),
     );
@@ -106,18 +207,18 @@
     match &server.used_for {
         ServerUse::Service(service) => {
             findings.check(
-                declaration.services.contains_key(service),
+                has_entry(document, "services", service.as_str()),
                 &format!("{at}/use/service"),
                 || format!("no service {:?}", service.as_str()),
             );
         }
         ServerUse::Engine(placement) => {
             let at = format!("{at}/use/engine");
-            let Some(model) = declaration.models.get(&placement.model) else {
-                let text = format!("no model {:?}", placement.model.as_str());
-                findings.add(format!("{at}/model"), text);
-                return;
-            };
+            let name = placement.model.as_str();
+            findings.check(has_entry(document, "models", name), &format!("{at}/model"), || {
+                format!("no model {name:?}")
+            });
+            let Some(model) = declaration.models.get(&placement.model) else { return };
             let layers = placement.layers;
             findings.check(
                 !layers.is_empty() && layers.end <= model.layers,
