Add authenticated links between entry hosts

Cause: claims, configuration and membership need to talk to other entry hosts.

Change: h2 with prior knowledge over one long-lived connection per peer, one bincode value each way, a challenge under a shared key on the first stream and a tag per body under a key of the connection. Strangers, oversized and malformed bodies are refused and counted. Cuts drop messages by host or failure domain and direction, for experiments.

Conclusion: Peers::call, call_with and send; PeerError::was_sent tells what may have been served.

--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -164,3 +164,21 @@
         AfterEnd => "after_end",
     }
 }
+
+reasons! {
+    /// Why a message on a link between entry hosts was refused.
+    LinkFault {
+        /// The other side did not prove a shared key.
+        Stranger => "stranger",
+        /// The other side proved a key but is not the host that was called.
+        WrongHost => "wrong_host",
+        /// The tag of a body does not verify.
+        BadTag => "bad_tag",
+        /// The body is larger than the limit.
+        Oversized => "oversized",
+        /// The body is not a well-formed message.
+        Malformed => "malformed",
+        /// The host has too many connections.
+        TooManyConnections => "too_many_connections",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers/filter.rs
@@ -0,0 +1,75 @@
+//! Messages that are dropped on purpose, for experiments with partitions.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+
+/// Direction of a message as seen from this host.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Direction {
+    /// From this host: its requests and its replies.
+    To,
+    /// To this host: the other side's requests and replies.
+    From,
+}
+
+/// The far side of a cut.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Far {
+    /// One entry host.
+    Host(HostName),
+    /// All entry hosts of a failure domain.
+    Domain(DomainName),
+}
+
+/// Messages that are dropped.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Cut {
+    /// Direction.
+    pub direction: Direction,
+    /// Far side.
+    pub far: Far,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct LinkFilter {
+    cuts: HashSet<Cut>,
+    domains: HashMap<HostName, DomainName>,
+}
+
+impl LinkFilter {
+    pub(super) fn set(&mut self, cut: Cut, active: bool) {
+        if active {
+            self.cuts.insert(cut);
+        } else {
+            self.cuts.remove(&cut);
+        }
+    }
+
+    pub(super) fn set_domain(&mut self, host: &HostName, domain: &DomainName) {
+        self.domains.insert(host.clone(), domain.clone());
+    }
+
+    pub(super) fn forget(&mut self, host: &HostName) {
+        self.domains.remove(host);
+    }
+
+    pub(super) fn cuts(&self) -> Vec<Cut> {
+        self.cuts.iter().cloned().collect()
+    }
+
+    pub(super) fn is_cut(&self, host: &HostName, direction: Direction) -> bool {
+        if self.cuts.is_empty() {
+            return false;
+        }
+        if self.cuts.contains(&Cut { direction, far: Far::Host(host.clone()) }) {
+            return true;
+        }
+        let Some(domain) = self.domains.get(host) else {
+            return false;
+        };
+        self.cuts.contains(&Cut { direction, far: Far::Domain(domain.clone()) })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers/link.rs
@@ -0,0 +1,281 @@
+//! The calling side: one connection to one peer, opened when needed.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use http::Request;
+use rand::Rng as _;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+use yuccanotch_core::reason::LinkFault;
+
+use crate::peers::auth;
+use crate::peers::auth::Purpose;
+use crate::peers::auth::SessionKey;
+use crate::peers::error::PeerError;
+use crate::peers::filter::Direction;
+use crate::peers::meter::add;
+use crate::peers::meter::MeteredStream;
+use crate::peers::wire;
+use crate::peers::wire::BodyFault;
+use crate::peers::wire::Far;
+use crate::peers::wire::Hello;
+use crate::peers::wire::Welcome;
+use crate::peers::wire::WireReply;
+use crate::peers::wire::WireRequest;
+use crate::peers::Shared;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
+const MAX_BACKOFF_DOUBLINGS: u32 = 5;
+const MAX_TIMEOUTS_IN_A_ROW: u32 = 3;
+const URI: &str = "http://peer/";
+
+/// An authenticated connection.
+#[derive(Clone)]
+struct Session {
+    sender: SendRequest<Bytes>,
+    key: SessionKey,
+    far: Far,
+    closed: Arc<AtomicBool>,
+}
+
+#[derive(Default)]
+struct LinkState {
+    session: Option<Session>,
+    failures: u32,
+    retry_at: Option<Instant>,
+    timeouts: u32,
+}
+
+pub(super) struct Link {
+    shared: Arc<Shared>,
+    host: HostName,
+    address: SocketAddr,
+    state: Mutex<LinkState>,
+}
+
+impl Link {
+    pub(super) fn new(shared: Arc<Shared>, host: HostName, address: SocketAddr) -> Self {
+        Self { shared, host, address, state: Mutex::default() }
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(super) async fn call(
+        &self,
+        request: PeerRequest,
+        limit: Millis,
+    ) -> Result<PeerReply, PeerError> {
+        add(&self.shared.meter.calls, 1);
+        let result = self.try_call(request, limit).await;
+        if result.is_err() {
+            add(&self.shared.meter.failed_calls, 1);
+        }
+        result
+    }
+
+    async fn try_call(&self, request: PeerRequest, limit: Millis) -> Result<PeerReply, PeerError> {
+        let deadline = tokio::time::Instant::now() + limit.to_duration();
+        if self.shared.is_cut(&self.host, Direction::To) {
+            return Err(PeerError::Unreachable);
+        }
+        let body = wire::encode(&WireRequest { config: self.shared.config(), request });
+        if body.len() > wire::MAX_BODY_BYTES - auth::TAG_BYTES {
+            return Err(PeerError::TooLarge);
+        }
+        let mut answered = self.attempt(&body, deadline).await;
+        if matches!(answered, Err(PeerError::Unreachable)) {
+            // The connection may have been closed while it was idle; nothing was sent on it.
+            answered = self.attempt(&body, deadline).await;
+        }
+        let (session, reply) = answered?;
+        if self.shared.is_cut(&self.host, Direction::From) {
+            return Err(PeerError::Lost);
+        }
+        if let Some(handler) = self.shared.handler() {
+            handler.on_reply_header(&session.far.header(reply.config));
+        }
+        Ok(reply.reply)
+    }
+
+    async fn attempt(
+        &self,
+        body: &[u8],
+        deadline: tokio::time::Instant,
+    ) -> Result<(Session, WireReply), PeerError> {
+        let session =
+            timeout_at(deadline, self.session()).await.unwrap_or(Err(PeerError::Unreachable))?;
+        let exchange = exchange(&self.shared, &session, body);
+        let result = timeout_at(deadline, exchange).await.unwrap_or(Err(PeerError::TimedOut));
+        self.note(&session, &result).await;
+        result.map(|reply| (session, reply))
+    }
+
+    /// Drops a connection that broke or went silent.
+    async fn note(&self, session: &Session, result: &Result<WireReply, PeerError>) {
+        let mut state = self.state.lock().await;
+        state.timeouts = match result {
+            Err(PeerError::TimedOut) => state.timeouts + 1,
+            _ => 0,
+        };
+        let broken =
+            matches!(result, Err(PeerError::Unreachable | PeerError::Lost | PeerError::BadReply));
+        if !broken && state.timeouts < MAX_TIMEOUTS_IN_A_ROW {
+            return;
+        }
+        let same = |held: &Session| Arc::ptr_eq(&held.closed, &session.closed);
+        if state.session.as_ref().is_some_and(same) {
+            state.session = None;
+            state.timeouts = 0;
+        }
+    }
+
+    async fn session(&self) -> Result<Session, PeerError> {
+        let mut state = self.state.lock().await;
+        if let Some(session) = &state.session {
+            if !session.closed.load(Ordering::Relaxed) {
+                return Ok(session.clone());
+            }
+            state.session = None;
+        }
+        if state.retry_at.is_some_and(|at| Instant::now() < at) {
+            return Err(PeerError::Unreachable);
+        }
+        let connected = timeout(CONNECT_TIMEOUT, connect(&self.shared, &self.host, self.address))
+            .await
+            .unwrap_or(Err(PeerError::Unreachable));
+        match connected {
+            Ok(session) => {
+                *state = LinkState { session: Some(session.clone()), ..LinkState::default() };
+                Ok(session)
+            }
+            Err(e) => {
+                state.retry_at = Some(Instant::now() + backoff(state.failures));
+                state.failures += 1;
+                Err(e)
+            }
+        }
+    }
+}
+
+fn backoff(failures: u32) -> Duration {
+    let longest = (MIN_BACKOFF * (1 << failures.min(MAX_BACKOFF_DOUBLINGS))).min(MAX_BACKOFF);
+    longest.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+async fn connect(
+    shared: &Arc<Shared>,
+    host: &HostName,
+    address: SocketAddr,
+) -> Result<Session, PeerError> {
+    let stream = TcpStream::connect(address).await.map_err(|_| PeerError::Unreachable)?;
+    stream.set_nodelay(true).map_err(|_| PeerError::Unreachable)?;
+    add(&shared.meter.connects, 1);
+    let stream = MeteredStream::new(stream, Arc::clone(shared));
+    let (sender, connection) = h2::client::Builder::new()
+        .enable_push(false)
+        .handshake::<_, Bytes>(stream)
+        .await
+        .map_err(|_| PeerError::Unreachable)?;
+    let closed = Arc::new(AtomicBool::new(false));
+    let closed_by_task = Arc::clone(&closed);
+    tokio::spawn(async move {
+        let _ = connection.await;
+        closed_by_task.store(true, Ordering::Relaxed);
+    });
+    let (key, far) = authenticate(shared, &sender).await?;
+    if far.host != *host {
+        shared.meter.count_fault(LinkFault::WrongHost);
+        return Err(PeerError::Unauthenticated);
+    }
+    Ok(Session { sender, key, far, closed })
+}
+
+async fn authenticate(
+    shared: &Shared,
+    sender: &SendRequest<Bytes>,
+) -> Result<(SessionKey, Far), PeerError> {
+    let settings = &shared.settings;
+    let hello = Hello {
+        host: settings.host.clone(),
+        incarnation: settings.incarnation,
+        nonce: rand::rng().random(),
+    };
+    let signing = settings.keys.signing();
+    let hello_body = wire::encode(&hello);
+    let tag = auth::tag(signing, &[&[Purpose::Hello as u8], &hello_body]);
+    let mut body = hello_body.clone();
+    body.extend_from_slice(&tag);
+    let (_, reply) =
+        round_trip(sender, |_| body, wire::MAX_HELLO_BYTES).await.map_err(not_opened)?;
+    let (welcome_body, tag) = wire::split_tag(&reply).ok_or(PeerError::Unauthenticated)?;
+    let parts = [&[Purpose::Welcome as u8][..], &hello_body, welcome_body];
+    let welcome: Option<Welcome> =
+        settings.keys.find(&parts, tag).and_then(|_| wire::decode(welcome_body));
+    let Some(welcome) = welcome else {
+        shared.meter.count_fault(LinkFault::Stranger);
+        return Err(PeerError::Unauthenticated);
+    };
+    let key = SessionKey::derive(signing, &hello.nonce, &welcome.nonce);
+    Ok((key, welcome.into()))
+}
+
+/// Maps the failure of a handshake, before which no request is sent.
+fn not_opened(e: PeerError) -> PeerError {
+    match e {
+        PeerError::BadReply => PeerError::Unauthenticated,
+        _ => PeerError::Unreachable,
+    }
+}
+
+async fn exchange(shared: &Shared, session: &Session, body: &[u8]) -> Result<WireReply, PeerError> {
+    let seal = |stream_id| session.key.seal(Purpose::Request, stream_id, body.to_vec());
+    let (stream_id, sealed) = round_trip(&session.sender, seal, wire::MAX_BODY_BYTES).await?;
+    let Some(body) = session.key.open(Purpose::Reply, stream_id, &sealed) else {
+        shared.meter.count_fault(LinkFault::BadTag);
+        return Err(PeerError::BadReply);
+    };
+    wire::decode(body).ok_or_else(|| {
+        shared.meter.count_fault(LinkFault::Malformed);
+        PeerError::BadReply
+    })
+}
+
+/// Sends one body on a new stream and reads the reply.
+async fn round_trip(
+    sender: &SendRequest<Bytes>,
+    body: impl FnOnce(u32) -> Vec<u8>,
+    limit: usize,
+) -> Result<(u32, Bytes), PeerError> {
+    let mut sender = sender.clone().ready().await.map_err(|_| PeerError::Unreachable)?;
+    let request = Request::post(URI).body(()).expect("the parts of the request are constant");
+    let (response, mut stream) =
+        sender.send_request(request, false).map_err(|_| PeerError::Unreachable)?;
+    let stream_id = stream.stream_id().as_u32();
+    stream.send_data(body(stream_id).into(), true).map_err(|_| PeerError::Lost)?;
+    let response = response.await.map_err(|_| PeerError::Lost)?;
+    if !response.status().is_success() {
+        return Err(PeerError::BadReply);
+    }
+    match wire::read_body(&mut response.into_body(), limit).await {
+        Ok(reply) => Ok((stream_id, reply)),
+        Err(BodyFault::Oversized) => Err(PeerError::BadReply),
+        Err(BodyFault::Broken) => Err(PeerError::Lost),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers/mod.rs
@@ -0,0 +1,318 @@
+//! Links between entry hosts: `h2` streams over cleartext TCP, one bincode value each way.
+//!
+//! A host opens one long-lived connection to each peer that it calls. The first stream of a
+//! connection proves on both sides the knowledge of a shared key; every later body carries a tag
+//! under a key that holds for this connection alone. A body that is unauthenticated, oversized or
+//! malformed is refused and counted, and never reaches a handler.
+
+mod auth;
+mod error;
+mod filter;
+mod link;
+mod meter;
+mod server;
+mod wire;
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::HashMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+
+use tokio::runtime;
+use tokio::runtime::Runtime;
+use tokio::sync::Semaphore;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::ids::Incarnation;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::peer::PeerHeader;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+
+pub use auth::PeerKeys;
+pub use error::PeerError;
+pub use filter::Cut;
+pub use filter::Direction;
+pub use filter::Far;
+pub use meter::LinkFigures;
+
+use crate::peers::filter::LinkFilter;
+use crate::peers::link::Link;
+use crate::peers::meter::Meter;
+
+const WORKER_THREADS: usize = 1;
+const MAX_BLOCKING_THREADS: usize = 128;
+const BLOCKING_KEEP_ALIVE: Millis = Millis(5_000);
+const MAX_PENDING_SENDS: usize = 256;
+const SEND_TIMEOUT: Millis = Millis(2_000);
+
+/// Serves the requests of other entry hosts.
+pub trait PeerHandler: Send + Sync {
+    /// Answers a request.
+    ///
+    /// Requests of the membership and share slices are answered on the links' own thread and must
+    /// not block; all others run on a pool of threads and may.
+    fn on_request(&self, header: PeerHeader, request: PeerRequest) -> PeerReply;
+
+    /// Takes note of the header of a reply.
+    fn on_reply_header(&self, _header: &PeerHeader) {}
+}
+
+/// What an entry host's links are set up with.
+#[derive(Clone, Debug)]
+pub struct PeerSettings {
+    /// Own name.
+    pub host: HostName,
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Own incarnation.
+    pub incarnation: Incarnation,
+    /// Address to listen on; port 0 takes any free one.
+    pub listen: SocketAddr,
+    /// Shared keys.
+    pub keys: PeerKeys,
+}
+
+/// State that the client side, the server side and the facade share.
+struct Shared {
+    settings: PeerSettings,
+    config: AtomicU64,
+    handler: Mutex<Option<Weak<dyn PeerHandler>>>,
+    filter: Mutex<LinkFilter>,
+    meter: Meter,
+    stopping: AtomicBool,
+}
+
+impl Shared {
+    fn config(&self) -> ConfigNumber {
+        ConfigNumber(self.config.load(Ordering::Relaxed))
+    }
+
+    fn handler(&self) -> Option<Arc<dyn PeerHandler>> {
+        self.handler.lock().expect("lock is not poisoned").as_ref()?.upgrade()
+    }
+
+    fn is_cut(&self, far: &HostName, direction: Direction) -> bool {
+        self.filter.lock().expect("lock is not poisoned").is_cut(far, direction)
+    }
+}
+
+/// The links of one entry host.
+pub struct Peers {
+    shared: Arc<Shared>,
+    links: Mutex<HashMap<HostName, Arc<Link>>>,
+    pending_sends: Arc<Semaphore>,
+    address: SocketAddr,
+    listener: Mutex<Option<TcpListener>>,
+    runtime: Option<Runtime>,
+}
+
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Peers").field("address", &self.address).finish_non_exhaustive()
+    }
+}
+
+impl Peers {
+    /// Binds the listening address and starts the links' thread; see [`Peers::serve`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound or the thread cannot be started.
+    pub fn bind(settings: PeerSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(WORKER_THREADS)
+            .max_blocking_threads(MAX_BLOCKING_THREADS)
+            .thread_keep_alive(BLOCKING_KEEP_ALIVE.to_duration())
+            .thread_name("peers")
+            .enable_io()
+            .enable_time()
+            .build()?;
+        let shared = Shared {
+            settings,
+            config: AtomicU64::new(0),
+            handler: Mutex::new(None),
+            filter: Mutex::default(),
+            meter: Meter::default(),
+            stopping: AtomicBool::new(false),
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+            links: Mutex::default(),
+            pending_sends: Arc::new(Semaphore::new(MAX_PENDING_SENDS)),
+            address,
+            listener: Mutex::new(Some(listener)),
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Starts to answer requests with `handler`; a second call is without effect.
+    ///
+    /// Requests are declined once the handler has been dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the listener cannot be registered with the runtime.
+    pub fn serve(&self, handler: Weak<dyn PeerHandler>) -> io::Result<()> {
+        let Some(listener) = self.listener.lock().expect("lock is not poisoned").take() else {
+            return Ok(());
+        };
+        *self.shared.handler.lock().expect("lock is not poisoned") = Some(handler);
+        let _guard = self.runtime().enter();
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        self.runtime().spawn(server::accept(Arc::clone(&self.shared), listener));
+        Ok(())
+    }
+
+    fn runtime(&self) -> &Runtime {
+        self.runtime.as_ref().expect("the runtime lives as long as the links")
+    }
+
+    /// Returns the address that the host listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the host's own name.
+    pub fn host(&self) -> &HostName {
+        &self.shared.settings.host
+    }
+
+    /// Returns the host's own incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.settings.incarnation
+    }
+
+    /// Sets the configuration number that messages carry from now on.
+    pub fn set_config(&self, config: ConfigNumber) {
+        self.shared.config.fetch_max(config.0, Ordering::Relaxed);
+    }
+
+    /// Sets where a peer listens; a changed address closes the old connection.
+    pub fn set_address(&self, host: &HostName, domain: &DomainName, address: SocketAddr) {
+        self.shared.filter.lock().expect("lock is not poisoned").set_domain(host, domain);
+        let mut links = self.links.lock().expect("lock is not poisoned");
+        match links.get(host) {
+            Some(link) if link.address() == address => {}
+            _ => {
+                let link = Link::new(Arc::clone(&self.shared), host.clone(), address);
+                links.insert(host.clone(), Arc::new(link));
+            }
+        }
+    }
+
+    /// Forgets a peer and closes the connection to it.
+    pub fn forget(&self, host: &HostName) {
+        self.shared.filter.lock().expect("lock is not poisoned").forget(host);
+        self.links.lock().expect("lock is not poisoned").remove(host);
+    }
+
+    /// Returns the peers whose address is known.
+    pub fn known(&self) -> Vec<HostName> {
+        self.links.lock().expect("lock is not poisoned").keys().cloned().collect()
+    }
+
+    fn link(&self, host: &HostName) -> Result<Arc<Link>, PeerError> {
+        let links = self.links.lock().expect("lock is not poisoned");
+        links.get(host).cloned().ok_or(PeerError::UnknownHost)
+    }
+
+    /// Sends a request and waits for its reply; may be called from any thread but the links' own.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`]; [`PeerError::was_sent`] tells whether the peer may have served it.
+    pub fn call(
+        &self,
+        host: &HostName,
+        request: PeerRequest,
+        timeout: Millis,
+    ) -> Result<PeerReply, PeerError> {
+        let (tx, rx) = mpsc::sync_channel(1);
+        self.call_with(host, request, timeout, move |result| {
+            let _ = tx.send(result);
+        });
+        rx.recv().unwrap_or(Err(PeerError::Lost))
+    }
+
+    /// Sends a request and passes the result to `done` on the links' own thread.
+    ///
+    /// `done` must not block.
+    pub fn call_with(
+        &self,
+        host: &HostName,
+        request: PeerRequest,
+        timeout: Millis,
+        done: impl FnOnce(Result<PeerReply, PeerError>) + Send + 'static,
+    ) {
+        if self.shared.stopping.load(Ordering::Relaxed) {
+            done(Err(PeerError::Unreachable));
+            return;
+        }
+        let link = match self.link(host) {
+            Ok(link) => link,
+            Err(e) => {
+                done(Err(e));
+                return;
+            }
+        };
+        self.runtime().spawn(async move {
+            done(link.call(request, timeout).await);
+        });
+    }
+
+    /// Sends a request without waiting; the reply is dropped.
+    ///
+    /// The request itself is dropped and counted when too many are under way.
+    pub fn send(&self, host: &HostName, request: PeerRequest) {
+        let Ok(permit) = Arc::clone(&self.pending_sends).try_acquire_owned() else {
+            self.shared.meter.count_dropped_send();
+            return;
+        };
+        self.call_with(host, request, SEND_TIMEOUT, move |_| drop(permit));
+    }
+
+    /// Cuts or restores messages to or from a host or failure domain, for experiments.
+    pub fn set_cut(&self, cut: Cut, active: bool) {
+        self.shared.filter.lock().expect("lock is not poisoned").set(cut, active);
+    }
+
+    /// Returns what has been cut.
+    pub fn cuts(&self) -> Vec<Cut> {
+        self.shared.filter.lock().expect("lock is not poisoned").cuts()
+    }
+
+    /// Returns the counters of the links.
+    pub fn figures(&self) -> LinkFigures {
+        self.shared.meter.figures()
+    }
+
+    /// Stops answering and calling; connections end with the value.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Peers {
+    fn drop(&mut self) {
+        self.stop();
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers/server.rs
@@ -0,0 +1,244 @@
+//! The answering side: takes connections, authenticates them and serves their requests.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::server::Connection;
+use h2::server::SendResponse;
+use h2::Reason;
+use h2::RecvStream;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use rand::Rng as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_blocking;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use yuccanotch_core::peer::PeerHeader;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+use yuccanotch_core::reason::LinkFault;
+
+use crate::peers::auth;
+use crate::peers::auth::Purpose;
+use crate::peers::auth::SessionKey;
+use crate::peers::filter::Direction;
+use crate::peers::meter::add;
+use crate::peers::meter::MeteredStream;
+use crate::peers::wire;
+use crate::peers::wire::BodyFault;
+use crate::peers::wire::Far;
+use crate::peers::wire::Hello;
+use crate::peers::wire::Welcome;
+use crate::peers::wire::WireReply;
+use crate::peers::wire::WireRequest;
+use crate::peers::PeerHandler;
+use crate::peers::Shared;
+
+const MAX_CONNECTIONS: usize = 1_024;
+const MAX_STREAMS_PER_CONNECTION: u32 = 64;
+const MAX_HEADER_BYTES: u32 = 1 << 10;
+const HELLO_TIMEOUT: Duration = Duration::from_millis(2_000);
+const BODY_TIMEOUT: Duration = Duration::from_millis(5_000);
+const IDLE_TIMEOUT: Duration = Duration::from_millis(180_000);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+type Io = MeteredStream;
+
+/// An authenticated connection.
+struct Session {
+    shared: Arc<Shared>,
+    key: SessionKey,
+    far: Far,
+}
+
+/// Takes connections until the links stop.
+pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    while !shared.stopping.load(Ordering::Relaxed) {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            shared.meter.count_fault(LinkFault::TooManyConnections);
+            continue;
+        };
+        add(&shared.meter.accepts, 1);
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            serve_connection(shared, stream).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let stream = MeteredStream::new(stream, Arc::clone(&shared));
+    let opened = timeout(HELLO_TIMEOUT, open(&shared, stream)).await;
+    let Ok(Some((mut connection, session))) = opened else {
+        shared.meter.count_fault(LinkFault::Stranger);
+        return;
+    };
+    let session = Arc::new(session);
+    // A connection whose peer vanished without closing it ends by the idle timeout.
+    while let Ok(Some(Ok((request, respond)))) = timeout(IDLE_TIMEOUT, connection.accept()).await {
+        if session.shared.stopping.load(Ordering::Relaxed) {
+            break;
+        }
+        tokio::spawn(serve_stream(Arc::clone(&session), request, respond));
+    }
+}
+
+/// Runs the handshake; `None` when the other side does not prove a shared key.
+async fn open(shared: &Arc<Shared>, stream: Io) -> Option<(Connection<Io, Bytes>, Session)> {
+    let mut connection: Connection<Io, Bytes> = h2::server::Builder::new()
+        .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .handshake(stream)
+        .await
+        .ok()?;
+    let (request, respond) = connection.accept().await?.ok()?;
+    let mut greeting = Box::pin(greet(shared, request, respond));
+    // The connection makes progress only while it is polled.
+    let session = tokio::select! {
+        session = &mut greeting => session,
+        _ = connection.accept() => None,
+    }?;
+    Some((connection, session))
+}
+
+async fn greet(
+    shared: &Arc<Shared>,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) -> Option<Session> {
+    let sealed = match wire::read_body(&mut request.into_body(), wire::MAX_HELLO_BYTES).await {
+        Ok(sealed) => sealed,
+        Err(BodyFault::Oversized) => {
+            shared.meter.count_fault(LinkFault::Oversized);
+            return None;
+        }
+        Err(BodyFault::Broken) => return None,
+    };
+    let (hello_body, tag) = wire::split_tag(&sealed)?;
+    let settings = &shared.settings;
+    let key = settings.keys.find(&[&[Purpose::Hello as u8], hello_body], tag)?;
+    let hello: Hello = wire::decode(hello_body)?;
+    let welcome = Welcome {
+        host: settings.host.clone(),
+        incarnation: settings.incarnation,
+        nonce: rand::rng().random(),
+    };
+    let session_key = SessionKey::derive(key, &hello.nonce, &welcome.nonce);
+    let mut body = wire::encode(&welcome);
+    let tag = auth::tag(key, &[&[Purpose::Welcome as u8], hello_body, &body]);
+    body.extend_from_slice(&tag);
+    let mut stream = respond.send_response(Response::new(()), false).ok()?;
+    stream.send_data(body.into(), true).ok()?;
+    Some(Session { shared: Arc::clone(shared), key: session_key, far: hello.into() })
+}
+
+async fn serve_stream(
+    session: Arc<Session>,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) {
+    let stream_id = respond.stream_id().as_u32();
+    let mut body = request.into_body();
+    let read = timeout(BODY_TIMEOUT, wire::read_body(&mut body, wire::MAX_BODY_BYTES)).await;
+    let sealed = match read {
+        Ok(Ok(sealed)) => sealed,
+        Ok(Err(BodyFault::Oversized)) => {
+            refuse(&session, &mut respond, LinkFault::Oversized);
+            return;
+        }
+        Ok(Err(BodyFault::Broken)) | Err(_) => return,
+    };
+    let request: WireRequest = match decode(&session, stream_id, &sealed) {
+        Ok(request) => request,
+        Err(fault) => {
+            refuse(&session, &mut respond, fault);
+            return;
+        }
+    };
+    if session.shared.is_cut(&session.far.host, Direction::From) {
+        respond.send_reset(Reason::CANCEL);
+        return;
+    }
+    let header = session.far.header(request.config);
+    let reply = answer(&session.shared, header, request.request).await;
+    add(&session.shared.meter.served, 1);
+    if session.shared.is_cut(&session.far.host, Direction::To) {
+        respond.send_reset(Reason::CANCEL);
+        return;
+    }
+    reply_with(&session, respond, stream_id, reply);
+}
+
+fn decode(session: &Session, stream_id: u32, sealed: &[u8]) -> Result<WireRequest, LinkFault> {
+    let body = session.key.open(Purpose::Request, stream_id, sealed).ok_or(LinkFault::BadTag)?;
+    wire::decode(body).ok_or(LinkFault::Malformed)
+}
+
+fn refuse(session: &Session, respond: &mut SendResponse<Bytes>, fault: LinkFault) {
+    session.shared.meter.count_fault(fault);
+    let mut response = Response::new(());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    if respond.send_response(response, true).is_err() {
+        respond.send_reset(Reason::REFUSED_STREAM);
+    }
+}
+
+fn reply_with(
+    session: &Session,
+    mut respond: SendResponse<Bytes>,
+    stream_id: u32,
+    reply: PeerReply,
+) {
+    let mut body = wire::encode(&WireReply { config: session.shared.config(), reply });
+    if body.len() > wire::MAX_BODY_BYTES - auth::TAG_BYTES {
+        session.shared.meter.count_fault(LinkFault::Oversized);
+        let declined = PeerReply::Declined;
+        body = wire::encode(&WireReply { config: session.shared.config(), reply: declined });
+    }
+    let sealed = session.key.seal(Purpose::Reply, stream_id, body);
+    if let Ok(mut stream) = respond.send_response(Response::new(()), false) {
+        let _ = stream.send_data(sealed.into(), true);
+    }
+}
+
+async fn answer(shared: &Shared, header: PeerHeader, request: PeerRequest) -> PeerReply {
+    let Some(handler) = shared.handler() else {
+        return PeerReply::Declined;
+    };
+    if is_quick(&request) {
+        return handler.on_request(header, request);
+    }
+    answer_on_pool(handler, header, request).await
+}
+
+async fn answer_on_pool(
+    handler: Arc<dyn PeerHandler>,
+    header: PeerHeader,
+    request: PeerRequest,
+) -> PeerReply {
+    let answered = spawn_blocking(move || handler.on_request(header, request)).await;
+    answered.unwrap_or(PeerReply::Declined)
+}
+
+/// Returns whether a request is answered from memory, without waiting.
+fn is_quick(request: &PeerRequest) -> bool {
+    match request {
+        PeerRequest::Fleet(_) | PeerRequest::Share(_) => true,
+        PeerRequest::Claim(_) | PeerRequest::Config(_) | PeerRequest::Quarantine(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peers/wire.rs
@@ -0,0 +1,117 @@
+//! What travels on a link, and its limits.
+
+use bytes::Bytes;
+use h2::RecvStream;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde::Serialize;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::ids::Incarnation;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::peer::PeerHeader;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+
+use crate::peers::auth::Nonce;
+use crate::peers::auth::TAG_BYTES;
+
+/// Largest body on an authenticated connection, in bytes: a store value and its frame.
+pub(super) const MAX_BODY_BYTES: usize = (1 << 20) + (64 << 10);
+/// Largest body before a connection is authenticated, in bytes.
+pub(super) const MAX_HELLO_BYTES: usize = 512;
+
+/// First body from the side that connected.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct Hello {
+    pub(super) host: HostName,
+    pub(super) incarnation: Incarnation,
+    pub(super) nonce: Nonce,
+}
+
+/// Answer to [`Hello`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct Welcome {
+    pub(super) host: HostName,
+    pub(super) incarnation: Incarnation,
+    pub(super) nonce: Nonce,
+}
+
+/// A request on the wire; sender and incarnation are those of the connection.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireRequest {
+    pub(super) config: ConfigNumber,
+    pub(super) request: PeerRequest,
+}
+
+/// A reply on the wire.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct WireReply {
+    pub(super) config: ConfigNumber,
+    pub(super) reply: PeerReply,
+}
+
+/// Identity that the far side proved when the connection was opened.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Far {
+    pub(super) host: HostName,
+    pub(super) incarnation: Incarnation,
+}
+
+impl Far {
+    pub(super) fn header(&self, config: ConfigNumber) -> PeerHeader {
+        PeerHeader { host: self.host.clone(), incarnation: self.incarnation, config }
+    }
+}
+
+impl From<Hello> for Far {
+    fn from(hello: Hello) -> Self {
+        Self { host: hello.host, incarnation: hello.incarnation }
+    }
+}
+
+impl From<Welcome> for Far {
+    fn from(welcome: Welcome) -> Self {
+        Self { host: welcome.host, incarnation: welcome.incarnation }
+    }
+}
+
+/// Why a body was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum BodyFault {
+    /// The body is larger than the limit.
+    Oversized,
+    /// The stream ended in the middle.
+    Broken,
+}
+
+pub(super) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard())
+        .expect("messages have no shape that bincode refuses")
+}
+
+/// Decodes a whole body; `None` when it is malformed, claims too much memory or goes on after
+/// the value.
+pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    let config = bincode::config::standard().with_limit::<MAX_BODY_BYTES>();
+    let (value, read) = bincode::serde::decode_from_slice(body, config).ok()?;
+    (read == body.len()).then_some(value)
+}
+
+/// Splits the tag off a body.
+pub(super) fn split_tag(sealed: &[u8]) -> Option<(&[u8], &[u8])> {
+    Some(sealed.split_at(sealed.len().checked_sub(TAG_BYTES)?))
+}
+
+/// Reads a stream to its end.
+pub(super) async fn read_body(body: &mut RecvStream, limit: usize) -> Result<Bytes, BodyFault> {
+    let mut whole = Vec::new();
+    while let Some(part) = body.data().await {
+        let part = part.map_err(|_| BodyFault::Broken)?;
+        if whole.len() + part.len() > limit {
+            return Err(BodyFault::Oversized);
+        }
+        body.flow_control().release_capacity(part.len()).map_err(|_| BodyFault::Broken)?;
+        whole.extend_from_slice(&part);
+    }
+    Ok(whole.into())
+}
