Let entry hosts read the chunked configuration

Cause: the thin entry host read one store value, which 38,000 teams exceed.

Change: it reads the manifest and chunks through core::config, and finds a team by the digest of its key without holding all teams in memory.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -57,7 +57,7 @@
     host: &Host,
     req: &CallerRequest,
 ) -> Result<(ChatJob, bool, crate::admission::Ticket), Refusal> {
-    let (active, team) = host.authenticate(req)?;
+    let (active, team, settings) = host.authenticate(req)?;
     if req.method != http::Method::POST {
         let text = "this path takes POST only";
         return Err(Refusal::not_run(RefusalReason::MethodNotAllowed, text));
@@ -69,8 +69,7 @@
         return Err(Refusal::not_run(RefusalReason::UnknownModel, text));
     };
     let deadline = host.deadline(req, declared.deadline_ms)?;
-    let settings = &active.declaration.teams[&team];
-    let ticket = host.admission.admit(&team, settings)?;
+    let ticket = host.admission.admit(&team, &settings)?;
     let job = ChatJob {
         request: req.id,
         team,
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -19,6 +19,8 @@
 use tokio::runtime::Runtime;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::Active;
+use yuccanotch_core::config::Team;
 use yuccanotch_core::digest::Digest;
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event;
@@ -34,7 +36,6 @@
 use crate::callers;
 use crate::callers::CallerRequest;
 use crate::claims::Claims;
-use crate::configuration::Active;
 use crate::configuration::Configuration;
 use crate::engine_client::EngineClient;
 use crate::error::EntryError;
@@ -183,15 +184,18 @@
     /// # Errors
     ///
     /// Refuses when there is no configuration or no team has the presented key.
-    pub fn authenticate(&self, req: &CallerRequest) -> Result<(Arc<Active>, TeamName), Refusal> {
+    pub fn authenticate(
+        &self,
+        req: &CallerRequest,
+    ) -> Result<(Arc<Active>, TeamName, Team), Refusal> {
         let active = self.configuration.current().ok_or_else(|| {
             Refusal::not_run(RefusalReason::NoConfiguration, "no configuration has arrived yet")
                 .retry_after(OVERLOAD_RETRY)
         })?;
         let key = req.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
-        let team = key.and_then(|key| active.team_by_key.get(&Digest::of(key.as_bytes())));
+        let team = key.and_then(|key| active.team_by_key(&Digest::of(key.as_bytes())));
         match team {
-            Some(team) => Ok((active.clone(), team.clone())),
+            Some((name, team)) => Ok((active, name, team)),
             None => Err(Refusal::not_run(
                 RefusalReason::UnknownTeam,
                 "the Authorization header names no team by its bearer key",
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::Active;
 use yuccanotch_core::config::Route;
 use yuccanotch_core::config::ServerUse;
 use yuccanotch_core::digest::Digest;
@@ -21,7 +22,6 @@
 use crate::claims::ClaimRequest;
 use crate::claims::Finished;
 use crate::claims::StoredAnswer;
-use crate::configuration::Active;
 use crate::engine_client::CallError;
 use crate::engine_client::PlainCall;
 use crate::engine_client::PlainReply;
@@ -49,13 +49,12 @@
 
 /// Serves `/SERVICE/...`.
 pub fn serve(host: &Host, req: &CallerRequest, responder: Responder) {
-    let (active, team) = match host.authenticate(req) {
+    let (active, team, settings) = match host.authenticate(req) {
         Ok(authenticated) => authenticated,
         Err(refusal) => return host.refuse(responder, &refusal),
     };
     let result = prepare(host, req, &active, team).and_then(|job| {
-        let settings = &active.declaration.teams[&job.team];
-        let ticket = host.admission.admit(&job.team, settings)?;
+        let ticket = host.admission.admit(&job.team, &settings)?;
         let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
         drop(ticket);
         answer
