Add stand-ins for the platform, engines and services

Cause: the whole path needs a platform and backend servers to run against. Change: one process serves the store, host list, engines with layer ranges and plain services on loopback, with an execution record and faults by library or admin call. Engines run on one scheduler thread with a heap of timed events; ports share two runtime threads, since a server library with threads per port can neither refuse connections nor cut answers.

--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,79 @@
+//! Prefix cache of one engine, with limited memory and cache events.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use yuccanotch_core::engine::CacheEvent;
+
+const MAX_EVENTS: usize = 4096;
+
+#[derive(Debug)]
+struct TimedEvent {
+    at_us: u64,
+    event: CacheEvent,
+}
+
+/// Prefixes in least-recently-used order.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    use_by_prefix: HashMap<u64, u64>,
+    prefix_by_use: BTreeMap<u64, u64>,
+    uses: u64,
+    sequence: u64,
+    events: VecDeque<TimedEvent>,
+}
+
+impl PrefixCache {
+    /// Creates a cache for `capacity` prefixes.
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self { capacity, ..Self::default() }
+    }
+
+    /// Returns how many of `prefixes`, shortest first, are held without a gap.
+    pub(crate) fn held(&self, prefixes: &[u64]) -> usize {
+        prefixes.iter().take_while(|prefix| self.use_by_prefix.contains_key(prefix)).count()
+    }
+
+    /// Inserts prefixes and evicts the least recently used ones; `lost` drops events.
+    pub(crate) fn insert(&mut self, now_us: u64, prefixes: &[u64], mut lost: impl FnMut() -> bool) {
+        for &prefix in prefixes {
+            self.uses += 1;
+            let before = self.use_by_prefix.insert(prefix, self.uses);
+            self.prefix_by_use.insert(self.uses, prefix);
+            match before {
+                Some(before) => {
+                    self.prefix_by_use.remove(&before);
+                }
+                None => self.push_event(now_us, prefix, true, lost()),
+            }
+        }
+        while self.use_by_prefix.len() > self.capacity {
+            let Some((_, oldest)) = self.prefix_by_use.pop_first() else { return };
+            self.use_by_prefix.remove(&oldest);
+            self.push_event(now_us, oldest, false, lost());
+        }
+    }
+
+    fn push_event(&mut self, at_us: u64, prefix: u64, held: bool, lost: bool) {
+        self.sequence += 1;
+        if lost {
+            return;
+        }
+        let event = CacheEvent { sequence: self.sequence, prefix, held };
+        self.events.push_back(TimedEvent { at_us, event });
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the events after `after` that are at least `lag_us` old.
+    pub(crate) fn events(&self, now_us: u64, after: u64, lag_us: u64) -> Vec<CacheEvent> {
+        self.events
+            .iter()
+            .filter(|timed| timed.event.sequence > after && timed.at_us + lag_us <= now_us)
+            .map(|timed| timed.event.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/driver.rs
@@ -0,0 +1,108 @@
+//! Drives the engines by the real time on a thread of its own.
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::PoisonError;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::engine::PortChange;
+use crate::engine::World;
+use crate::http::Port;
+
+const IDLE_WAIT: Duration = Duration::from_millis(100);
+
+/// The engines, shared by the scheduler and the ports.
+pub(crate) struct Driver {
+    state: Mutex<State>,
+    wake: Condvar,
+    started: Instant,
+    ports: OnceLock<Vec<Port>>,
+}
+
+struct State {
+    world: World,
+    stopped: bool,
+}
+
+impl Driver {
+    /// Creates a driver whose time began at `started`.
+    pub(crate) fn new(world: World, started: Instant) -> Arc<Self> {
+        let state = Mutex::new(State { world, stopped: false });
+        Arc::new(Self { state, wake: Condvar::new(), started, ports: OnceLock::new() })
+    }
+
+    /// Sets the ports, in the order of the engines.
+    pub(crate) fn set_ports(&self, ports: Vec<Port>) {
+        let _ = self.ports.set(ports);
+    }
+
+    /// Returns the time since the start, in microseconds.
+    pub(crate) fn now_us(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    /// Calls `f` with the engines at the present time and wakes the scheduler.
+    pub(crate) fn with<T>(&self, f: impl FnOnce(&mut World, u64) -> T) -> T {
+        let mut state = self.lock();
+        let now = self.now_us();
+        state.world.advance(now);
+        let result = f(&mut state.world, now);
+        let changes = std::mem::take(&mut state.world.port_changes);
+        drop(state);
+        self.change_ports(&changes);
+        self.wake.notify_one();
+        result
+    }
+
+    /// Starts the scheduler.
+    pub(crate) fn spawn(self: &Arc<Self>) -> std::io::Result<JoinHandle<()>> {
+        let driver = self.clone();
+        thread::Builder::new().name("engines".to_owned()).spawn(move || driver.run())
+    }
+
+    /// Stops the scheduler.
+    pub(crate) fn stop(&self) {
+        self.lock().stopped = true;
+        self.wake.notify_all();
+    }
+
+    fn run(&self) {
+        let mut state = self.lock();
+        while !state.stopped {
+            state.world.advance(self.now_us());
+            let changes = std::mem::take(&mut state.world.port_changes);
+            if !changes.is_empty() {
+                self.change_ports(&changes);
+            }
+            let due = state.world.next_due_us();
+            let wait = due.map_or(IDLE_WAIT, |due| {
+                Duration::from_micros(due.saturating_sub(self.now_us())).min(IDLE_WAIT)
+            });
+            if wait.is_zero() {
+                continue;
+            }
+            let waited = self.wake.wait_timeout(state, wait);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change_ports(&self, changes: &[(usize, PortChange)]) {
+        let Some(ports) = self.ports.get() else { return };
+        for (i, change) in changes {
+            match change {
+                PortChange::Close => ports[*i].close(),
+                PortChange::Reopen => ports[*i].reopen(),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/links.rs
@@ -0,0 +1,94 @@
+//! Delays of the links between engines.
+
+use std::collections::HashMap;
+
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::ServerName;
+
+use crate::settings::LinkSettings;
+
+/// Link delays with the faults that are in force.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    settings: LinkSettings,
+    pair_us: HashMap<(ServerName, ServerName), u32>,
+    slow: Vec<SlowLink>,
+    cut: Vec<(DomainName, u64)>,
+}
+
+#[derive(Debug)]
+struct SlowLink {
+    a: ServerName,
+    b: Option<ServerName>,
+    us: u32,
+    until_us: u64,
+}
+
+impl Links {
+    /// Creates links without faults.
+    pub(crate) fn new(settings: LinkSettings) -> Self {
+        let mut pair_us = HashMap::new();
+        for pair in &settings.pairs {
+            pair_us.insert((pair.a.clone(), pair.b.clone()), pair.us);
+            pair_us.insert((pair.b.clone(), pair.a.clone()), pair.us);
+        }
+        Self { settings, pair_us, slow: Vec::new(), cut: Vec::new() }
+    }
+
+    /// Makes the links of `a`, or the one to `b`, take `us` until `until_us`.
+    pub(crate) fn slow_down(
+        &mut self,
+        a: ServerName,
+        b: Option<ServerName>,
+        us: u32,
+        until_us: u64,
+    ) {
+        self.slow.push(SlowLink { a, b, us, until_us });
+    }
+
+    /// Cuts a failure domain off from the others until `until_us`.
+    pub(crate) fn cut_domain(&mut self, domain: DomainName, until_us: u64) {
+        self.cut.push((domain, until_us));
+    }
+
+    /// Ends all faults.
+    pub(crate) fn clear(&mut self) {
+        self.slow.clear();
+        self.cut.clear();
+    }
+
+    /// Returns the delay between two servers; `None` while the link is cut.
+    pub(crate) fn delay_us(
+        &self,
+        now_us: u64,
+        from: (&ServerName, &DomainName),
+        to: (&ServerName, &DomainName),
+    ) -> Option<u32> {
+        if from.0 == to.0 {
+            return Some(0);
+        }
+        let cuts = |(domain, until): &(DomainName, u64)| {
+            now_us < *until && ((domain == from.1) != (domain == to.1))
+        };
+        if self.cut.iter().any(cuts) {
+            return None;
+        }
+        let touches = |slow: &&SlowLink| {
+            let pair = |x: &ServerName, y: &ServerName| {
+                slow.a == *x && slow.b.as_ref().is_none_or(|b| b == y)
+            };
+            now_us < slow.until_us && (pair(from.0, to.0) || pair(to.0, from.0))
+        };
+        if let Some(slow) = self.slow.iter().find(touches) {
+            return Some(slow.us);
+        }
+        if !self.pair_us.is_empty() {
+            if let Some(us) = self.pair_us.get(&(from.0.clone(), to.0.clone())) {
+                return Some(*us);
+            }
+        }
+        let same_domain = from.1 == to.1;
+        let settings = &self.settings;
+        Some(if same_domain { settings.same_domain_us } else { settings.cross_domain_us })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/orders.rs
@@ -0,0 +1,32 @@
+//! Orders to an engine.
+
+use yuccanotch_core::engine::Order;
+use yuccanotch_core::engine::OrderAction;
+use yuccanotch_core::engine::OrderReply;
+
+use crate::engine::world::World;
+
+impl World {
+    /// Takes an order; an old fencing number is refused by engines that honour them.
+    pub(crate) fn order(&mut self, now: u64, i: usize, order: Order) -> OrderReply {
+        let engine = &mut self.engines[i];
+        let honours = engine.settings.behavior.honours_fencing;
+        if honours && order.fencing < engine.fencing {
+            return OrderReply { taken: false, fencing: Some(engine.fencing) };
+        }
+        engine.fencing = engine.fencing.max(order.fencing);
+        let fencing = honours.then_some(engine.fencing);
+        match order.action {
+            OrderAction::Load(holding) => self.load(now, i, holding),
+            OrderAction::LoadAdapter { adapter } => {
+                if let Some(holding) = &mut engine.holding {
+                    if !holding.adapters.contains(&adapter) {
+                        holding.adapters.push(adapter);
+                    }
+                }
+            }
+            OrderAction::SetRole { role } => engine.role = role,
+        }
+        OrderReply { taken: true, fencing }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/run.rs
@@ -0,0 +1,180 @@
+//! One run of a request on a chain of engines.
+
+use smallvec::SmallVec;
+use tokio::sync::mpsc;
+use yuccanotch_core::digest::TokenDigest;
+use yuccanotch_core::engine::EndFrame;
+use yuccanotch_core::engine::EngineFault;
+use yuccanotch_core::engine::ErrorFrame;
+use yuccanotch_core::engine::Finish;
+use yuccanotch_core::engine::Frame;
+use yuccanotch_core::engine::LayerRange;
+use yuccanotch_core::engine::LayerReceipt;
+use yuccanotch_core::engine::RunRequest;
+use yuccanotch_core::engine::TokenFrame;
+use yuccanotch_core::name::ModelVersion;
+use yuccanotch_core::name::ServerName;
+
+use crate::http::Part;
+use crate::token;
+
+/// A stage of a run.
+#[derive(Clone, Debug)]
+pub(crate) struct Stage {
+    /// Index of the engine.
+    pub(crate) engine: usize,
+    /// Layers to run.
+    pub(crate) layers: LayerRange,
+    /// Version that the engine held when the run began.
+    pub(crate) version: ModelVersion,
+    /// Words to prefill in the first pass.
+    pub(crate) prefill_words: u32,
+}
+
+/// A run in progress or waiting.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) req: RunRequest,
+    pub(crate) stages: SmallVec<[Stage; 4]>,
+    pub(crate) tx: mpsc::UnboundedSender<Part>,
+    pub(crate) record: usize,
+    /// Whether the run holds a slot on each engine of its chain.
+    pub(crate) started: bool,
+    /// Whether the first pass is under way.
+    pub(crate) prefill: bool,
+    pub(crate) cached_tokens: u32,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) crashes_stage: Option<usize>,
+    pub(crate) at_stage: usize,
+    context: u64,
+    activation: u64,
+    count: u32,
+    len: u32,
+    finish: Finish,
+    digest: TokenDigest,
+    receipt: SmallVec<[LayerReceipt; 4]>,
+}
+
+impl Run {
+    /// Creates a run that stands after its released tokens.
+    pub(crate) fn new(
+        req: RunRequest,
+        stages: SmallVec<[Stage; 4]>,
+        tx: mpsc::UnboundedSender<Part>,
+        record: usize,
+    ) -> Self {
+        let mut context = token::context(req.model.as_str(), &req.prompt);
+        let mut digest = TokenDigest::default();
+        for released in &req.released {
+            context = token::extend(context, released);
+            digest.push(released);
+        }
+        let natural_len = token::answer_len(&req.prompt);
+        let len = natural_len.min(req.max_tokens);
+        let finish = if natural_len <= req.max_tokens { Finish::Stop } else { Finish::Length };
+        let words = req.prompt.split_whitespace().count();
+        Self {
+            count: u32::try_from(req.released.len()).unwrap_or(u32::MAX),
+            prompt_tokens: u32::try_from(words).unwrap_or(u32::MAX),
+            req,
+            stages,
+            tx,
+            record,
+            started: false,
+            prefill: true,
+            cached_tokens: 0,
+            crashes_stage: None,
+            at_stage: 0,
+            context,
+            activation: context,
+            len,
+            finish,
+            digest,
+            receipt: SmallVec::new(),
+        }
+    }
+
+    /// Runs the layers of one stage for the present token.
+    pub(crate) fn run_stage(&mut self, stage: usize, server: &ServerName, skip_layer: bool) {
+        let Stage { layers, version, .. } = &self.stages[stage];
+        let mut layers = *layers;
+        if skip_layer && layers.len() > 1 {
+            layers.end -= 1;
+        }
+        let version_hash = token::version_hash(version.as_str());
+        for layer in layers.first..layers.end {
+            self.activation = token::layer(self.activation, version_hash, layer);
+        }
+        let version = version.clone();
+        self.receipt.push(LayerReceipt { server: server.clone(), layers, version });
+    }
+
+    /// Returns whether the answer has all its tokens.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.count >= self.len
+    }
+
+    /// Returns the number of tokens so far, released ones included.
+    pub(crate) fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Returns whether the engine is the first of the chain.
+    pub(crate) fn starts_at(&self, engine: usize) -> bool {
+        self.stages.first().is_some_and(|stage| stage.engine == engine)
+    }
+
+    /// Ends the present token, sends its frame and returns it.
+    pub(crate) fn emit_token(&mut self) -> Frame {
+        let token = token::token(self.activation);
+        self.context = token::extend(self.context, &token);
+        self.activation = self.context;
+        self.digest.push(&token);
+        let frame = TokenFrame {
+            request: self.req.request,
+            attempt: self.req.attempt,
+            index: self.count,
+            token,
+            receipt: std::mem::take(&mut self.receipt),
+        };
+        self.count += 1;
+        self.prefill = false;
+        let frame = Frame::Token(frame);
+        self.send(&frame);
+        frame
+    }
+
+    /// Sends the closing frame.
+    pub(crate) fn emit_end(&self) {
+        let frame = EndFrame {
+            request: self.req.request,
+            attempt: self.req.attempt,
+            count: self.count,
+            digest: self.digest.finish(),
+            finish: self.finish,
+            prompt_tokens: self.prompt_tokens,
+            cached_tokens: self.cached_tokens,
+        };
+        self.send(&Frame::End(frame));
+        let _ = self.tx.send(Part::End);
+    }
+
+    /// Sends an error frame and ends the stream.
+    pub(crate) fn emit_error(&self, fault: EngineFault, server: &ServerName) {
+        self.send(&Frame::Error(error_frame(&self.req, fault, server)));
+        let _ = self.tx.send(Part::End);
+    }
+
+    /// Sends a frame as one line.
+    pub(crate) fn send(&self, frame: &Frame) {
+        let mut line = serde_json::to_vec(frame).unwrap_or_default();
+        line.push(b'\n');
+        // A receiver that is gone is noticed by `tx.is_closed` before the next token.
+        let _ = self.tx.send(Part::Chunk(line));
+    }
+}
+
+/// Creates the error frame of a run.
+pub(crate) fn error_frame(req: &RunRequest, fault: EngineFault, server: &ServerName) -> ErrorFrame {
+    ErrorFrame { request: req.request, attempt: req.attempt, fault, server: server.clone() }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,41 @@
 //! Stand-ins for the platform and the backend servers, with faults and execution records.
+//!
+//! They run in one process on loopback and keep a record of what they ran that does not depend on
+//! anything the router says. They are for tests and experiments only.
+
+mod admin;
+mod engine;
+mod fault;
+mod http;
+mod platform;
+mod record;
+mod service;
+mod settings;
+mod standin;
+mod store;
+mod token;
+
+#[cfg(test)]
+mod tests;
+
+pub use engine::CRASH_MARK;
+pub use fault::Fault;
+pub use fault::FaultRequest;
+pub use record::prompt_hash;
+pub use record::CallRecord;
+pub use record::Record;
+pub use record::RunEnd;
+pub use record::RunRecord;
+pub use record::StoreCalls;
+pub use settings::EngineBehavior;
+pub use settings::EngineSettings;
+pub use settings::LinkPair;
+pub use settings::LinkSettings;
+pub use settings::ModelSettings;
+pub use settings::PlatformSettings;
+pub use settings::ServiceSettings;
+pub use settings::StandinSettings;
+pub use standin::Standin;
+pub use standin::StandinError;
+pub use token::answer_len;
+pub use token::expected_answer;
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,180 @@
+//! State of the stand-in for the platform's key-value service.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::ids::LeaseId;
+use yuccanotch_core::store::Change;
+use yuccanotch_core::store::StoreError;
+use yuccanotch_core::store::Versioned;
+use yuccanotch_core::store::WatchBatch;
+use yuccanotch_core::store::MAX_VALUE_BYTES;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    version: KeyVersion,
+    revision: u64,
+    /// `None` stands for a deleted key, whose versions go on when it is written again.
+    value: Option<Vec<u8>>,
+    lease: Option<LeaseId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Millis,
+    lapses: Millis,
+}
+
+/// A copy of the store's values.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Copy {
+    entries: BTreeMap<String, Entry>,
+    revision: u64,
+}
+
+/// Keys, leases and revisions.
+#[derive(Debug, Default)]
+pub(crate) struct StoreState {
+    content: Copy,
+    leases: HashMap<LeaseId, Lease>,
+    last_lease: LeaseId,
+}
+
+impl StoreState {
+    /// Reads a key.
+    pub(crate) fn get(&self, key: &str) -> Option<Versioned> {
+        let entry = self.content.entries.get(key)?;
+        let value = entry.value.clone()?;
+        Some(Versioned { version: entry.version, value })
+    }
+
+    /// Writes a key if it is at version `expect`.
+    pub(crate) fn swap(
+        &mut self,
+        key: &str,
+        expect: KeyVersion,
+        value: Vec<u8>,
+        lease: Option<LeaseId>,
+    ) -> Result<KeyVersion, StoreError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::TooLarge);
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(StoreError::LeaseLapsed);
+        }
+        self.check_version(key, expect)?;
+        Ok(self.write(key, Some(value), lease))
+    }
+
+    /// Deletes a key if it is at version `expect`.
+    pub(crate) fn delete(&mut self, key: &str, expect: KeyVersion) -> Result<(), StoreError> {
+        self.check_version(key, expect)?;
+        self.write(key, None, None);
+        Ok(())
+    }
+
+    fn current(&self, key: &str) -> KeyVersion {
+        let entry = self.content.entries.get(key);
+        entry.filter(|entry| entry.value.is_some()).map_or(KeyVersion(0), |entry| entry.version)
+    }
+
+    fn check_version(&self, key: &str, expect: KeyVersion) -> Result<(), StoreError> {
+        let current = self.current(key);
+        if current == expect {
+            Ok(())
+        } else {
+            Err(StoreError::Conflict(current))
+        }
+    }
+
+    fn write(&mut self, key: &str, value: Option<Vec<u8>>, lease: Option<LeaseId>) -> KeyVersion {
+        self.content.revision += 1;
+        let last = self.content.entries.get(key).map(|entry| entry.version).unwrap_or_default();
+        let version = last.next();
+        let entry = Entry { version, revision: self.content.revision, value, lease };
+        self.content.entries.insert(key.to_owned(), entry);
+        version
+    }
+
+    /// Lists keys below a prefix.
+    pub(crate) fn list(&self, prefix: &str) -> Vec<(String, KeyVersion)> {
+        self.below(prefix)
+            .filter(|(_, entry)| entry.value.is_some())
+            .map(|(key, entry)| (key.clone(), entry.version))
+            .collect()
+    }
+
+    fn below<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a String, &'a Entry)> {
+        let from = self.content.entries.range(prefix.to_owned()..);
+        from.take_while(move |(key, _)| key.starts_with(prefix))
+    }
+
+    /// Returns the changes below a prefix after `after`.
+    ///
+    /// A revision from the future, as seen after an old copy was restored, gives all keys.
+    pub(crate) fn changes(&self, prefix: &str, after: u64) -> WatchBatch {
+        let after = if after > self.content.revision { 0 } else { after };
+        let changed = self.below(prefix).filter(|(_, entry)| entry.revision > after);
+        let changes = changed
+            .map(|(key, entry)| Change {
+                key: key.clone(),
+                version: if entry.value.is_some() { entry.version } else { KeyVersion(0) },
+            })
+            .collect();
+        WatchBatch { revision: self.content.revision, changes }
+    }
+
+    /// Returns the revision of the last write.
+    pub(crate) fn revision(&self) -> u64 {
+        self.content.revision
+    }
+
+    /// Grants a lease.
+    pub(crate) fn grant_lease(&mut self, now: Millis, ttl: Millis) -> LeaseId {
+        self.last_lease = self.last_lease.next();
+        self.leases.insert(self.last_lease, Lease { ttl, lapses: now + ttl });
+        self.last_lease
+    }
+
+    /// Renews a lease.
+    pub(crate) fn renew_lease(&mut self, now: Millis, lease: LeaseId) -> Result<(), StoreError> {
+        let lease = self.leases.get_mut(&lease).ok_or(StoreError::LeaseLapsed)?;
+        lease.lapses = now + lease.ttl;
+        Ok(())
+    }
+
+    /// Drops lapsed leases and their keys; returns whether a key vanished.
+    pub(crate) fn expire(&mut self, now: Millis) -> bool {
+        let lapsed: Vec<LeaseId> =
+            self.leases.iter().filter(|(_, l)| l.lapses <= now).map(|(id, _)| *id).collect();
+        let mut vanished = false;
+        for lease in lapsed {
+            self.leases.remove(&lease);
+            let keys: Vec<String> = self
+                .content
+                .entries
+                .iter()
+                .filter(|(_, entry)| entry.lease == Some(lease) && entry.value.is_some())
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in keys {
+                self.write(&key, None, None);
+                vanished = true;
+            }
+        }
+        vanished
+    }
+
+    /// Returns a copy of all values.
+    pub(crate) fn copy(&self) -> Copy {
+        self.content.clone()
+    }
+
+    /// Replaces all values by those of an earlier copy; leases are forgotten.
+    pub(crate) fn restore(&mut self, copy: Copy) {
+        self.content = copy;
+        self.leases.clear();
+    }
+}
