Bind the peer links into the entry host

Cause: hosts had links and no one to answer on them. Change: the host binds its peer port, passes requests to the slices by kind, and tells its configuration number; authentication returns the caller with its team. Conclusion: slices can exchange messages.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -57,28 +57,28 @@
     host: &Host,
     req: &CallerRequest,
 ) -> Result<(ChatJob, bool, crate::admission::Ticket), Refusal> {
-    let (active, team, settings) = host.authenticate(req)?;
+    let caller = host.authenticate(req)?;
     if req.method != http::Method::POST {
         let text = "this path takes POST only";
         return Err(Refusal::not_run(RefusalReason::MethodNotAllowed, text));
     }
     let chat = parse(&req.body)?;
     let model = ModelName::new(&chat.model);
-    let Some(declared) = active.declaration.models.get(&model) else {
+    let Some(declared) = caller.active.declaration.models.get(&model) else {
         let text = format!("no model {:?}", chat.model);
         return Err(Refusal::not_run(RefusalReason::UnknownModel, text));
     };
     let deadline = host.deadline(req, declared.deadline_ms)?;
-    let ticket = host.admission.admit(&team, &settings)?;
+    let ticket = host.admission.admit(&caller.name, &caller.team)?;
     let job = ChatJob {
         request: req.id,
-        team,
+        team: caller.name,
         model,
         version: declared.version.clone(),
         layers: declared.layers,
         prompt: prompt(&chat.messages),
         max_tokens: chat.max_tokens.unwrap_or(declared.max_tokens).min(declared.max_tokens),
-        priority: settings.priority.engine_level(),
+        priority: caller.team.priority.engine_level(),
         deadline,
     };
     Ok((job, chat.stream, ticket))
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -32,12 +32,12 @@
     }
 
     /// Adopts a configuration if its number is higher than the one in force.
-    pub fn adopt(&self, next: Active) -> bool {
+    pub fn adopt(&self, found: Active) -> bool {
         let mut active = self.active.write().expect("no panic while adopting");
-        if active.as_ref().is_some_and(|active| active.number >= next.number) {
+        if active.as_ref().is_some_and(|active| active.number >= found.number) {
             return false;
         }
-        *active = Some(Arc::new(next));
+        *active = Some(Arc::new(found));
         true
     }
 }
@@ -45,9 +45,10 @@
 /// Follows the store until the host stops.
 pub fn run(host: &Arc<Host>) {
     while !host.is_stopped() {
-        if let Ok(Some(next)) = read_current(host.store.as_ref()) {
-            let number = next.number;
-            if host.configuration.adopt(next) {
+        if let Ok(Some(found)) = read_current(&*host.store) {
+            let number = found.number;
+            if host.configuration.adopt(found) {
+                host.peers.set_config(number);
                 let name = &host.settings.host;
                 emit(Event::ConfigAdopted, format_args!("host={name} number={number}"));
             }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -24,6 +24,7 @@
 use yuccanotch_core::digest::Digest;
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::finding::Finding;
 use yuccanotch_core::ids::Incarnation;
 use yuccanotch_core::ids::RequestId;
 use yuccanotch_core::name::TeamName;
@@ -40,6 +41,10 @@
 use crate::engine_client::EngineClient;
 use crate::error::EntryError;
 use crate::fleet::Fleet;
+use crate::peers::PeerHandler;
+use crate::peers::PeerKeys;
+use crate::peers::PeerSettings;
+use crate::peers::Peers;
 use crate::problem::Refusal;
 use crate::settings::Settings;
 use crate::store_client::StoreClient;
@@ -73,6 +78,8 @@
     pub claims: Claims,
     /// Admission of requests.
     pub admission: Admission,
+    /// Links to the other entry hosts.
+    pub peers: Peers,
     /// Backend servers as observed.
     pub fleet: Fleet,
     /// Requests in flight.
@@ -89,8 +96,12 @@
 }
 
 impl Host {
-    /// Creates a host that listens to nothing yet.
-    pub fn new(settings: Settings) -> Self {
+    /// Creates a host that is bound to its peer port and serves nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer port cannot be opened.
+    pub fn new(settings: Settings) -> Result<Self, EntryError> {
         let clock = Clock::monotonic();
         let mut rng = match settings.seed {
             Some(seed) => Pcg64Mcg::seed_from_u64(seed),
@@ -101,8 +112,11 @@
         // Wall time orders the incarnations of one name; the random part tells two processes
         // apart that start in the same millisecond.
         let incarnation = Incarnation(clock.unix_now().0 << 16 | u64::from(rng.random::<u16>()));
-        Self {
+        let peers = Peers::bind(peer_settings(&settings, incarnation)?)
+            .map_err(|e| EntryError::Listen(settings.peer.to_string(), e))?;
+        Ok(Self {
             incarnation,
+            peers,
             engines: EngineClient::new(),
             configuration: Configuration::new(),
             claims: Claims::new(store.clone(), clock.clone(), settings.host.clone(), incarnation),
@@ -116,7 +130,7 @@
             clock,
             telemetry,
             store,
-        }
+        })
     }
 
     /// Returns a fresh request identifier.
@@ -179,28 +193,25 @@
         }
     }
 
-    /// Returns the configuration in force and the team of a request.
+    /// Returns the configuration in force and the team that a request comes from.
     ///
     /// # Errors
     ///
     /// Refuses when there is no configuration or no team has the presented key.
-    pub fn authenticate(
-        &self,
-        req: &CallerRequest,
-    ) -> Result<(Arc<Active>, TeamName, Team), Refusal> {
+    pub fn authenticate(&self, req: &CallerRequest) -> Result<Caller, Refusal> {
         let active = self.configuration.current().ok_or_else(|| {
             Refusal::not_run(RefusalReason::NoConfiguration, "no configuration has arrived yet")
                 .retry_after(OVERLOAD_RETRY)
         })?;
         let key = req.header("authorization").and_then(|value| value.strip_prefix("Bearer "));
         let team = key.and_then(|key| active.team_by_key(&Digest::of(key.as_bytes())));
-        match team {
-            Some((name, team)) => Ok((active, name, team)),
-            None => Err(Refusal::not_run(
+        let (name, team) = team.ok_or_else(|| {
+            Refusal::not_run(
                 RefusalReason::UnknownTeam,
                 "the Authorization header names no team by its bearer key",
-            )),
-        }
+            )
+        })?;
+        Ok(Caller { active, name, team })
     }
 
     /// Returns the point in time at which a request's deadline passes.
@@ -229,6 +240,34 @@
     }
 }
 
+/// The team that a request comes from, under the configuration in force.
+#[derive(Debug)]
+pub struct Caller {
+    /// Configuration in force when the request arrived.
+    pub active: Arc<Active>,
+    /// Name of the team.
+    pub name: TeamName,
+    /// The team.
+    pub team: Team,
+}
+
+fn peer_settings(
+    settings: &Settings,
+    incarnation: Incarnation,
+) -> Result<PeerSettings, EntryError> {
+    let keys = PeerKeys::new(settings.peer_keys.clone()).ok_or_else(|| {
+        let text = "at least one key of 16 bytes is required".to_owned();
+        EntryError::Settings(vec![Finding { pointer: "/peer_keys".to_owned(), text }])
+    })?;
+    Ok(PeerSettings {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        incarnation,
+        listen: settings.peer,
+        keys,
+    })
+}
+
 /// An entry host that listens and serves.
 #[derive(Debug)]
 pub struct Running {
@@ -238,6 +277,8 @@
     pub callers: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Address for other entry hosts.
+    pub peer: SocketAddr,
     runtime: Option<Runtime>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -258,7 +299,9 @@
             .block_on(TcpListener::bind(settings.callers))
             .map_err(|e| EntryError::Listen(settings.callers.to_string(), e))?;
         let callers = listener.local_addr()?;
-        let host = Arc::new(Host::new(settings));
+        let host = Arc::new(Host::new(settings)?);
+        let handler: Arc<dyn PeerHandler> = host.clone();
+        host.peers.serve(Arc::downgrade(&handler))?;
         let admin = Admin::start(&host)?;
         let admin_address = admin.address;
         let mut threads = vec![admin.thread];
@@ -269,7 +312,8 @@
             Event::HostStarted,
             format_args!("host={} callers={callers} admin={admin_address}", host.settings.host),
         );
-        Ok(Self { host, callers, admin: admin_address, runtime: Some(runtime), threads })
+        let peer = host.peers.address();
+        Ok(Self { host, callers, admin: admin_address, peer, runtime: Some(runtime), threads })
     }
 
     /// Stops gracefully: fails the health check, waits for the balancer, lets requests end.
@@ -299,6 +343,7 @@
     fn stop(&mut self) {
         self.host.draining.store(true, Ordering::SeqCst);
         self.host.stopped.store(true, Ordering::SeqCst);
+        self.host.peers.stop();
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -12,7 +12,6 @@
 use yuccanotch_core::event::Event;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
-use yuccanotch_core::name::TeamName;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::reason::RetryReason;
 
@@ -26,6 +25,7 @@
 use crate::engine_client::PlainCall;
 use crate::engine_client::PlainReply;
 use crate::fleet::Health;
+use crate::host::Caller;
 use crate::host::Host;
 use crate::problem::Refusal;
 
@@ -39,8 +39,7 @@
 
 struct PlainJob<'a> {
     req: &'a CallerRequest,
-    active: &'a Active,
-    team: TeamName,
+    caller: &'a Caller,
     service: ServiceName,
     target: String,
     repeatable: bool,
@@ -49,12 +48,12 @@
 
 /// Serves `/SERVICE/...`.
 pub fn serve(host: &Host, req: &CallerRequest, responder: Responder) {
-    let (active, team, settings) = match host.authenticate(req) {
-        Ok(authenticated) => authenticated,
+    let caller = match host.authenticate(req) {
+        Ok(caller) => caller,
         Err(refusal) => return host.refuse(responder, &refusal),
     };
-    let result = prepare(host, req, &active, team).and_then(|job| {
-        let ticket = host.admission.admit(&job.team, &settings)?;
+    let result = prepare(host, req, &caller).and_then(|job| {
+        let ticket = host.admission.admit(&caller.name, &caller.team)?;
         let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
         drop(ticket);
         answer
@@ -68,12 +67,11 @@
 fn prepare<'a>(
     host: &Host,
     req: &'a CallerRequest,
-    active: &'a Active,
-    team: TeamName,
+    caller: &'a Caller,
 ) -> Result<PlainJob<'a>, Refusal> {
     let path = req.path().trim_start_matches('/');
     let (service, rest) = path.split_once('/').unwrap_or((path, ""));
-    let Some(declared) = active.declaration.services.get(service) else {
+    let Some(declared) = caller.active.declaration.services.get(service) else {
         let text = format!("no service {service:?}");
         return Err(Refusal::not_run(RefusalReason::UnknownService, text));
     };
@@ -83,8 +81,7 @@
     let query = req.target.split_once('?').map(|(_, query)| format!("?{query}"));
     Ok(PlainJob {
         req,
-        active,
-        team,
+        caller,
         service: ServiceName::new(service),
         target: format!("{rest}{}", query.unwrap_or_default()),
         repeatable: route.repeatable,
@@ -132,7 +129,7 @@
 /// Runs a call that may not be repeated, under a claim.
 fn run_once(host: &Host, job: &PlainJob<'_>) -> Result<StoredAnswer, Refusal> {
     let claim = ClaimRequest {
-        team: job.team.clone(),
+        team: job.caller.name.clone(),
         service: job.service.clone(),
         key: idempotency_key(job.req)?,
         digest: call_digest(job),
@@ -199,6 +196,7 @@
 fn candidates(host: &Host, job: &PlainJob<'_>) -> Vec<(ServerName, String)> {
     let view = host.fleet.view();
     let mut found: Vec<_> = job
+        .caller
         .active
         .declaration
         .servers
