--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -4,7 +4,6 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use yuccanotch_core::clock::Millis;
-use yuccanotch_core::config::Active;
 use yuccanotch_core::config::Route;
 use yuccanotch_core::config::ServerUse;
 use yuccanotch_core::digest::Digest;
