--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pipelines;
 pub mod plain;
 pub mod problem;
+pub mod routing;
 pub mod settings;
 pub mod store_client;
 pub mod telemetry;
