--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -147,6 +147,7 @@
             store: self.standin.store_address_of(domain.as_str()),
             peer_keys: vec![PEER_KEY.to_vec()],
             limits: self.plan.limits.clone(),
+            routing: self.plan.routing,
             seed: Some(
                 self.plan.seed ^ yuccanotch_core::digest::fast_hash(name.as_str().as_bytes()),
             ),
--- a/crates/local/src/plan.rs
+++ b/crates/local/src/plan.rs
@@ -20,6 +20,7 @@
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ModelName;
 use yuccanotch_core::name::TeamName;
+use yuccanotch_core::route::Policy;
 use yuccanotch_entry::settings::Limits;
 use yuccanotch_standin::EngineBehavior;
 use yuccanotch_standin::EngineSettings;
@@ -53,6 +54,8 @@
     pub services: BTreeMap<yuccanotch_core::name::ServiceName, Service>,
     /// Limits of the entry hosts.
     pub limits: Limits,
+    /// How the entry hosts choose chains.
+    pub routing: Policy,
 }
 
 impl Plan {
@@ -74,6 +77,7 @@
             models: BTreeMap::new(),
             services: BTreeMap::new(),
             limits: Limits { drain_grace: yuccanotch_core::clock::Millis(0), ..Limits::default() },
+            routing: Policy::default(),
         }
     }
 
