--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -41,6 +41,8 @@
 }
 
 cases! {
+    /// Claims: no call runs twice, and what callers are told is true.
+    Claim => ("claim", crate::claim_case::run),
     /// Rendezvous hashing: a member's leaving moves only its own keys.
     Rendezvous => ("rendezvous", crate::rendezvous_case::run),
     /// Streams: an answer over failing chains stays whole, unmixed and final.
--- /dev/null
+++ b/crates/check/src/claim_case/store.rs
@@ -0,0 +1,73 @@
+//! A store in memory whose calls are lost, late or refused on demand.
+
+use std::collections::BTreeMap;
+
+use yuccanotch_core::claim::StoreAnswer;
+use yuccanotch_core::claim::StoreCall;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::store::StoreError;
+use yuccanotch_core::store::Versioned;
+
+type Values = BTreeMap<String, Versioned>;
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    values: Values,
+    backup: Values,
+    /// Whether every call is refused.
+    pub away: bool,
+}
+
+impl FakeStore {
+    /// Runs a call and returns its answer.
+    pub fn call(&mut self, call: StoreCall) -> StoreAnswer {
+        match call {
+            StoreCall::Get { key } => StoreAnswer::Got(self.get(&key)),
+            StoreCall::Swap { key, expect, value } => {
+                StoreAnswer::Swapped(self.swap(key, expect, value))
+            }
+            StoreCall::Delete { key } => {
+                if !self.away {
+                    self.values.remove(&key);
+                }
+                StoreAnswer::Deleted
+            }
+        }
+    }
+
+    /// Takes a copy for [`FakeStore::restore`].
+    pub fn back_up(&mut self) {
+        self.backup = self.values.clone();
+    }
+
+    /// Goes back to the copy.
+    pub fn restore(&mut self) {
+        self.values = self.backup.clone();
+    }
+
+    fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        if self.away {
+            return Err(StoreError::Unreachable);
+        }
+        Ok(self.values.get(key).cloned())
+    }
+
+    fn swap(
+        &mut self,
+        key: String,
+        expect: KeyVersion,
+        value: Vec<u8>,
+    ) -> Result<KeyVersion, StoreError> {
+        if self.away {
+            return Err(StoreError::Refused(503));
+        }
+        let current = self.values.get(&key).map_or(KeyVersion(0), |found| found.version);
+        if current != expect {
+            return Err(StoreError::Conflict(current));
+        }
+        let version = current.next();
+        self.values.insert(key, Versioned { version, value });
+        Ok(version)
+    }
+}
--- /dev/null
+++ b/crates/check/src/claim_case/world.rs
@@ -0,0 +1,1046 @@
+//! The run: callers, processes, network, store and backend server under one event queue.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::claim::decode_segment;
+use yuccanotch_core::claim::head_key;
+use yuccanotch_core::claim::home_order;
+use yuccanotch_core::claim::segment_key;
+use yuccanotch_core::claim::BoundKey;
+use yuccanotch_core::claim::CallClaim;
+use yuccanotch_core::claim::ClaimKey;
+use yuccanotch_core::claim::ClaimMessage;
+use yuccanotch_core::claim::ClaimState;
+use yuccanotch_core::claim::Head;
+use yuccanotch_core::claim::HolderStatus;
+use yuccanotch_core::claim::Input;
+use yuccanotch_core::claim::Nonce;
+use yuccanotch_core::claim::Op;
+use yuccanotch_core::claim::OpKind;
+use yuccanotch_core::claim::OpReply;
+use yuccanotch_core::claim::Purpose;
+use yuccanotch_core::claim::Record;
+use yuccanotch_core::claim::Replies;
+use yuccanotch_core::claim::RequestDigest;
+use yuccanotch_core::claim::SegmentRead;
+use yuccanotch_core::claim::Settlement;
+use yuccanotch_core::claim::SlotId;
+use yuccanotch_core::claim::SlotSettings;
+use yuccanotch_core::claim::Step;
+use yuccanotch_core::claim::StoreAnswer;
+use yuccanotch_core::claim::StoreCall;
+use yuccanotch_core::claim::StoredAnswer;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::name::ServiceName;
+use yuccanotch_core::name::TeamName;
+use yuccanotch_core::reason::Outcome;
+use yuccanotch_core::reason::RefusalReason;
+use yuccanotch_core::store::StoreError;
+
+use super::process::Call;
+use super::process::CallId;
+use super::process::Ending;
+use super::process::Process;
+use super::process::ProcessId;
+use super::process::WaitId;
+use super::process::Waiter;
+use super::store::FakeStore;
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+/// When the faults stop.
+const CALM: Millis = Millis(3_000);
+/// When the last requests are sent.
+const LAST_SENDS: Millis = Millis(4_500);
+/// When the run ends.
+const END: Millis = Millis(9_000);
+const RPC_TIMEOUT: Millis = Millis(150);
+const CALL_DEADLINE: Millis = Millis(1_500);
+const MAX_SENDS: u32 = 6;
+const MAX_ENDING_TRIES: u32 = 6;
+const SETTLE_TRIES: u32 = 3;
+
+/// What the run is made of, drawn from the seed.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    hosts: usize,
+    slots: u16,
+    keys: usize,
+    bound_keys: usize,
+    requests: usize,
+    drop: f64,
+    duplicate: f64,
+    lost_before: f64,
+    lost_after: f64,
+    slow: f64,
+    crashes: usize,
+    replacements: usize,
+    pauses: usize,
+    cuts: usize,
+    outages: usize,
+    member_changes: usize,
+    restore: bool,
+}
+
+impl Plan {
+    /// Draws any mixture of faults but a restore of the store.
+    pub fn without_restore(rng: &mut Pcg64Mcg) -> Self {
+        let quiet = rng.random_bool(0.1);
+        let share = |rng: &mut Pcg64Mcg, most: f64| {
+            if quiet || rng.random_bool(0.4) {
+                0.0
+            } else {
+                rng.random_range(0.0..most)
+            }
+        };
+        let count = |rng: &mut Pcg64Mcg, most: usize| {
+            if quiet || rng.random_bool(0.4) {
+                0
+            } else {
+                rng.random_range(1..=most)
+            }
+        };
+        Self {
+            hosts: rng.random_range(2..=4),
+            slots: rng.random_range(1..=2),
+            keys: rng.random_range(1..=6),
+            bound_keys: rng.random_range(0..=1),
+            requests: rng.random_range(2..=10),
+            drop: share(rng, 0.3),
+            duplicate: share(rng, 0.2),
+            lost_before: share(rng, 0.25),
+            lost_after: share(rng, 0.25),
+            slow: share(rng, 0.3),
+            crashes: count(rng, 3),
+            replacements: count(rng, 2),
+            pauses: count(rng, 4),
+            cuts: count(rng, 4),
+            outages: count(rng, 2),
+            member_changes: count(rng, 6),
+            restore: false,
+        }
+    }
+
+    /// Draws a restore of the store while every slot has one steady home.
+    pub fn with_restore(rng: &mut Pcg64Mcg) -> Self {
+        Self {
+            drop: 0.0,
+            duplicate: 0.0,
+            lost_before: 0.0,
+            slow: 0.0,
+            crashes: 0,
+            replacements: 0,
+            pauses: 0,
+            cuts: 0,
+            outages: 0,
+            member_changes: 0,
+            bound_keys: 0,
+            restore: true,
+            requests: rng.random_range(4..=12),
+            ..Self::without_restore(rng)
+        }
+    }
+}
+
+/// What the caller of one request was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Told {
+    Answer(Vec<u8>),
+    Refused { outcome: Outcome, reason: RefusalReason },
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    key: usize,
+    digest: RequestDigest,
+    refuse: bool,
+    sends: u32,
+    settled: bool,
+    last: bool,
+    told: Option<Told>,
+}
+
+/// What happened to one key with one body.
+#[derive(Debug, Default)]
+struct Truth {
+    dispatches: u32,
+    answer: Vec<u8>,
+    told_not_run: bool,
+}
+
+#[derive(Clone, Debug)]
+enum DispatchResult {
+    Answer(Vec<u8>),
+    Lost,
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Crash,
+    Replace,
+    Pause,
+    Cut,
+    Outage,
+    OutageEnds,
+    Members,
+    BackUp,
+    Restore,
+    Calm,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Send { request: usize },
+    CallerTimeout { request: usize, sends: u32 },
+    Input { process: ProcessId, call: CallId, wait: WaitId, input: Input },
+    Peer { to: HostName, from: ProcessId, call: CallId, wait: WaitId, message: ClaimMessage },
+    StoreExec { process: ProcessId, slot: SlotId, call: StoreCall },
+    StoreDone { process: ProcessId, slot: SlotId, answer: StoreAnswer },
+    Poll { process: ProcessId },
+    Dispatch { process: ProcessId, call: CallId },
+    Dispatched { process: ProcessId, call: CallId, result: DispatchResult },
+    Fault(Fault),
+}
+
+impl Event {
+    /// Returns the process that has to run for the event to be taken.
+    fn process(&self) -> Option<ProcessId> {
+        match self {
+            Self::Input { process, .. }
+            | Self::StoreDone { process, .. }
+            | Self::Poll { process }
+            | Self::Dispatch { process, .. }
+            | Self::Dispatched { process, .. } => Some(*process),
+            _ => None,
+        }
+    }
+}
+
+/// The world of one run.
+pub struct World<'a> {
+    plan: Plan,
+    rng: Pcg64Mcg,
+    trace: &'a mut Trace,
+    now: Millis,
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    events: HashMap<u64, Event>,
+    next_event: u64,
+    store: FakeStore,
+    names: Vec<HostName>,
+    processes: Vec<Process>,
+    current: BTreeMap<HostName, ProcessId>,
+    cuts: Vec<(HostName, HostName, Millis)>,
+    keys: Vec<ClaimKey>,
+    arbiters: BTreeMap<ClaimKey, BoundKey>,
+    requests: Vec<Request>,
+    truths: BTreeMap<(ClaimKey, u128), Truth>,
+    calm: bool,
+    next_wait: WaitId,
+    broken: Option<String>,
+}
+
+impl<'a> World<'a> {
+    /// Builds the world of a plan.
+    pub fn new(plan: Plan, rng: Pcg64Mcg, trace: &'a mut Trace) -> Self {
+        let names: Vec<HostName> =
+            (0..plan.hosts).map(|i| HostName::new(&format!("entry-{i}"))).collect();
+        let mut world = Self {
+            rng,
+            trace,
+            now: Millis(1),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next_event: 0,
+            store: FakeStore::default(),
+            processes: Vec::new(),
+            current: BTreeMap::new(),
+            cuts: Vec::new(),
+            keys: Vec::new(),
+            arbiters: BTreeMap::new(),
+            requests: Vec::new(),
+            truths: BTreeMap::new(),
+            calm: false,
+            next_wait: 0,
+            broken: None,
+            names,
+            plan,
+        };
+        for name in world.names.clone() {
+            world.start_process(&name, 1);
+        }
+        world.draw_keys();
+        world.draw_requests();
+        world.draw_faults();
+        world
+    }
+
+    /// Runs to the end and checks the invariants.
+    pub fn run(mut self) -> CaseResult {
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            if at > END {
+                break;
+            }
+            self.now = self.now.max(at);
+            let event = self.events.remove(&id).expect("each queued event is stored");
+            self.take(event);
+            if let Some(text) = self.broken.take() {
+                return Err(text);
+            }
+        }
+        self.check_settled()?;
+        self.check_store()
+    }
+
+    // Setup.
+
+    fn start_process(&mut self, name: &HostName, incarnation: u64) {
+        let settings = SlotSettings {
+            seal_bytes: 250,
+            max_batch: 4,
+            max_queue: 64,
+            away: Millis(30),
+            refresh: Millis(500),
+            ..SlotSettings::default()
+        };
+        let members = self.names.clone();
+        self.processes.push(Process::new(name, incarnation, settings, members));
+        let process = self.processes.len() - 1;
+        self.current.insert(name.clone(), process);
+        self.after(1, Event::Poll { process });
+    }
+
+    fn draw_keys(&mut self) {
+        let team = TeamName::new("bakery");
+        let service = ServiceName::new("ordering");
+        for i in 0..self.plan.keys {
+            self.keys.push(ClaimKey::new(&team, &service, &format!("order-{i}")));
+        }
+        for serial in 0..self.plan.bound_keys as u64 {
+            let arbiter = self.processes[0].holder.clone();
+            let bound = BoundKey { arbiter, serial };
+            let key = ClaimKey::new(&team, &service, &bound.to_string());
+            self.arbiters.insert(key, bound);
+            self.keys.push(key);
+        }
+    }
+
+    fn draw_requests(&mut self) {
+        for _ in 0..self.plan.requests {
+            let key = self.rng.random_range(0..self.keys.len());
+            let other_body = self.rng.random_bool(0.1);
+            let refuse = self.rng.random_bool(0.1);
+            let at = self.rng.random_range(1..2_500);
+            self.add_request(Millis(at), key, u128::from(other_body), refuse, false);
+            if self.rng.random_bool(0.3) {
+                self.add_request(Millis(at + 1), key, u128::from(other_body), false, false);
+            }
+        }
+        for key in 0..self.keys.len() {
+            self.add_request(LAST_SENDS, key, 0, false, true);
+        }
+    }
+
+    fn add_request(&mut self, at: Millis, key: usize, body: u128, refuse: bool, last: bool) {
+        let digest = RequestDigest(body);
+        let request = Request { key, digest, refuse, sends: 0, settled: false, last, told: None };
+        self.requests.push(request);
+        self.at(at, Event::Send { request: self.requests.len() - 1 });
+    }
+
+    fn draw_faults(&mut self) {
+        let plan = self.plan.clone();
+        let faults = [
+            (plan.crashes, Fault::Crash),
+            (plan.replacements, Fault::Replace),
+            (plan.pauses, Fault::Pause),
+            (plan.cuts, Fault::Cut),
+            (plan.outages, Fault::Outage),
+            (plan.member_changes, Fault::Members),
+        ];
+        for (count, fault) in faults {
+            for _ in 0..count {
+                let at = self.rng.random_range(1..CALM.0);
+                self.at(Millis(at), Event::Fault(fault));
+            }
+        }
+        if plan.restore {
+            let taken = self.rng.random_range(1..1_500);
+            let restored = self.rng.random_range(taken..2_800);
+            self.at(Millis(taken), Event::Fault(Fault::BackUp));
+            self.at(Millis(restored), Event::Fault(Fault::Restore));
+        }
+        self.at(CALM, Event::Fault(Fault::Calm));
+    }
+
+    // The queue.
+
+    fn at(&mut self, at: Millis, event: Event) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((at, self.next_event)));
+    }
+
+    fn after(&mut self, span: u64, event: Event) {
+        self.at(self.now + Millis(span), event);
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        !self.calm && self.rng.random_bool(share)
+    }
+
+    fn log(&mut self, text: String) {
+        self.trace.add(format!("{:>5} {text}", self.now.0));
+    }
+
+    fn break_with(&mut self, text: String) {
+        self.log(format!("BROKEN {text}"));
+        self.broken.get_or_insert(text);
+    }
+
+    fn take(&mut self, event: Event) {
+        if let Some(process) = event.process() {
+            if !self.processes[process].alive {
+                return;
+            }
+            let paused_until = self.processes[process].paused_until;
+            if paused_until > self.now {
+                self.at(paused_until, event);
+                return;
+            }
+        }
+        match event {
+            Event::Send { request } => self.on_send(request),
+            Event::CallerTimeout { request, sends } => self.on_caller_timeout(request, sends),
+            Event::Input { process, call, wait, input } => {
+                self.on_input(process, call, wait, input);
+            }
+            Event::Peer { to, from, call, wait, message } => {
+                self.on_peer(&to, from, call, wait, message);
+            }
+            Event::StoreExec { process, slot, call } => self.on_store_exec(process, slot, call),
+            Event::StoreDone { process, slot, answer } => {
+                let now = self.now;
+                let replies = self.processes[process].writers.on_store(now, slot, answer);
+                self.deliver(process, replies);
+                self.poll(process);
+            }
+            Event::Poll { process } => {
+                self.poll(process);
+                self.after(25, Event::Poll { process });
+            }
+            Event::Dispatch { process, call } => self.on_dispatch(process, call),
+            Event::Dispatched { process, call, result } => {
+                self.on_dispatched(process, call, result);
+            }
+            Event::Fault(fault) => self.on_fault(fault),
+        }
+    }
+
+    // Callers.
+
+    fn on_send(&mut self, request: usize) {
+        let found = &mut self.requests[request];
+        if found.settled {
+            return;
+        }
+        found.sends += 1;
+        let sends = found.sends;
+        self.after(700, Event::CallerTimeout { request, sends });
+        let name = self.names[self.rng.random_range(0..self.names.len())].clone();
+        let process = self.current[&name];
+        if !self.processes[process].alive {
+            return;
+        }
+        let Request { key, digest, refuse, .. } = self.requests[request].clone();
+        let purpose =
+            if refuse { Purpose::Refuse(RefusalReason::Overloaded) } else { Purpose::Run };
+        let nonce = Nonce(self.rng.random());
+        let holder = self.processes[process].holder.clone();
+        let deadline = self.now + CALL_DEADLINE;
+        let claim = CallClaim::new(self.keys[key], digest, holder, nonce, purpose, deadline);
+        let call = self.processes[process].fresh_id();
+        let entry = Call { claim, request, wait: 0, commits: 0, ending: None };
+        self.processes[process].calls.insert(call, entry);
+        self.log(format!("request {request} key {key} sent to process {process} call {call}"));
+        self.after(1, Event::Input { process, call, wait: 0, input: Input::Start });
+    }
+
+    fn on_caller_timeout(&mut self, request: usize, sends: u32) {
+        let found = &self.requests[request];
+        if !found.settled && found.sends == sends && sends < MAX_SENDS {
+            self.after(1, Event::Send { request });
+        }
+    }
+
+    fn tell(&mut self, request: usize, told: Told) {
+        self.log(format!("request {request} told {told:?}"));
+        let Request { key, digest, sends, .. } = self.requests[request];
+        let truth = self.truths.entry((self.keys[key], digest.0)).or_default();
+        let mut fault = None;
+        let mut again = false;
+        match &told {
+            Told::Answer(body) if truth.dispatches == 0 || truth.answer != *body => {
+                fault = Some("a caller was told another answer than the backend server gave");
+            }
+            Told::Refused { outcome: Outcome::NotRun, .. } => {
+                truth.told_not_run = true;
+                if truth.dispatches > 0 {
+                    fault = Some("a caller was told not_run after a dispatch");
+                }
+            }
+            Told::Refused { outcome: Outcome::Ran, .. } if truth.dispatches == 0 => {
+                fault = Some("a caller was told ran without a dispatch");
+            }
+            Told::Refused { outcome: Outcome::Unknown, .. } => again = sends < MAX_SENDS,
+            _ => {}
+        }
+        if let Some(text) = fault {
+            self.break_with(text.to_owned());
+        }
+        self.requests[request].told = Some(told);
+        self.requests[request].settled = !again;
+        if again {
+            let wait = self.rng.random_range(20..300);
+            self.after(wait, Event::Send { request });
+        }
+    }
+
+    // Calls.
+
+    fn on_input(&mut self, process: ProcessId, call: CallId, wait: WaitId, input: Input) {
+        let now = self.now;
+        let host = &mut self.processes[process];
+        let Some(found) = host.calls.get_mut(&call) else {
+            return;
+        };
+        if found.wait != wait {
+            return;
+        }
+        self.next_wait += 1;
+        found.wait = self.next_wait;
+        if matches!(input, Input::Lost) {
+            found.commits += 1;
+        }
+        if let Input::Reply(OpReply::Recorded { record, sequence }) = &input {
+            let slot = record.key.slot(self.plan.slots);
+            let seen = host.seen.entry(slot).or_default();
+            *seen = (*seen).max(*sequence);
+        }
+        if found.ending.is_some() {
+            self.on_ending(process, call, input);
+            return;
+        }
+        let step = found.claim.step(now, input, &mut host.registry);
+        self.on_step(process, call, step);
+    }
+
+    fn on_step(&mut self, process: ProcessId, call: CallId, step: Step) {
+        match step {
+            Step::Commit(op) => self.commit(process, call, op),
+            Step::Ask { holder, nonce, wait } => {
+                if holder.host == self.processes[process].holder.host {
+                    let status = self.processes[process].registry.status(&holder, nonce);
+                    self.input_after(process, call, 20, Input::Status(status));
+                    return;
+                }
+                let message = ClaimMessage::Ask { holder: holder.clone(), nonce, wait };
+                self.send_peer(process, call, &holder.host, message, Input::Silent);
+            }
+            Step::ReadSegment(id) => {
+                let key = self.processes[process].calls[&call].claim.key();
+                let record = self.read_segment(key, id);
+                self.input_after(process, call, 2, Input::Segment(record));
+            }
+            Step::Pause(span) => self.input_after(process, call, span.0, Input::Resume),
+            Step::Run => {
+                let late = self.chance(0.1);
+                let span = self.rng.random_range(0..if late { 600 } else { 30 });
+                self.after(span, Event::Dispatch { process, call });
+            }
+            Step::Settle(settlement) => {
+                let request = self.remove_call(process, call);
+                let told = match settlement {
+                    Settlement::Answer(answer) => Told::Answer(answer.body),
+                    Settlement::Refuse { outcome, reason, .. } => Told::Refused { outcome, reason },
+                };
+                self.tell(request, told);
+            }
+        }
+    }
+
+    fn remove_call(&mut self, process: ProcessId, call: CallId) -> usize {
+        let removed = self.processes[process].calls.remove(&call);
+        removed.expect("a call is removed once").request
+    }
+
+    fn input_after(&mut self, process: ProcessId, call: CallId, span: u64, input: Input) {
+        let wait = self.processes[process].calls[&call].wait;
+        self.after(span, Event::Input { process, call, wait, input });
+    }
+
+    fn read_segment(&mut self, key: ClaimKey, id: u64) -> SegmentRead {
+        let path = segment_key(key.slot(self.plan.slots), id);
+        match self.store.call(StoreCall::Get { key: path }) {
+            StoreAnswer::Got(Ok(Some(found))) => {
+                let records = decode_segment(&found.value).unwrap_or_default();
+                let found = records.into_iter().find(|record| record.key == key);
+                found.map_or(SegmentRead::Missing, SegmentRead::Found)
+            }
+            StoreAnswer::Got(Ok(None)) => SegmentRead::Missing,
+            _ => SegmentRead::Unavailable,
+        }
+    }
+
+    fn commit(&mut self, process: ProcessId, call: CallId, op: Op) {
+        if let Some(bound) = self.arbiters.get(&op.key).cloned() {
+            let incarnation = bound.arbiter.incarnation;
+            if bound.arbiter.host == self.processes[process].holder.host {
+                let now = self.now;
+                let reply = self.processes[process].bound.commit(incarnation, &op, now);
+                self.input_after(process, call, 0, Input::Reply(reply));
+                return;
+            }
+            let message = ClaimMessage::CommitBound { incarnation, op };
+            self.send_peer(process, call, &bound.arbiter.host, message, Input::Lost);
+            return;
+        }
+        let slot = op.key.slot(self.plan.slots);
+        let host = &self.processes[process];
+        let order = home_order(slot, &host.members);
+        let home = order[host.calls[&call].commits % order.len()].clone();
+        let seen = host.seen.get(&slot).copied().unwrap_or(0);
+        if home == host.holder.host {
+            let wait = host.calls[&call].wait;
+            self.submit(process, Waiter::Own(call, wait), slot, seen, op);
+            self.input_after(process, call, RPC_TIMEOUT.0, Input::Lost);
+            return;
+        }
+        let message = ClaimMessage::Commit { slot, seen, op };
+        self.send_peer(process, call, &home, message, Input::Lost);
+    }
+
+    fn submit(&mut self, process: ProcessId, waiter: Waiter, slot: SlotId, seen: u64, op: Op) {
+        let now = self.now;
+        match self.processes[process].writers.submit(now, slot, seen, op) {
+            Ok(ticket) => {
+                self.processes[process].waiters.insert(ticket, waiter);
+                self.poll(process);
+            }
+            Err(_) => self.answer(process, waiter, OpReply::Unavailable),
+        }
+    }
+
+    // Network.
+
+    fn is_cut(&self, from: &HostName, to: &HostName) -> bool {
+        let cut = |(a, b, until): &(HostName, HostName, Millis)| {
+            a == from && b == to && *until > self.now
+        };
+        !self.calm && self.cuts.iter().any(cut)
+    }
+
+    fn latency(&mut self) -> u64 {
+        let share = self.plan.slow;
+        if self.chance(share) {
+            return self.rng.random_range(1..600);
+        }
+        self.rng.random_range(1..8)
+    }
+
+    fn send_peer(
+        &mut self,
+        process: ProcessId,
+        call: CallId,
+        to: &HostName,
+        message: ClaimMessage,
+        silence: Input,
+    ) {
+        self.input_after(process, call, RPC_TIMEOUT.0, silence);
+        let wait = self.processes[process].calls[&call].wait;
+        let from = self.processes[process].holder.host.clone();
+        let copies = if self.chance(self.plan.duplicate) { 2 } else { 1 };
+        for _ in 0..copies {
+            if self.is_cut(&from, to) || self.chance(self.plan.drop) {
+                continue;
+            }
+            let latency = self.latency();
+            let message = message.clone();
+            let event = Event::Peer { to: to.clone(), from: process, call, wait, message };
+            self.after(latency, event);
+        }
+    }
+
+    fn send_back(
+        &mut self,
+        from: ProcessId,
+        to: ProcessId,
+        call: CallId,
+        wait: WaitId,
+        input: Input,
+    ) {
+        let from = self.processes[from].holder.host.clone();
+        let name = self.processes[to].holder.host.clone();
+        if self.is_cut(&from, &name) || self.chance(self.plan.drop) {
+            return;
+        }
+        let latency = self.latency();
+        self.after(latency, Event::Input { process: to, call, wait, input });
+    }
+
+    fn on_peer(
+        &mut self,
+        to: &HostName,
+        from: ProcessId,
+        call: CallId,
+        wait: WaitId,
+        message: ClaimMessage,
+    ) {
+        let process = self.current[to];
+        if !self.processes[process].alive {
+            return;
+        }
+        let paused_until = self.processes[process].paused_until;
+        if paused_until > self.now {
+            let event = Event::Peer { to: to.clone(), from, call, wait, message };
+            self.at(paused_until, event);
+            return;
+        }
+        match message {
+            ClaimMessage::Commit { slot, seen, op } => {
+                self.submit(process, Waiter::Peer(from, call, wait), slot, seen, op);
+            }
+            ClaimMessage::CommitBound { incarnation, op } => {
+                let now = self.now;
+                let reply = self.processes[process].bound.commit(incarnation, &op, now);
+                self.send_back(process, from, call, wait, Input::Reply(reply));
+            }
+            ClaimMessage::Ask { holder, nonce, .. } => {
+                let status = self.processes[process].registry.status(&holder, nonce);
+                if status == HolderStatus::Running {
+                    // Stands for the wait of the asked host.
+                    let event = Event::Input {
+                        process: from,
+                        call,
+                        wait,
+                        input: Input::Status(HolderStatus::Running),
+                    };
+                    self.after(30, event);
+                    return;
+                }
+                self.send_back(process, from, call, wait, Input::Status(status));
+            }
+        }
+    }
+
+    fn answer(&mut self, process: ProcessId, waiter: Waiter, reply: OpReply) {
+        match waiter {
+            Waiter::Own(call, wait) => {
+                let input = Input::Reply(reply);
+                self.after(0, Event::Input { process, call, wait, input });
+            }
+            Waiter::Peer(to, call, wait) => {
+                self.send_back(process, to, call, wait, Input::Reply(reply));
+            }
+        }
+    }
+
+    fn deliver(&mut self, process: ProcessId, replies: Replies) {
+        for (ticket, reply) in replies {
+            if let Some(waiter) = self.processes[process].waiters.remove(&ticket) {
+                self.answer(process, waiter, reply);
+            }
+        }
+    }
+
+    // Store.
+
+    fn poll(&mut self, process: ProcessId) {
+        let now = self.now;
+        let (replies, calls) = self.processes[process].writers.poll(now, now, &mut self.rng);
+        self.deliver(process, replies);
+        for call in calls {
+            let latency = self.store_latency();
+            let event = Event::StoreExec { process, slot: call.slot, call: call.call };
+            self.after(latency, event);
+        }
+    }
+
+    fn store_latency(&mut self) -> u64 {
+        let share = self.plan.slow;
+        if self.chance(share) {
+            return self.rng.random_range(1..300);
+        }
+        self.rng.random_range(1..4)
+    }
+
+    fn on_store_exec(&mut self, process: ProcessId, slot: SlotId, call: StoreCall) {
+        let lost_before = self.chance(self.plan.lost_before);
+        let lost_after = self.chance(self.plan.lost_after);
+        let lost = match &call {
+            StoreCall::Get { .. } => StoreAnswer::Got(Err(StoreError::AnswerLost)),
+            StoreCall::Swap { .. } => StoreAnswer::Swapped(Err(StoreError::AnswerLost)),
+            StoreCall::Delete { .. } => StoreAnswer::Deleted,
+        };
+        if lost_before {
+            // The call may still arrive, long after its sender gave up.
+            if self.rng.random_bool(0.5) {
+                let wait = self.rng.random_range(1..400);
+                let late = self.now + Millis(wait);
+                let slot = SlotId(u16::MAX);
+                self.at(late, Event::StoreExec { process, slot, call });
+            }
+            self.after(60, Event::StoreDone { process, slot, answer: lost });
+            return;
+        }
+        let answer = self.store.call(call);
+        if slot == SlotId(u16::MAX) {
+            return;
+        }
+        let answer = if lost_after { lost } else { answer };
+        let latency = self.store_latency();
+        self.after(latency, Event::StoreDone { process, slot, answer });
+    }
+
+    // Dispatch.
+
+    fn on_dispatch(&mut self, process: ProcessId, call: CallId) {
+        let Some(found) = self.processes[process].calls.get(&call) else {
+            return;
+        };
+        let Request { key, digest, .. } = self.requests[found.request].clone();
+        if self.rng.random_bool(0.15) {
+            let result = DispatchResult::Refused;
+            self.after(1, Event::Dispatched { process, call, result });
+            return;
+        }
+        self.log(format!("process {process} call {call} dispatches key {key}"));
+        let answer = format!("confirmed {key} by {process}/{call}").into_bytes();
+        self.execute(self.keys[key], digest, answer.clone());
+        let span = self.rng.random_range(1..80);
+        let lost = self.rng.random_bool(0.15);
+        let result = if lost { DispatchResult::Lost } else { DispatchResult::Answer(answer) };
+        self.after(span, Event::Dispatched { process, call, result });
+    }
+
+    fn execute(&mut self, key: ClaimKey, digest: RequestDigest, answer: Vec<u8>) {
+        let truth = self.truths.entry((key, digest.0)).or_default();
+        truth.dispatches += 1;
+        truth.answer = answer;
+        if truth.told_not_run {
+            self.break_with("a call that was told not_run was dispatched".to_owned());
+        }
+        let of_key = self.truths.range((key, 0)..=(key, u128::MAX));
+        let dispatches: u32 = of_key.map(|(_, truth)| truth.dispatches).sum();
+        if dispatches > 1 {
+            self.break_with(format!("a key was dispatched {dispatches} times"));
+        }
+    }
+
+    fn on_dispatched(&mut self, process: ProcessId, call: CallId, result: DispatchResult) {
+        let host = &mut self.processes[process];
+        let Some(found) = host.calls.get_mut(&call) else {
+            return;
+        };
+        let request = found.request;
+        let nonce = found.claim.nonce();
+        let refusal = matches!(result, DispatchResult::Refused);
+        found.ending = Some(Ending { refusal, tries: 0 });
+        self.next_wait += 1;
+        found.wait = self.next_wait;
+        let kind = match result {
+            DispatchResult::Answer(body) => {
+                let answer = StoredAnswer {
+                    status: 200,
+                    content_type: "text/plain".to_owned(),
+                    body: body.clone(),
+                };
+                let state = ClaimState::answered(answer);
+                host.registry.end(nonce, state.clone());
+                self.tell(request, Told::Answer(body));
+                OpKind::Finish { state }
+            }
+            DispatchResult::Lost => {
+                host.registry.end(nonce, ClaimState::Unknown);
+                self.tell_unknown(request);
+                OpKind::Finish { state: ClaimState::Unknown }
+            }
+            DispatchResult::Refused => {
+                host.registry.withdraw(nonce);
+                OpKind::Refuse { reason: RefusalReason::NoServer }
+            }
+        };
+        let op = self.processes[process].calls[&call].claim.ending(kind);
+        self.processes[process].endings.insert(call, op.clone());
+        self.commit(process, call, op);
+    }
+
+    fn tell_unknown(&mut self, request: usize) {
+        let reason = RefusalReason::OutcomeUnknown;
+        self.tell(request, Told::Refused { outcome: Outcome::Unknown, reason });
+    }
+
+    fn on_ending(&mut self, process: ProcessId, call: CallId, input: Input) {
+        let host = &mut self.processes[process];
+        let found = host.calls.get_mut(&call).expect("the call is in progress");
+        let mut ending = found.ending.expect("the call is ending");
+        let nonce = found.claim.nonce();
+        let request = found.request;
+        match input {
+            Input::Reply(OpReply::Unavailable) | Input::Lost => {
+                ending.tries += 1;
+                found.ending = Some(ending);
+                if ending.tries < MAX_ENDING_TRIES || (self.calm && !ending.refusal) {
+                    self.input_after(process, call, 40, Input::Resume);
+                    return;
+                }
+            }
+            Input::Resume => {
+                let op = host.endings[&call].clone();
+                self.commit(process, call, op);
+                return;
+            }
+            Input::Reply(OpReply::Recorded { record, .. }) if ending.refusal => {
+                self.remove_call(process, call);
+                let refused = matches!(record.state, ClaimState::Tombstone(_));
+                if refused && record.nonce == nonce {
+                    let outcome = Outcome::NotRun;
+                    let reason = RefusalReason::NoServer;
+                    self.tell(request, Told::Refused { outcome, reason });
+                } else {
+                    self.tell_unknown(request);
+                }
+                return;
+            }
+            _ => {}
+        }
+        self.remove_call(process, call);
+        if ending.refusal {
+            self.tell_unknown(request);
+        }
+    }
+
+    // Faults.
+
+    fn on_fault(&mut self, fault: Fault) {
+        self.log(format!("fault {fault:?}"));
+        let name = self.names[self.rng.random_range(0..self.names.len())].clone();
+        let other = self.names[self.rng.random_range(0..self.names.len())].clone();
+        let process = self.current[&name];
+        let until = self.now + Millis(self.rng.random_range(50..900));
+        match fault {
+            Fault::Crash => {
+                self.processes[process].alive = false;
+                self.replace(&name);
+            }
+            Fault::Replace => {
+                self.processes[process].paused_until = until;
+                self.replace(&name);
+            }
+            Fault::Pause => self.processes[process].paused_until = until,
+            Fault::Cut => {
+                self.cuts.push((name.clone(), other.clone(), until));
+                if self.rng.random_bool(0.6) {
+                    self.cuts.push((other, name, until));
+                }
+            }
+            Fault::Outage => {
+                self.store.away = true;
+                self.at(until, Event::Fault(Fault::OutageEnds));
+            }
+            Fault::OutageEnds => self.store.away = false,
+            Fault::Members => {
+                let names = self.names.clone();
+                self.processes[process].shuffle_members(&names, &mut self.rng);
+            }
+            Fault::BackUp => self.store.back_up(),
+            Fault::Restore => self.store.restore(),
+            Fault::Calm => {
+                self.calm = true;
+                self.store.away = false;
+            }
+        }
+    }
+
+    fn replace(&mut self, name: &HostName) {
+        let incarnation = self.processes[self.current[name]].holder.incarnation.0;
+        self.start_process(name, incarnation + 1);
+    }
+
+    // Checks at the end.
+
+    fn check_settled(&mut self) -> CaseResult {
+        for (i, request) in self.requests.iter().enumerate().filter(|(_, found)| found.last) {
+            let Some(told) = &request.told else {
+                return Err(format!("request {i} was told nothing after the faults had stopped"));
+            };
+            let away = RefusalReason::StoreUnavailable;
+            if matches!(told, Told::Refused { reason, .. } if *reason == away) {
+                return Err(format!("request {i} was told {told:?} after the faults had stopped"));
+            }
+            if request.sends > SETTLE_TRIES && *told != self.unknown() {
+                return Err(format!("request {i} settled only after {} sends", request.sends));
+            }
+        }
+        Ok(())
+    }
+
+    fn unknown(&self) -> Told {
+        Told::Refused { outcome: Outcome::Unknown, reason: RefusalReason::OutcomeUnknown }
+    }
+
+    /// Checks that the records agree with what the backend server did.
+    fn check_store(&mut self) -> CaseResult {
+        let mut records = BTreeMap::new();
+        for slot in 0..self.plan.slots {
+            for record in self.records_of(SlotId(slot))? {
+                records.insert(record.key, record);
+            }
+        }
+        for ((key, digest), truth) in &self.truths {
+            if truth.dispatches == 0 || self.arbiters.contains_key(key) {
+                continue;
+            }
+            let Some(record) = records.get(key) else {
+                return Err("a dispatched call has no record".to_owned());
+            };
+            let answered = matches!(&record.state,
+                ClaimState::Answered(answer) if answer.body != truth.answer);
+            let refused = matches!(record.state, ClaimState::Tombstone(_));
+            if record.digest.0 != *digest || answered || refused {
+                return Err(format!("a dispatched call is recorded as {record:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn records_of(&mut self, slot: SlotId) -> Result<Vec<Record>, String> {
+        let head = match self.read(head_key(slot)) {
+            Some(value) => Head::decode(&value).map_err(|e| e.to_string())?,
+            None => Head::default(),
+        };
+        let mut records = Vec::new();
+        for segment in &head.sealed {
+            let key = segment_key(slot, segment.id);
+            let value = self.read(key).ok_or("a listed segment is missing")?;
+            let sealed = decode_segment(&value);
+            records.extend(sealed.map_err(|e| e.to_string())?);
+        }
+        records.extend(head.open);
+        Ok(records)
+    }
+
+    fn read(&mut self, key: String) -> Option<Vec<u8>> {
+        match self.store.call(StoreCall::Get { key }) {
+            StoreAnswer::Got(Ok(Some(found))) if found.version > KeyVersion(0) => Some(found.value),
+            _ => None,
+        }
+    }
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -8,6 +8,7 @@
 use crate::error::CliResult;
 
 mod case;
+mod claim_case;
 mod cmd_defects;
 mod cmd_random;
 mod error;
--- /dev/null
+++ b/crates/core/src/claim/slot.rs
@@ -0,0 +1,349 @@
+//! Group commit of one slot.
+//!
+//! A writer keeps the records of its slot in memory and at most one call to the store in flight.
+//! Operations that arrive meanwhile form the next batch, so batches grow with the load. A batch
+//! becomes one swap of the head; its operations are answered only after the swap is confirmed.
+//! After a conflict or a lost answer the writer reads the slot again and applies the batch again:
+//! operations find their own nonce if the write took effect.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+use super::budget::WriteBudget;
+use super::messages::OpReply;
+use super::record::ClaimKey;
+use super::record::Record;
+use super::record::SlotId;
+use super::rules::Op;
+use super::value::segment_key;
+use super::value::Head;
+use super::value::SegmentRef;
+use crate::clock::Millis;
+use crate::ids::KeyVersion;
+use crate::store::StoreError;
+use crate::store::Versioned;
+
+mod index;
+mod read;
+mod write;
+
+use index::Index;
+
+/// Bounds of a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct SlotSettings {
+    /// How long records are kept after their last write.
+    pub retention: Millis,
+    /// Size of the open segment from which it is sealed, in bytes.
+    pub seal_bytes: usize,
+    /// Most operations of one swap.
+    pub max_batch: usize,
+    /// Most operations that wait.
+    pub max_queue: usize,
+    /// How long operations are answered without asking after the store did not answer.
+    pub away: Millis,
+    /// How old the memory of an idle slot may grow before the head is read again.
+    pub refresh: Millis,
+}
+
+impl Default for SlotSettings {
+    fn default() -> Self {
+        Self {
+            retention: Millis(6 * 3_600 * 1_000),
+            seal_bytes: 16 << 10,
+            max_batch: 256,
+            max_queue: 4_096,
+            away: Millis(100),
+            refresh: Millis(30_000),
+        }
+    }
+}
+
+/// Identifies an operation that waits for its reply.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// The operation was not taken, because too many wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QueueFull;
+
+/// Replies that are due.
+pub type Replies = SmallVec<[(Ticket, OpReply); 4]>;
+
+/// A call to the store that the driver has to make.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreCall {
+    /// Reads a key.
+    Get {
+        /// Key.
+        key: String,
+    },
+    /// Writes a key that has the expected version.
+    Swap {
+        /// Key.
+        key: String,
+        /// Expected version.
+        expect: KeyVersion,
+        /// New value.
+        value: Vec<u8>,
+    },
+    /// Deletes a sealed segment that is not listed any more.
+    Delete {
+        /// Key.
+        key: String,
+    },
+}
+
+/// The answer to a [`StoreCall`].
+#[derive(Clone, Debug)]
+pub enum StoreAnswer {
+    /// Answer to a read.
+    Got(Result<Option<Versioned>, StoreError>),
+    /// Answer to a write.
+    Swapped(Result<KeyVersion, StoreError>),
+    /// Answer to a deletion.
+    Deleted,
+}
+
+/// Counts of what a writer did.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SlotCounts {
+    /// Confirmed swaps of the head.
+    pub swaps: u64,
+    /// Swaps that lost against another writer.
+    pub conflicts: u64,
+    /// Writes whose answer was lost.
+    pub lost_answers: u64,
+    /// Sealed segments written.
+    pub seals: u64,
+    /// Reads.
+    pub reads: u64,
+    /// Bytes of all writes.
+    pub written_bytes: u64,
+    /// Older copies found in the store.
+    pub restores: u64,
+    /// Values that could not be read.
+    pub damaged: u64,
+}
+
+#[derive(Debug)]
+struct Pending {
+    ticket: Ticket,
+    seen: u64,
+    rechecked: bool,
+    op: Op,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// The head has to be read before the next batch.
+    Stale,
+    ReadingHead,
+    /// Sealed segments that still have to be read, in order.
+    Loading(VecDeque<SegmentRef>),
+    ReadingSegment(VecDeque<SegmentRef>),
+    Ready,
+    Sealing(SegmentRef),
+    Swapping(Head),
+    Deleting,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Garbage {
+    segment: u64,
+    /// The head has to be beyond this version before the segment can be deleted, because a
+    /// delayed write of the head at this version may still list it.
+    after: KeyVersion,
+}
+
+/// Writes one slot.
+#[derive(Debug)]
+pub struct SlotWriter {
+    slot: SlotId,
+    settings: SlotSettings,
+    phase: Phase,
+    version: KeyVersion,
+    sequence: u64,
+    sealed: Vec<SegmentRef>,
+    open: BTreeMap<ClaimKey, Record>,
+    open_bytes: usize,
+    index: Index,
+    queue: VecDeque<Pending>,
+    batch: Vec<Pending>,
+    /// Sealed copy of the open segment, to be listed by the next swap.
+    seal: Option<SegmentRef>,
+    garbage: Vec<Garbage>,
+    /// Records that were known before the head was read again, kept until the slot is read whole.
+    salvage: Vec<Record>,
+    repairs: BTreeMap<ClaimKey, Record>,
+    away_until: Millis,
+    read_at: Millis,
+    used_at: Millis,
+    counts: SlotCounts,
+}
+
+impl SlotWriter {
+    /// Creates a writer that knows nothing yet.
+    pub fn new(slot: SlotId, settings: SlotSettings) -> Self {
+        Self {
+            slot,
+            settings,
+            phase: Phase::Stale,
+            version: KeyVersion(0),
+            sequence: 0,
+            sealed: Vec::new(),
+            open: BTreeMap::new(),
+            open_bytes: 0,
+            index: Index::default(),
+            queue: VecDeque::new(),
+            batch: Vec::new(),
+            seal: None,
+            garbage: Vec::new(),
+            salvage: Vec::new(),
+            repairs: BTreeMap::new(),
+            away_until: Millis::ZERO,
+            read_at: Millis::ZERO,
+            used_at: Millis::ZERO,
+            counts: SlotCounts::default(),
+        }
+    }
+
+    /// Returns what the writer did so far.
+    pub fn counts(&self) -> SlotCounts {
+        self.counts
+    }
+
+    /// Returns when the writer last took an operation.
+    pub fn used_at(&self) -> Millis {
+        self.used_at
+    }
+
+    /// Returns the number of records in memory.
+    pub fn len(&self) -> usize {
+        self.open.len() + self.index.len()
+    }
+
+    /// Returns whether no record is in memory.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns whether nothing waits and no call to the store is in flight.
+    pub fn is_idle(&self) -> bool {
+        let in_flight = !matches!(self.phase, Phase::Stale | Phase::Loading(_) | Phase::Ready);
+        !in_flight && self.queue.is_empty() && self.repairs.is_empty() && self.salvage.is_empty()
+    }
+
+    /// Takes an operation; its reply comes from [`SlotWriter::poll`] or [`SlotWriter::on_store`].
+    ///
+    /// `seen` is the highest sequence number of the slot that the sender has seen.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`QueueFull`] when too many operations wait.
+    pub fn submit(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        seen: u64,
+        op: Op,
+    ) -> Result<(), QueueFull> {
+        self.used_at = now;
+        if self.queue.len() >= self.settings.max_queue {
+            return Err(QueueFull);
+        }
+        self.queue.push_back(Pending { ticket, seen, rechecked: false, op });
+        Ok(())
+    }
+
+    /// Returns replies that need no store, and the next call to the store.
+    ///
+    /// `unix_now` is the time since the Unix epoch.
+    pub fn poll<R: Rng>(
+        &mut self,
+        now: Millis,
+        unix_now: Millis,
+        budget: &mut WriteBudget,
+        rng: &mut R,
+    ) -> (Replies, Option<StoreCall>) {
+        if now < self.away_until {
+            return (self.fail_all(), None);
+        }
+        if matches!(self.phase, Phase::Loading(_)) {
+            return (Replies::new(), self.read_segment());
+        }
+        if matches!(self.phase, Phase::Stale) && self.has_work() {
+            return (Replies::new(), Some(self.read_head()));
+        }
+        if !matches!(self.phase, Phase::Ready) {
+            return (Replies::new(), None);
+        }
+        if self.queue.is_empty() && self.repairs.is_empty() {
+            return (Replies::new(), self.upkeep(now, budget));
+        }
+        self.poll_ready(now, unix_now, budget, rng)
+    }
+
+    /// Takes the answer to the call in flight, and returns replies that are due.
+    pub fn on_store(&mut self, now: Millis, answer: StoreAnswer) -> Replies {
+        let phase = std::mem::replace(&mut self.phase, Phase::Stale);
+        match (phase, answer) {
+            (Phase::ReadingHead, StoreAnswer::Got(Ok(found))) => self.on_head(now, found),
+            (Phase::ReadingSegment(todo), StoreAnswer::Got(Ok(found))) => {
+                self.on_segment(now, todo, found)
+            }
+            (Phase::Sealing(segment), StoreAnswer::Swapped(result)) => {
+                self.on_sealed(now, segment, result)
+            }
+            (Phase::Swapping(head), StoreAnswer::Swapped(result)) => {
+                self.on_swapped(now, head, result)
+            }
+            (Phase::Deleting, StoreAnswer::Deleted) => {
+                self.phase = Phase::Ready;
+                Replies::new()
+            }
+            _ => self.on_away(now),
+        }
+    }
+
+    fn has_work(&self) -> bool {
+        !self.queue.is_empty() || !self.repairs.is_empty() || !self.salvage.is_empty()
+    }
+
+    fn lookup(&self, key: ClaimKey) -> Option<Record> {
+        let known = self.repairs.get(&key).or_else(|| self.open.get(&key));
+        known.cloned().or_else(|| self.index.get(key))
+    }
+
+    fn reply_for(&self, key: ClaimKey) -> OpReply {
+        match self.lookup(key) {
+            Some(record) => OpReply::Recorded { record, sequence: self.sequence },
+            None => OpReply::Absent,
+        }
+    }
+
+    fn drop_segment(&mut self, segment: u64) {
+        self.garbage.push(Garbage { segment, after: self.version });
+    }
+
+    fn upkeep(&mut self, now: Millis, budget: &mut WriteBudget) -> Option<StoreCall> {
+        if now.since(self.read_at) >= self.settings.refresh {
+            return Some(self.read_head());
+        }
+        let version = self.version;
+        let due = self.garbage.iter().position(|garbage| version > garbage.after)?;
+        if self.sealed.iter().any(|segment| segment.id == self.garbage[due].segment) {
+            self.garbage.swap_remove(due);
+            return None;
+        }
+        if !budget.take(now) {
+            return None;
+        }
+        let garbage = self.garbage.swap_remove(due);
+        self.phase = Phase::Deleting;
+        Some(StoreCall::Delete { key: segment_key(self.slot, garbage.segment) })
+    }
+}
--- /dev/null
+++ b/crates/core/src/claim/slot/index.rs
@@ -0,0 +1,135 @@
+//! The records of a slot's sealed segments, without their answers.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::claim::record::ClaimKey;
+use crate::claim::record::ClaimState;
+use crate::claim::record::Holder;
+use crate::claim::record::Nonce;
+use crate::claim::record::Record;
+use crate::claim::record::RequestDigest;
+use crate::claim::value::SegmentRef;
+use crate::clock::Millis;
+use crate::reason::RefusalReason;
+
+#[derive(Clone, Copy, Debug)]
+enum Indexed {
+    Claimed,
+    Unknown,
+    Answered,
+    AnswerNotKept,
+    Tombstone(RefusalReason),
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    digest: RequestDigest,
+    nonce: Nonce,
+    written: Millis,
+    segment: u64,
+    holder: u32,
+    generation: u32,
+    state: Indexed,
+}
+
+/// Finds the newest sealed record of a key.
+#[derive(Debug, Default)]
+pub struct Index {
+    entries: HashMap<ClaimKey, Entry>,
+    segments: HashSet<u64>,
+    holders: Vec<Holder>,
+    holder_numbers: HashMap<Holder, u32>,
+}
+
+impl Index {
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether the segment's records are held.
+    pub fn has_segment(&self, segment: u64) -> bool {
+        self.segments.contains(&segment)
+    }
+
+    /// Adds the records of a segment that is newer than those added before.
+    pub fn add_segment(&mut self, segment: u64, records: &[Record]) {
+        self.segments.insert(segment);
+        for record in records {
+            let entry = Entry {
+                digest: record.digest,
+                nonce: record.nonce,
+                written: record.written,
+                segment,
+                holder: self.holder_number(&record.holder),
+                generation: record.generation,
+                state: indexed(&record.state),
+            };
+            self.entries.insert(record.key, entry);
+        }
+    }
+
+    /// Forgets the records of all other segments.
+    pub fn keep_segments(&mut self, kept: &[SegmentRef]) {
+        let kept: HashSet<u64> = kept.iter().map(|segment| segment.id).collect();
+        if self.segments.is_subset(&kept) {
+            return;
+        }
+        self.segments.retain(|segment| kept.contains(segment));
+        self.entries.retain(|_, entry| kept.contains(&entry.segment));
+        if self.entries.is_empty() {
+            self.holders.clear();
+            self.holder_numbers.clear();
+        }
+    }
+
+    /// Returns the record of a key.
+    pub fn get(&self, key: ClaimKey) -> Option<Record> {
+        self.entries.get(&key).map(|entry| self.record(key, entry))
+    }
+
+    /// Returns all records.
+    pub fn records(&self) -> impl Iterator<Item = Record> + '_ {
+        self.entries.iter().map(|(key, entry)| self.record(*key, entry))
+    }
+
+    fn record(&self, key: ClaimKey, entry: &Entry) -> Record {
+        let state = match entry.state {
+            Indexed::Claimed => ClaimState::Claimed,
+            Indexed::Unknown => ClaimState::Unknown,
+            Indexed::Answered => ClaimState::AnswerSealed(entry.segment),
+            Indexed::AnswerNotKept => ClaimState::AnswerNotKept,
+            Indexed::Tombstone(reason) => ClaimState::Tombstone(reason),
+        };
+        Record {
+            key,
+            digest: entry.digest,
+            holder: self.holders[entry.holder as usize].clone(),
+            nonce: entry.nonce,
+            generation: entry.generation,
+            written: entry.written,
+            state,
+        }
+    }
+
+    fn holder_number(&mut self, holder: &Holder) -> u32 {
+        if let Some(number) = self.holder_numbers.get(holder) {
+            return *number;
+        }
+        let number = self.holders.len() as u32;
+        self.holders.push(holder.clone());
+        self.holder_numbers.insert(holder.clone(), number);
+        number
+    }
+}
+
+fn indexed(state: &ClaimState) -> Indexed {
+    match state {
+        ClaimState::Claimed => Indexed::Claimed,
+        ClaimState::Unknown => Indexed::Unknown,
+        ClaimState::Answered(_) | ClaimState::AnswerSealed(_) => Indexed::Answered,
+        ClaimState::AnswerNotKept => Indexed::AnswerNotKept,
+        ClaimState::Tombstone(reason) => Indexed::Tombstone(*reason),
+    }
+}
--- /dev/null
+++ b/crates/core/src/claim/slot/read.rs
@@ -0,0 +1,121 @@
+//! Reading a slot: the head, its sealed segments, and what a restore lost.
+
+use std::collections::VecDeque;
+
+use super::index::Index;
+use super::Phase;
+use super::Replies;
+use super::SlotWriter;
+use super::StoreCall;
+use crate::claim::record::Record;
+use crate::claim::repair;
+use crate::claim::value::decode_segment;
+use crate::claim::value::encoded_len;
+use crate::claim::value::head_key;
+use crate::claim::value::segment_key;
+use crate::claim::value::Head;
+use crate::claim::value::SegmentRef;
+use crate::clock::Millis;
+use crate::defect::planted;
+use crate::ids::KeyVersion;
+use crate::store::Versioned;
+
+impl SlotWriter {
+    pub(super) fn read_head(&mut self) -> StoreCall {
+        self.phase = Phase::ReadingHead;
+        self.counts.reads += 1;
+        StoreCall::Get { key: head_key(self.slot) }
+    }
+
+    pub(super) fn read_segment(&mut self) -> Option<StoreCall> {
+        let Phase::Loading(todo) = &mut self.phase else {
+            return None;
+        };
+        let todo = std::mem::take(todo);
+        let first = todo.front().copied()?;
+        self.phase = Phase::ReadingSegment(todo);
+        self.counts.reads += 1;
+        Some(StoreCall::Get { key: segment_key(self.slot, first.id) })
+    }
+
+    pub(super) fn on_head(&mut self, now: Millis, found: Option<Versioned>) -> Replies {
+        let (version, head) = match found {
+            None => (KeyVersion(0), Head::default()),
+            Some(found) => match Head::decode(&found.value) {
+                Ok(head) => (found.version, head),
+                Err(_) => return self.on_damaged(now),
+            },
+        };
+        if head.sequence < self.sequence {
+            self.on_restored();
+        }
+        self.version = version;
+        self.sequence = self.sequence.max(head.sequence);
+        self.sealed = head.sealed;
+        // A restore may come before the sealed copy of these records has been read.
+        self.salvage.extend(std::mem::take(&mut self.open).into_values());
+        self.set_open(head.open);
+        self.seal = None;
+        self.index.keep_segments(&self.sealed);
+        let unknown = |segment: &&SegmentRef| !self.index.has_segment(segment.id);
+        let mut todo: VecDeque<SegmentRef> = self.sealed.iter().filter(unknown).copied().collect();
+        if planted!(TakeoverWithoutSegments) {
+            todo.clear();
+        }
+        self.go_on_loading(now, todo);
+        Replies::new()
+    }
+
+    pub(super) fn on_segment(
+        &mut self,
+        now: Millis,
+        mut todo: VecDeque<SegmentRef>,
+        found: Option<Versioned>,
+    ) -> Replies {
+        let records = found.map(|found| decode_segment(&found.value));
+        match (todo.pop_front(), records) {
+            (Some(segment), Some(Ok(records))) => {
+                self.index.add_segment(segment.id, &records);
+                self.go_on_loading(now, todo);
+                Replies::new()
+            }
+            // Another writer may have dropped the segment; the head tells.
+            _ => self.on_damaged(now),
+        }
+    }
+
+    pub(super) fn go_on_loading(&mut self, now: Millis, todo: VecDeque<SegmentRef>) {
+        if !todo.is_empty() {
+            self.phase = Phase::Loading(todo);
+            return;
+        }
+        self.phase = Phase::Ready;
+        self.read_at = now;
+        for record in std::mem::take(&mut self.salvage) {
+            if repair::is_lost(&record, self.lookup(record.key).as_ref()) {
+                self.repairs.insert(record.key, record);
+            }
+        }
+    }
+
+    pub(super) fn on_restored(&mut self) {
+        self.counts.restores += 1;
+        if planted!(RestoreWithoutRepair) {
+            self.sequence = 0;
+            self.open.clear();
+            self.index = Index::default();
+            return;
+        }
+        let known = self.index.records().chain(self.open.values().cloned());
+        let mut salvage: Vec<Record> = known.collect();
+        salvage.extend(std::mem::take(&mut self.repairs).into_values());
+        salvage.append(&mut self.salvage);
+        self.salvage = salvage;
+        self.index = Index::default();
+    }
+
+    pub(super) fn set_open(&mut self, records: Vec<Record>) {
+        self.open_bytes = records.iter().map(encoded_len).sum();
+        self.open = records.into_iter().map(|record| (record.key, record)).collect();
+    }
+}
--- /dev/null
+++ b/crates/core/src/claim/slot/write.rs
@@ -0,0 +1,246 @@
+//! Writing a slot: batches, sealing and swaps.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use super::Garbage;
+use super::Pending;
+use super::Phase;
+use super::Replies;
+use super::SlotWriter;
+use super::StoreCall;
+use crate::claim::budget::WriteBudget;
+use crate::claim::messages::OpReply;
+use crate::claim::record::ClaimKey;
+use crate::claim::record::Record;
+use crate::claim::rules::next_record;
+use crate::claim::value::encode_segment;
+use crate::claim::value::head_key;
+use crate::claim::value::segment_key;
+use crate::claim::value::Head;
+use crate::claim::value::SegmentRef;
+use crate::clock::Millis;
+use crate::defect::planted;
+use crate::ids::KeyVersion;
+use crate::store::StoreError;
+
+impl SlotWriter {
+    pub(super) fn poll_ready<R: Rng>(
+        &mut self,
+        now: Millis,
+        unix_now: Millis,
+        budget: &mut WriteBudget,
+        rng: &mut R,
+    ) -> (Replies, Option<StoreCall>) {
+        let mut replies = Replies::new();
+        if self.needs_recheck() {
+            return (replies, Some(self.read_head()));
+        }
+        let retention = self.settings.retention;
+        self.repairs.retain(|_, record| record.written + retention > unix_now);
+        self.take_batch(&mut replies);
+        let changes = self.changes(unix_now);
+        if changes.is_empty() {
+            self.answer_batch(&mut replies);
+            return (replies, None);
+        }
+        if !budget.take(now) {
+            self.requeue_batch();
+            return (replies, None);
+        }
+        if self.seal.is_none() && self.open_bytes >= self.settings.seal_bytes {
+            return (replies, Some(self.seal_open(rng)));
+        }
+        if planted!(ReplyBeforeCommit) {
+            let early = self.batch.iter().map(|pending| {
+                let record = changes.get(&pending.op.key).cloned();
+                let record = record.or_else(|| self.lookup(pending.op.key));
+                let reply = record.map_or(OpReply::Absent, |record| OpReply::Recorded {
+                    record,
+                    sequence: self.sequence,
+                });
+                (pending.ticket, reply)
+            });
+            replies.extend(early.collect::<Vec<_>>());
+        }
+        (replies, Some(self.swap_head(unix_now, changes)))
+    }
+
+    /// Returns whether a sender has seen a later slot than this writer and the store has not been
+    /// asked since.
+    pub(super) fn needs_recheck(&mut self) -> bool {
+        let sequence = self.sequence;
+        let ahead = |pending: &Pending| pending.seen > sequence && !pending.rechecked;
+        if !self.queue.iter().any(ahead) {
+            return false;
+        }
+        self.queue.iter_mut().for_each(|pending| pending.rechecked = true);
+        true
+    }
+
+    pub(super) fn take_batch(&mut self, replies: &mut Replies) {
+        while self.batch.len() < self.settings.max_batch {
+            let Some(pending) = self.queue.pop_front() else {
+                break;
+            };
+            if pending.seen > self.sequence {
+                replies.push((pending.ticket, OpReply::Restored));
+            } else {
+                self.batch.push(pending);
+            }
+        }
+    }
+
+    pub(super) fn requeue_batch(&mut self) {
+        while let Some(pending) = self.batch.pop() {
+            self.queue.push_front(pending);
+        }
+    }
+
+    pub(super) fn answer_batch(&mut self, replies: &mut Replies) {
+        for pending in std::mem::take(&mut self.batch) {
+            replies.push((pending.ticket, self.reply_for(pending.op.key)));
+        }
+    }
+
+    /// Applies the batch, operation by operation, on top of what has to be repaired.
+    pub(super) fn changes(&self, unix_now: Millis) -> BTreeMap<ClaimKey, Record> {
+        let repairs = self.repairs.iter().take(self.settings.max_batch);
+        let mut changes: BTreeMap<ClaimKey, Record> =
+            repairs.map(|(key, record)| (*key, record.clone())).collect();
+        for Pending { op, .. } in &self.batch {
+            let present = changes.get(&op.key).cloned().or_else(|| self.lookup(op.key));
+            if let Some(record) = next_record(present.as_ref(), op, unix_now) {
+                changes.insert(op.key, record);
+            }
+        }
+        changes
+    }
+
+    pub(super) fn seal_open<R: Rng>(&mut self, rng: &mut R) -> StoreCall {
+        let newest = self.open.values().map(|record| record.written).max().unwrap_or_default();
+        let segment = SegmentRef { id: rng.random(), newest };
+        let value = encode_segment(self.open.values());
+        self.counts.written_bytes += value.len() as u64;
+        self.phase = Phase::Sealing(segment);
+        StoreCall::Swap { key: segment_key(self.slot, segment.id), expect: KeyVersion(0), value }
+    }
+
+    pub(super) fn on_sealed(
+        &mut self,
+        now: Millis,
+        segment: SegmentRef,
+        result: Result<KeyVersion, StoreError>,
+    ) -> Replies {
+        self.requeue_batch();
+        match result {
+            Ok(_) => {
+                self.seal = Some(segment);
+                self.counts.seals += 1;
+                self.phase = Phase::Ready;
+                Replies::new()
+            }
+            // The segment may exist; no head lists it.
+            Err(StoreError::AnswerLost | StoreError::Conflict(_)) => {
+                self.counts.lost_answers += 1;
+                self.drop_segment(segment.id);
+                self.phase = Phase::Ready;
+                Replies::new()
+            }
+            Err(_) => self.on_away(now),
+        }
+    }
+
+    pub(super) fn swap_head(
+        &mut self,
+        unix_now: Millis,
+        changes: BTreeMap<ClaimKey, Record>,
+    ) -> StoreCall {
+        let live = |written: Millis| written + self.settings.retention > unix_now;
+        let mut sealed = self.sealed.clone();
+        let mut open = self.open.clone();
+        if let Some(segment) = self.seal {
+            sealed.push(segment);
+            open.clear();
+        }
+        sealed.retain(|segment| live(segment.newest));
+        open.extend(changes);
+        let open = open.into_values().filter(|record| live(record.written)).collect();
+        let head = Head { sequence: self.sequence + 1, sealed, open };
+        let value = head.encode();
+        self.counts.written_bytes += value.len() as u64;
+        self.phase = Phase::Swapping(head);
+        StoreCall::Swap { key: head_key(self.slot), expect: self.version, value }
+    }
+
+    pub(super) fn on_swapped(
+        &mut self,
+        now: Millis,
+        head: Head,
+        result: Result<KeyVersion, StoreError>,
+    ) -> Replies {
+        match result {
+            Ok(version) => self.on_committed(version, head),
+            Err(StoreError::Conflict(_)) => {
+                self.counts.conflicts += 1;
+                self.read_again();
+                Replies::new()
+            }
+            Err(StoreError::AnswerLost) => {
+                self.counts.lost_answers += 1;
+                self.read_again();
+                Replies::new()
+            }
+            Err(_) => self.on_away(now),
+        }
+    }
+
+    pub(super) fn on_committed(&mut self, version: KeyVersion, head: Head) -> Replies {
+        self.counts.swaps += 1;
+        self.version = version;
+        self.sequence = head.sequence;
+        if let Some(segment) = self.seal.take() {
+            let records: Vec<Record> = std::mem::take(&mut self.open).into_values().collect();
+            self.index.add_segment(segment.id, &records);
+        }
+        for dropped in self.sealed.iter().filter(|segment| !head.sealed.contains(segment)) {
+            self.garbage.push(Garbage { segment: dropped.id, after: KeyVersion(0) });
+        }
+        for record in &head.open {
+            self.repairs.remove(&record.key);
+        }
+        self.sealed = head.sealed;
+        self.index.keep_segments(&self.sealed);
+        self.set_open(head.open);
+        self.phase = Phase::Ready;
+        let mut replies = Replies::new();
+        self.answer_batch(&mut replies);
+        replies
+    }
+
+    /// Puts the batch back and reads the slot again, because the store may hold another head.
+    pub(super) fn read_again(&mut self) {
+        self.requeue_batch();
+        if let Some(segment) = self.seal.take() {
+            self.drop_segment(segment.id);
+        }
+        self.phase = Phase::Stale;
+    }
+
+    pub(super) fn on_damaged(&mut self, now: Millis) -> Replies {
+        self.counts.damaged += 1;
+        self.on_away(now)
+    }
+
+    pub(super) fn on_away(&mut self, now: Millis) -> Replies {
+        self.read_again();
+        self.away_until = now + self.settings.away;
+        self.fail_all()
+    }
+
+    pub(super) fn fail_all(&mut self) -> Replies {
+        let failed = std::mem::take(&mut self.queue);
+        failed.into_iter().map(|pending| (pending.ticket, OpReply::Unavailable)).collect()
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -4,25 +4,19 @@
 //! the number that it was made against.
 
 mod active;
-pub mod adopter;
 pub mod call;
 pub mod chunk;
-pub mod collect;
 mod declaration;
 pub mod document;
 mod error;
 mod first;
-pub mod floor;
 mod locate;
 pub mod manifest;
-pub mod messages;
+mod messages;
 pub mod publisher;
 pub mod reader;
-pub mod spread;
 mod validate;
 
-#[cfg(test)]
-mod adopter_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -30,12 +30,24 @@
     }
 
     defects! {
-        /// A host adopts a configuration with a lower number.
-        AdoptLowerNumber => "adopt-lower-number",
-        /// A host takes a chunk without checking its digest.
-        AdoptUncheckedChunk => "adopt-unchecked-chunk",
         /// The host dispatches before its claim is in the store.
         DispatchBeforeClaim => "dispatch-before-claim",
+        /// The host calls a claim abandoned that it may still be granted.
+        AbandonedWhileClaiming => "abandoned-while-claiming",
+        /// A claim replaces the claim of another process.
+        ClaimOverClaim => "claim-over-claim",
+        /// A refusal replaces the claim of another process.
+        TombstoneOverClaim => "tombstone-over-claim",
+        /// A caller is told "not run" without a record.
+        NotRunWithoutTombstone => "not-run-without-tombstone",
+        /// The claim of a process that is gone is taken over and run again.
+        ReclaimFromGoneHolder => "reclaim-from-gone-holder",
+        /// A slot answers its batch before the write is confirmed.
+        ReplyBeforeCommit => "reply-before-commit",
+        /// A slot is taken over without its sealed segments.
+        TakeoverWithoutSegments => "takeover-without-segments",
+        /// A slot that finds an older copy in the store forgets what it knew.
+        RestoreWithoutRepair => "restore-without-repair",
         /// A call that may not be repeated is retried although a byte left.
         RetryAfterByteLeft => "retry-after-byte-left",
         /// Retries are granted beyond the budget.
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -100,10 +100,14 @@
         Quarantined => "quarantined",
         /// The platform's store could not be asked or its answer was lost.
         StoreUnavailable => "store_unavailable",
+        /// The store holds an older copy of the claims than was seen before.
+        StoreRestored => "store_restored",
         /// The key was refused as not run before; the refusal is final.
         Tombstoned => "tombstoned",
         /// An earlier call under the same key has an unknown outcome.
         OutcomeUnknown => "outcome_unknown",
+        /// The call ran under this key; its answer was too long to be kept.
+        AnswerNotKept => "answer_not_kept",
         /// A byte was sent to the backend server and no answer came.
         ServerFailed => "server_failed",
         /// The model version that began the answer is not available any more.
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -54,6 +54,7 @@
             RefusalReason::MethodNotAllowed => 405,
             RefusalReason::ReadTimeout => 408,
             RefusalReason::Tombstoned => 409,
+            RefusalReason::AnswerNotKept => 410,
             RefusalReason::BodyTooLarge => 413,
             RefusalReason::KeyReused | RefusalReason::Quarantined => 422,
             RefusalReason::TeamLimit => 429,
@@ -67,6 +68,7 @@
             | RefusalReason::NoServer
             | RefusalReason::RetriesExhausted
             | RefusalReason::StoreUnavailable
+            | RefusalReason::StoreRestored
             | RefusalReason::VersionGone
             | RefusalReason::NoConfiguration => 503,
             RefusalReason::DeadlineExceeded => 504,
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,11 +1,1 @@
-//! Embedded deployment: the platform, backend servers and entry hosts in one process on loopback.
-
-pub mod client;
-pub mod deployment;
-pub mod error;
-pub mod plan;
-pub mod samples;
-
-pub use deployment::Deployment;
-pub use error::LocalError;
-pub use plan::Plan;
+//! Embedded deployment: the platform, backend servers and entry hosts in one process.
