--- /dev/null
+++ b/crates/core/src/config/adopter.rs
@@ -0,0 +1,386 @@
+//! Decides which configuration a host adopts, and from whom it fetches it.
+//!
+//! A host adopts a higher number only, once every chunk is at hand and has its digest. What the
+//! store or a peer shows besides is reported.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::clock::Millis;
+use crate::config::manifest::ChunkRef;
+use crate::config::manifest::Manifest;
+use crate::config::manifest::PatchId;
+use crate::config::messages::WireChunk;
+use crate::config::reader::Chunks;
+use crate::config::Active;
+use crate::defect::planted;
+use crate::digest::Digest;
+use crate::ids::ConfigNumber;
+use crate::name::HostName;
+
+/// Time after which a fetch without progress is given up.
+const FETCH_TIMEOUT: Millis = Millis(5_000);
+/// Time for which a source that failed is not asked.
+const AVOID: Millis = Millis(1_000);
+/// Most peers whose higher numbers are remembered.
+const MAX_HEARD: usize = 16;
+
+/// Where a configuration comes from.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Source {
+    /// The platform's store.
+    Store,
+    /// Another entry host.
+    Peer(HostName),
+}
+
+/// What a host learns about configurations.
+#[derive(Clone, Debug)]
+pub enum AdoptEvent {
+    /// A peer holds a number.
+    Heard {
+        /// The peer.
+        from: HostName,
+        /// Its number.
+        number: ConfigNumber,
+    },
+    /// A source showed its manifest.
+    Manifest {
+        /// The source.
+        from: Source,
+        /// Its manifest, if it has one.
+        manifest: Option<Manifest>,
+    },
+    /// A source sent chunks.
+    Chunks {
+        /// The source.
+        from: Source,
+        /// The chunks; those that it does not have are left out.
+        chunks: Vec<WireChunk>,
+    },
+    /// A source did not answer.
+    Failed {
+        /// The source.
+        from: Source,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What a host does about configurations.
+#[derive(Clone, Debug)]
+pub enum AdoptAction {
+    /// Asks a source for its manifest.
+    FetchManifest(Source),
+    /// Asks a source for chunks.
+    FetchChunks {
+        /// The source.
+        from: Source,
+        /// The chunks.
+        chunks: Vec<ChunkRef>,
+    },
+    /// Puts a configuration in force and tells others.
+    Adopt(Arc<Active>),
+    /// Marks the store as behind this number.
+    RaiseFloor(ConfigNumber),
+    /// Reports what operators have to look into.
+    Report(Trouble),
+}
+
+/// Actions of one event.
+pub type AdoptActions = SmallVec<[AdoptAction; 2]>;
+
+/// What operators have to look into.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Trouble {
+    /// The store shows a lower number than the one in force.
+    StoreBehind {
+        /// Number in the store.
+        store: ConfigNumber,
+        /// Number in force.
+        held: ConfigNumber,
+    },
+    /// A source shows another configuration under the number in force.
+    Forked {
+        /// The number.
+        number: ConfigNumber,
+        /// The source.
+        from: Source,
+    },
+    /// A higher number can't be read by this version of the program.
+    Unreadable {
+        /// The number.
+        number: ConfigNumber,
+        /// What was found.
+        text: String,
+    },
+    /// A source sent a chunk with other bytes.
+    BadChunk {
+        /// The source.
+        from: Source,
+        /// The chunk.
+        digest: Digest,
+    },
+}
+
+#[derive(Debug)]
+struct Fetch {
+    from: Source,
+    progress_at: Millis,
+    manifest: Option<Manifest>,
+    chunks: Chunks,
+}
+
+impl Fetch {
+    fn number(&self) -> ConfigNumber {
+        self.manifest.as_ref().map(|manifest| manifest.number).unwrap_or_default()
+    }
+
+    fn missing(&self) -> Vec<ChunkRef> {
+        let chunks = self.manifest.iter().flat_map(|manifest| manifest.chunks());
+        let missing = chunks.filter(|(_, chunk)| !self.chunks.contains_key(&chunk.digest));
+        missing.map(|(_, chunk)| chunk).collect()
+    }
+}
+
+/// State of a host's adoption.
+#[derive(Debug, Default)]
+pub struct Adopter {
+    active: Option<Arc<Active>>,
+    heard: BTreeMap<HostName, ConfigNumber>,
+    fetch: Option<Fetch>,
+    avoid: BTreeMap<Source, Millis>,
+    store_failed: bool,
+    unreadable: Option<(ConfigNumber, PatchId)>,
+    reported: Option<Trouble>,
+}
+
+impl Adopter {
+    /// Creates the state of a host without a configuration.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number in force, 0 without a configuration.
+    pub fn number(&self) -> ConfigNumber {
+        self.active.as_ref().map(|active| active.number).unwrap_or_default()
+    }
+
+    /// Returns the configuration in force.
+    pub fn active(&self) -> Option<&Arc<Active>> {
+        self.active.as_ref()
+    }
+
+    /// Takes note of an event and returns what to do.
+    pub fn on_event(&mut self, now: Millis, event: AdoptEvent) -> AdoptActions {
+        let mut actions = AdoptActions::new();
+        match event {
+            AdoptEvent::Heard { from, number } => self.on_heard(from, number),
+            AdoptEvent::Manifest { from, manifest } => {
+                self.on_manifest(now, from, manifest, &mut actions);
+            }
+            AdoptEvent::Chunks { from, chunks } => self.on_chunks(now, from, chunks, &mut actions),
+            AdoptEvent::Failed { from } => self.on_failed(now, from),
+            AdoptEvent::Tick => self.on_tick(now),
+        }
+        self.begin_fetch(now, &mut actions);
+        actions
+    }
+
+    fn on_heard(&mut self, from: HostName, number: ConfigNumber) {
+        let known = self.heard.contains_key(&from);
+        if number > self.number() && (known || self.heard.len() < MAX_HEARD) {
+            self.heard.insert(from, number);
+        }
+    }
+
+    fn on_manifest(
+        &mut self,
+        now: Millis,
+        from: Source,
+        manifest: Option<Manifest>,
+        actions: &mut AdoptActions,
+    ) {
+        self.end_manifest_fetch(&from);
+        let Some(manifest) = manifest else {
+            self.forget(&from);
+            return;
+        };
+        if !self.is_wanted(&from, &manifest, actions) {
+            self.forget(&from);
+            return;
+        }
+        if self.fetch.as_ref().is_some_and(|fetch| fetch.number() >= manifest.number) {
+            return;
+        }
+        let chunks = self.chunks_at_hand(&manifest);
+        self.fetch = Some(Fetch { from, progress_at: now, manifest: Some(manifest), chunks });
+        self.proceed(actions);
+    }
+
+    /// Ends the wait for a manifest of `from`.
+    fn end_manifest_fetch(&mut self, from: &Source) {
+        let answered = |fetch: &Fetch| fetch.from == *from && fetch.manifest.is_none();
+        if self.fetch.as_ref().is_some_and(answered) {
+            self.fetch = None;
+        }
+    }
+
+    fn is_wanted(
+        &mut self,
+        from: &Source,
+        manifest: &Manifest,
+        actions: &mut AdoptActions,
+    ) -> bool {
+        let held = self.number();
+        let Some(active) = &self.active else {
+            return self.unreadable != Some((manifest.number, manifest.patch));
+        };
+        if manifest.number == held {
+            if manifest.patch != active.patch() {
+                let trouble = Trouble::Forked { number: held, from: from.clone() };
+                self.report(trouble, actions);
+            }
+            return false;
+        }
+        if manifest.number < held && !planted!(AdoptLowerNumber) {
+            if *from == Source::Store {
+                if manifest.behind() < Some(held) {
+                    actions.push(AdoptAction::RaiseFloor(held));
+                }
+                let trouble = Trouble::StoreBehind { store: manifest.number, held };
+                self.report(trouble, actions);
+            }
+            return false;
+        }
+        self.unreadable != Some((manifest.number, manifest.patch))
+    }
+
+    fn chunks_at_hand(&self, manifest: &Manifest) -> Chunks {
+        let Some(active) = &self.active else { return Chunks::new() };
+        let held = active.chunks();
+        let at_hand = |digest: Digest| held.get(&digest).map(|bytes| (digest, Arc::clone(bytes)));
+        manifest.chunks().filter_map(|(_, chunk)| at_hand(chunk.digest)).collect()
+    }
+
+    fn on_chunks(
+        &mut self,
+        now: Millis,
+        from: Source,
+        chunks: Vec<WireChunk>,
+        actions: &mut AdoptActions,
+    ) {
+        let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.from == from) else { return };
+        let missing: Vec<Digest> = fetch.missing().iter().map(|chunk| chunk.digest).collect();
+        let mut progress = false;
+        let mut bad = None;
+        for chunk in chunks {
+            if !missing.contains(&chunk.digest) {
+                continue;
+            }
+            if Digest::of(&chunk.bytes) != chunk.digest && !planted!(AdoptUncheckedChunk) {
+                bad = Some(chunk.digest);
+                continue;
+            }
+            fetch.chunks.insert(chunk.digest, chunk.bytes.into());
+            progress = true;
+        }
+        if progress {
+            fetch.progress_at = now;
+        }
+        if let Some(digest) = bad {
+            self.report(Trouble::BadChunk { from: from.clone(), digest }, actions);
+        }
+        if bad.is_some() || !progress {
+            self.on_failed(now, from);
+        } else {
+            self.proceed(actions);
+        }
+    }
+
+    /// Adopts what is complete, or asks for what is missing.
+    fn proceed(&mut self, actions: &mut AdoptActions) {
+        let Some(fetch) = self.fetch.take() else { return };
+        let missing = fetch.missing();
+        if !missing.is_empty() {
+            let from = fetch.from.clone();
+            self.fetch = Some(fetch);
+            actions.push(AdoptAction::FetchChunks { from, chunks: missing });
+            return;
+        }
+        let Some(manifest) = fetch.manifest else { return };
+        let (number, patch) = (manifest.number, manifest.patch);
+        match Active::new(manifest, fetch.chunks) {
+            Ok(active) => self.adopt(Arc::new(active), actions),
+            Err(e) => {
+                self.unreadable = Some((number, patch));
+                self.forget(&fetch.from);
+                self.report(Trouble::Unreadable { number, text: e.to_string() }, actions);
+            }
+        }
+    }
+
+    fn adopt(&mut self, active: Arc<Active>, actions: &mut AdoptActions) {
+        let held = self.number();
+        assert!(
+            active.number > held || planted!(AdoptLowerNumber),
+            "configuration {} was to replace {held}",
+            active.number
+        );
+        self.heard.retain(|_, number| *number > active.number);
+        self.active = Some(Arc::clone(&active));
+        self.reported = None;
+        actions.push(AdoptAction::Adopt(active));
+    }
+
+    fn report(&mut self, trouble: Trouble, actions: &mut AdoptActions) {
+        if self.reported.as_ref() != Some(&trouble) {
+            self.reported = Some(trouble.clone());
+            actions.push(AdoptAction::Report(trouble));
+        }
+    }
+
+    fn on_failed(&mut self, now: Millis, from: Source) {
+        if self.fetch.as_ref().is_none_or(|fetch| fetch.from != from) {
+            return;
+        }
+        self.fetch = None;
+        self.forget(&from);
+        self.store_failed |= from == Source::Store;
+        self.avoid.insert(from, now + AVOID);
+    }
+
+    fn forget(&mut self, from: &Source) {
+        if let Source::Peer(host) = from {
+            self.heard.remove(host);
+        }
+    }
+
+    fn on_tick(&mut self, now: Millis) {
+        self.avoid.retain(|_, until| *until > now);
+        let late = |fetch: &Fetch| now.since(fetch.progress_at) >= FETCH_TIMEOUT;
+        if let Some(fetch) = self.fetch.as_ref().filter(|fetch| late(fetch)) {
+            let from = fetch.from.clone();
+            self.on_failed(now, from);
+        }
+    }
+
+    /// Turns to the source with the highest number if nothing is being fetched.
+    fn begin_fetch(&mut self, now: Millis, actions: &mut AdoptActions) {
+        if self.fetch.is_some() {
+            return;
+        }
+        let usable = |from: &Source| !self.avoid.contains_key(from);
+        let peers = self.heard.iter().map(|(host, number)| (*number, Source::Peer(host.clone())));
+        let peer = peers.filter(|(_, from)| usable(from)).max();
+        let store = (self.store_failed && usable(&Source::Store)).then_some(Source::Store);
+        let Some(from) = peer.map(|(_, from)| from).or(store) else { return };
+        if from == Source::Store {
+            self.store_failed = false;
+        }
+        actions.push(AdoptAction::FetchManifest(from.clone()));
+        self.fetch = Some(Fetch { from, progress_at: now, manifest: None, chunks: Chunks::new() });
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/collect.rs
@@ -0,0 +1,94 @@
+//! Deletes chunks that no configuration can refer to any more.
+//!
+//! A chunk's key holds the number that its patch asked for. A manifest refers to chunks of the
+//! manifest before it and to chunks written for its own number. So a chunk that the manifest with
+//! number N does not refer to, and that was written for N or an earlier number, is never referred
+//! to again.
+
+use std::collections::BTreeSet;
+
+use crate::config::call::Procedure;
+use crate::config::call::Step;
+use crate::config::call::StoreAnswer;
+use crate::config::call::StoreCall;
+use crate::config::manifest::ChunkRef;
+use crate::config::manifest::Manifest;
+use crate::config::manifest::CHUNK_PREFIX;
+use crate::config::manifest::MANIFEST_KEY;
+use crate::ids::KeyVersion;
+
+/// Most chunks deleted by one run.
+const MAX_DELETES: usize = 512;
+
+#[derive(Debug)]
+enum State {
+    ReadingManifest,
+    Listing(Box<Manifest>),
+    Deleting(Vec<(String, KeyVersion)>),
+}
+
+/// Deletes garbage chunks; ends with the number of those that it deleted.
+#[derive(Debug)]
+pub struct Collector {
+    state: State,
+    deleted: usize,
+}
+
+impl Collector {
+    /// Creates a run.
+    pub fn new() -> Self {
+        Self { state: State::ReadingManifest, deleted: 0 }
+    }
+
+    fn delete_next(&mut self) -> Step<usize> {
+        match &mut self.state {
+            State::Deleting(garbage) => match garbage.pop() {
+                Some((key, expect)) => Step::call(StoreCall::Delete { key, expect }),
+                None => Step::Done(self.deleted),
+            },
+            _ => Step::Done(self.deleted),
+        }
+    }
+}
+
+impl Default for Collector {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn garbage(manifest: &Manifest, keys: Vec<(String, KeyVersion)>) -> Vec<(String, KeyVersion)> {
+    let used: BTreeSet<ChunkRef> = manifest.chunks().map(|(_, chunk)| chunk).collect();
+    let is_garbage = |key: &str| {
+        ChunkRef::from_key(key)
+            .is_some_and(|chunk| chunk.number <= manifest.number && !used.contains(&chunk))
+    };
+    keys.into_iter().filter(|(key, _)| is_garbage(key)).take(MAX_DELETES).collect()
+}
+
+impl Procedure for Collector {
+    type Outcome = usize;
+
+    fn next(&mut self, answer: Option<StoreAnswer>) -> Step<usize> {
+        match (answer, &self.state) {
+            (None, _) => Step::call(StoreCall::Get(MANIFEST_KEY.to_owned())),
+            (Some(StoreAnswer::Value(Some(value))), State::ReadingManifest) => {
+                let Ok(manifest) = Manifest::decode(&value.value) else {
+                    return Step::Done(0);
+                };
+                self.state = State::Listing(Box::new(manifest));
+                Step::call(StoreCall::List(CHUNK_PREFIX.to_owned()))
+            }
+            (Some(StoreAnswer::Keys(keys)), State::Listing(manifest)) => {
+                self.state = State::Deleting(garbage(manifest, keys));
+                self.delete_next()
+            }
+            (Some(StoreAnswer::Deleted), State::Deleting(_)) => {
+                self.deleted += 1;
+                self.delete_next()
+            }
+            // What is left over is deleted after the next patch.
+            _ => Step::Done(self.deleted),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/floor.rs
@@ -0,0 +1,67 @@
+//! Marks a store that is behind the entry hosts, so that no patch is accepted before a recovery.
+
+use crate::config::call::Attempts;
+use crate::config::call::Procedure;
+use crate::config::call::Step;
+use crate::config::call::StoreAnswer;
+use crate::config::call::StoreCall;
+use crate::config::manifest::Floor;
+use crate::config::manifest::Manifest;
+use crate::config::manifest::MANIFEST_KEY;
+use crate::ids::KeyVersion;
+use crate::store::StoreError;
+
+/// Writes the number that a host holds into the manifest of a store that is behind it.
+///
+/// Ends with whether the manifest carries the mark or needs none.
+#[derive(Debug)]
+pub struct FloorRaiser {
+    floor: Floor,
+    attempts: Attempts,
+}
+
+impl FloorRaiser {
+    /// Creates a run for a host that holds `floor.number`.
+    pub fn new(floor: Floor) -> Self {
+        Self { floor, attempts: Attempts::new() }
+    }
+
+    fn read(&mut self) -> Step<bool> {
+        match self.attempts.failed() {
+            Some(pause) => Step::Call { call: StoreCall::Get(MANIFEST_KEY.to_owned()), pause },
+            None => Step::Done(false),
+        }
+    }
+
+    fn mark(&self, expect: KeyVersion, bytes: &[u8]) -> Step<bool> {
+        let Ok(mut manifest) = Manifest::decode(bytes) else {
+            return Step::Done(false);
+        };
+        let marked = manifest.floor.as_ref().map(|floor| floor.number);
+        if marked.unwrap_or_default().max(manifest.number) >= self.floor.number {
+            return Step::Done(true);
+        }
+        manifest.floor = Some(self.floor.clone());
+        Step::call(StoreCall::Swap {
+            key: MANIFEST_KEY.to_owned(),
+            expect,
+            value: manifest.encode(),
+        })
+    }
+}
+
+impl Procedure for FloorRaiser {
+    type Outcome = bool;
+
+    fn next(&mut self, answer: Option<StoreAnswer>) -> Step<bool> {
+        match answer {
+            None => Step::call(StoreCall::Get(MANIFEST_KEY.to_owned())),
+            Some(StoreAnswer::Value(Some(value))) => self.mark(value.version, &value.value),
+            Some(StoreAnswer::Written(_)) => Step::Done(true),
+            Some(StoreAnswer::Failed(StoreError::Conflict(_) | StoreError::AnswerLost)) => {
+                self.read()
+            }
+            Some(_) => Step::Done(false),
+        }
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -4,19 +4,25 @@
 //! the number that it was made against.
 
 mod active;
+pub mod adopter;
 pub mod call;
 pub mod chunk;
+pub mod collect;
 mod declaration;
 pub mod document;
 mod error;
 mod first;
+pub mod floor;
 mod locate;
 pub mod manifest;
-mod messages;
+pub mod messages;
 pub mod publisher;
 pub mod reader;
+pub mod spread;
 mod validate;
 
+#[cfg(test)]
+mod adopter_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -12,7 +12,11 @@
 use crate::config::call::Step;
 use crate::config::call::StoreAnswer;
 use crate::config::call::StoreCall;
+use crate::config::collect::Collector;
 use crate::config::document::Document;
+use crate::config::floor::FloorRaiser;
+use crate::config::manifest::ChunkRef;
+use crate::config::manifest::Floor;
 use crate::config::manifest::Manifest;
 use crate::config::manifest::PatchId;
 use crate::config::manifest::MANIFEST_KEY;
@@ -301,8 +305,7 @@
     let held = shelf.read().document().unwrap();
     let mut shelf = old;
     let mut stored = shelf.read();
-    stored.manifest.floor =
-        Some(crate::config::manifest::Floor { number: ConfigNumber(2), host: "entry-1".into() });
+    stored.manifest.floor = Some(Floor { number: ConfigNumber(2), host: "entry-1".into() });
     shelf.swap(MANIFEST_KEY, stored.version, &stored.manifest.encode());
     assert_eq!(
         shelf.patch(3, 1, json!({"domains": {"sahab": null}})),
@@ -348,6 +351,37 @@
     assert!(shelf.run(Reader::new(Chunks::new())).is_err());
 }
 
+#[test]
+fn deletes_only_chunks_that_nothing_can_refer_to() {
+    let mut shelf = Shelf::default();
+    shelf.first(two_domains());
+    let orphan = ChunkRef {
+        number: ConfigNumber(2),
+        patch: PatchId(9),
+        digest: Digest::of(b"a patch that lost"),
+    };
+    let under_way = ChunkRef { number: ConfigNumber(3), ..orphan };
+    for chunk in [orphan, under_way] {
+        shelf.swap(&chunk.key(), KeyVersion(0), b"{}");
+    }
+    shelf.patch(2, 1, json!({"domains": {"marka": null}}));
+    assert_eq!(shelf.run(Collector::new()), 2, "the chunk of number 1 and the orphan");
+    assert!(shelf.keys.contains_key(&under_way.key()));
+    assert_eq!(shelf.read().manifest.number, ConfigNumber(2));
+}
+
+#[test]
+fn marks_a_store_that_is_behind_once() {
+    let mut shelf = Shelf::default();
+    shelf.first(two_domains());
+    let floor = Floor { number: ConfigNumber(7), host: "entry-1".into() };
+    let before = shelf.written;
+    assert!(shelf.run(FloorRaiser::new(floor.clone())));
+    assert!(shelf.run(FloorRaiser::new(floor)));
+    assert_eq!(shelf.written, before + 1);
+    assert_eq!(shelf.read().manifest.behind(), Some(ConfigNumber(7)));
+}
+
 #[test]
 fn reads_back_the_manifest_that_it_wrote() {
     let mut shelf = Shelf::default();
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -30,6 +30,10 @@
     }
 
     defects! {
+        /// A host adopts a configuration with a lower number.
+        AdoptLowerNumber => "adopt-lower-number",
+        /// A host takes a chunk without checking its digest.
+        AdoptUncheckedChunk => "adopt-unchecked-chunk",
         /// The host dispatches before its claim is in the store.
         DispatchBeforeClaim => "dispatch-before-claim",
         /// The host calls a claim abandoned that it may still be granted.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -1,1 +1,25 @@
 //! Choice of a chain of backend servers for each attempt of a request.
+//!
+//! A [`Router`] holds a view of the servers that lags, corrects it by the host's own work that the
+//! view does not show yet, and learns from its own answers which servers and links are slower than
+//! they say. [`Router::choose`] finds the chain with the shortest expected time out of a random
+//! sample, so that hosts with the same view do not all pick the same servers.
+
+mod fixed;
+mod messages;
+mod outlier;
+mod path;
+mod prefix;
+mod router;
+mod server;
+mod table;
+
+#[cfg(test)]
+mod tests;
+
+pub use messages::Choice;
+pub use messages::Policy;
+pub use messages::Query;
+pub use messages::ServerInput;
+pub use messages::Verdict;
+pub use router::Router;
--- /dev/null
+++ b/crates/core/src/route/path.rs
@@ -0,0 +1,87 @@
+//! Shortest path over the stages of a model.
+
+use smallvec::SmallVec;
+
+use crate::engine::LayerRange;
+
+/// A server with a layer range that may become a stage.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    /// Server.
+    pub(super) server: u16,
+    /// Layers that it would run.
+    pub(super) layers: LayerRange,
+    /// Cost of using it.
+    pub(super) cost: u64,
+}
+
+/// Returns the places in `candidates` of the cheapest chain that tiles `0..layers` exactly.
+///
+/// `candidates` are sorted by their first layer. `link_cost` gives the cost of a link between two
+/// servers; the link from the last stage back to the first one counts too.
+pub(super) fn shortest(
+    candidates: &[Candidate],
+    layers: u16,
+    link_cost: impl Fn(u16, u16) -> u64,
+) -> Option<SmallVec<[usize; 4]>> {
+    let starts = candidates.iter().take_while(|candidate| candidate.layers.first == 0).count();
+    let mut best: Option<(u64, SmallVec<[usize; 4]>)> = None;
+    let mut costs: SmallVec<[u64; 64]> = SmallVec::new();
+    let mut previous: SmallVec<[usize; 64]> = SmallVec::new();
+    for start in 0..starts {
+        costs.clear();
+        costs.resize(candidates.len(), u64::MAX);
+        previous.clear();
+        previous.resize(candidates.len(), usize::MAX);
+        costs[start] = candidates[start].cost;
+        relax(candidates, start, &mut costs, &mut previous, &link_cost);
+        let first = candidates[start].server;
+        for (place, end) in candidates.iter().enumerate() {
+            if end.layers.end != layers || costs[place] == u64::MAX {
+                continue;
+            }
+            let back = if place == start { 0 } else { link_cost(end.server, first) };
+            let cost = costs[place].saturating_add(back);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, walk_back(&previous, place)));
+            }
+        }
+    }
+    best.map(|(_, path)| path)
+}
+
+fn relax(
+    candidates: &[Candidate],
+    start: usize,
+    costs: &mut [u64],
+    previous: &mut [usize],
+    link_cost: &impl Fn(u16, u16) -> u64,
+) {
+    for place in start + 1..candidates.len() {
+        let to = &candidates[place];
+        for from_place in start..place {
+            let from = &candidates[from_place];
+            if costs[from_place] == u64::MAX || from.layers.end != to.layers.first {
+                continue;
+            }
+            let cost = costs[from_place]
+                .saturating_add(link_cost(from.server, to.server))
+                .saturating_add(to.cost);
+            if cost < costs[place] {
+                costs[place] = cost;
+                previous[place] = from_place;
+            }
+        }
+    }
+}
+
+fn walk_back(previous: &[usize], end: usize) -> SmallVec<[usize; 4]> {
+    let mut path = SmallVec::new();
+    let mut place = end;
+    while place != usize::MAX {
+        path.push(place);
+        place = previous[place];
+    }
+    path.reverse();
+    path
+}
--- /dev/null
+++ b/crates/core/src/route/router.rs
@@ -0,0 +1,584 @@
+//! The router of one host.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::clock::Millis;
+use crate::engine::Chain;
+use crate::engine::Hop;
+use crate::engine::LayerRange;
+use crate::engine::PREFIX_BLOCK_WORDS;
+use crate::name::ModelName;
+use crate::name::ModelVersion;
+use crate::name::ServerName;
+
+use super::fixed;
+use super::fixed::Stages;
+use super::messages::Choice;
+use super::messages::Policy;
+use super::messages::Query;
+use super::messages::ServerInput;
+use super::messages::Verdict;
+use super::outlier::Element;
+use super::outlier::Outliers;
+use super::path::shortest;
+use super::path::Candidate;
+use super::prefix::PrefixIndex;
+use super::prefix::PrefixMatch;
+use super::server::ServerState;
+use super::table::Group;
+use super::table::Table;
+
+/// Servers of the own domain that are drawn per layer range.
+const SAMPLE_NEAR: usize = 4;
+
+/// Servers of other domains that are drawn per layer range.
+const SAMPLE_FAR: usize = 2;
+
+/// Delay assumed of a link that nobody has measured, within a domain, in microseconds.
+const NEAR_LINK_US: u64 = 300;
+
+/// Delay assumed of a link that nobody has measured, between domains, in microseconds.
+const FAR_LINK_US: u64 = 1_000;
+
+/// Multiple of the cost of a server that a request would rather not use.
+const SHUN_FACTOR: u64 = 8;
+
+/// Multiple of the cost of a server whose report is stale.
+const STALE_FACTOR: u64 = 2;
+
+/// Load above which a server gets no credit for a cached prefix, in percent of its group's mean.
+const AFFINITY_LOAD_PERCENT: u32 = 125;
+
+/// Words of one block of a cached prefix.
+const BLOCK_WORDS: u32 = PREFIX_BLOCK_WORDS as u32;
+
+/// Words of a prompt that a server takes in one step while it reads the prompt.
+const WORDS_PER_PREFILL_STEP: u64 = 16;
+
+/// Tokens of an answer that are expected before any was seen.
+const INITIAL_ANSWER_TOKENS: u64 = 32;
+
+/// Span for which a run holds its slot before any run was seen, in milliseconds.
+const INITIAL_HOLD_MS: u64 = 1_000;
+
+/// Weight of the history against a new sample, out of 16.
+const HISTORY_WEIGHT: u64 = 15;
+
+/// Correction of expected times that agrees with the reports.
+const NEUTRAL_PERCENT: u64 = 100;
+
+/// Largest correction of expected times.
+const MAX_CORRECTION_PERCENT: u64 = 800;
+
+/// What the host's own answers say of one model.
+#[derive(Clone, Copy, Debug)]
+struct ModelStats {
+    answer_tokens: u64,
+    hold_ms: u64,
+    step_percent: u64,
+    first_percent: u64,
+    turn: usize,
+}
+
+impl Default for ModelStats {
+    fn default() -> Self {
+        Self {
+            answer_tokens: INITIAL_ANSWER_TOKENS,
+            hold_ms: INITIAL_HOLD_MS,
+            step_percent: NEUTRAL_PERCENT,
+            first_percent: NEUTRAL_PERCENT,
+            turn: 0,
+        }
+    }
+}
+
+/// What the costs of one choice have in common.
+#[derive(Clone, Copy, Debug)]
+struct Costing<'a> {
+    now: Millis,
+    query: &'a Query<'a>,
+    known: &'a PrefixMatch<'a>,
+    stats: ModelStats,
+    tokens: u64,
+}
+
+/// Chooses chains and learns from how they do.
+#[derive(Clone, Debug)]
+pub struct Router {
+    policy: Policy,
+    servers: Vec<Option<ServerState>>,
+    index: HashMap<ServerName, u16>,
+    table: Table,
+    outliers: Outliers,
+    prefixes: PrefixIndex,
+    stats: HashMap<ModelName, ModelStats>,
+}
+
+impl Router {
+    /// Creates a router without servers.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            servers: Vec::new(),
+            index: HashMap::new(),
+            table: Table::default(),
+            outliers: Outliers::default(),
+            prefixes: PrefixIndex::default(),
+            stats: HashMap::new(),
+        }
+    }
+
+    /// Takes the present view of the servers; those that are missing are forgotten.
+    pub fn update<'a>(&mut self, inputs: impl Iterator<Item = ServerInput<'a>> + Clone) {
+        let mut moved = false;
+        let mut present = vec![false; self.servers.len()];
+        for input in inputs.clone() {
+            let index = self.index_of(&input);
+            present.resize(self.servers.len(), false);
+            present[usize::from(index)] = true;
+            let server = self.servers[usize::from(index)].as_mut();
+            moved |= server.is_some_and(|server| server.update(&input));
+        }
+        moved |= self.forget_missing(&present);
+        inputs.for_each(|input| self.update_links(&input));
+        if moved {
+            self.table = Table::build(&self.servers);
+        }
+    }
+
+    fn index_of(&mut self, input: &ServerInput<'_>) -> u16 {
+        if let Some(index) = self.index.get(input.name) {
+            return *index;
+        }
+        let free = self.servers.iter().position(Option::is_none);
+        let place = free.unwrap_or_else(|| {
+            self.servers.push(None);
+            self.servers.len() - 1
+        });
+        let index = u16::try_from(place).expect("a deployment has fewer than 65,536 servers");
+        self.servers[place] = Some(ServerState::new(input));
+        self.index.insert(input.name.clone(), index);
+        index
+    }
+
+    fn forget_missing(&mut self, present: &[bool]) -> bool {
+        let mut any = false;
+        for (slot, present) in self.servers.iter_mut().zip(present) {
+            if let Some(server) = slot.take_if(|_| !present) {
+                self.index.remove(&server.name);
+                any = true;
+            }
+        }
+        any
+    }
+
+    fn update_links(&mut self, input: &ServerInput<'_>) {
+        let Some(place) = self.index.get(input.name) else {
+            return;
+        };
+        let index = &self.index;
+        let Some(server) = self.servers[usize::from(*place)].as_mut() else {
+            return;
+        };
+        server.links.clear();
+        let known = input.report.links_us.iter();
+        server.links.extend(known.filter_map(|(to, us)| index.get(to).map(|to| (*to, *us))));
+        server.links.sort_unstable();
+    }
+
+    /// Chooses a chain that tiles all layers of the model, if there is one.
+    pub fn choose<R: Rng>(
+        &mut self,
+        now: Millis,
+        query: &Query<'_>,
+        rng: &mut R,
+    ) -> Option<Choice> {
+        let stages = match self.policy {
+            Policy::Adaptive => self.adaptive(now, query, rng)?,
+            Policy::FixedPipelines | Policy::RoundRobin => self.in_turn(now, query)?,
+        };
+        Some(self.to_choice(now, query, &stages))
+    }
+
+    fn in_turn(&mut self, now: Millis, query: &Query<'_>) -> Option<Stages> {
+        let stats = self.stats.entry(query.model.clone()).or_default();
+        stats.turn = stats.turn.wrapping_add(1);
+        let turn = stats.turn;
+        let groups = self.table.groups(query.model, query.version)?;
+        let is_usable = |server| self.is_allowed(now, query, server, false);
+        let any_usable = |server| self.is_allowed(now, query, server, true);
+        if self.policy == Policy::FixedPipelines {
+            fixed::pipeline(groups, query.layers, turn, is_usable)
+                .or_else(|| fixed::pipeline(groups, query.layers, turn, any_usable))
+        } else {
+            fixed::round_robin(groups, query.layers, turn, is_usable)
+                .or_else(|| fixed::round_robin(groups, query.layers, turn, any_usable))
+        }
+    }
+
+    /// Tries servers in good standing first, then also those that failed lately.
+    fn adaptive<R: Rng>(&self, now: Millis, query: &Query<'_>, rng: &mut R) -> Option<Stages> {
+        self.sampled(now, query, false, rng).or_else(|| self.sampled(now, query, true, rng))
+    }
+
+    fn sampled<R: Rng>(
+        &self,
+        now: Millis,
+        query: &Query<'_>,
+        with_failed: bool,
+        rng: &mut R,
+    ) -> Option<Stages> {
+        let groups = self.table.groups(query.model, query.version)?;
+        let known = self.prefixes.find(query.prefixes);
+        let stats = self.stats_of(query.model);
+        let tokens = stats.answer_tokens.min(u64::from(query.tokens)).max(1);
+        let cx = Costing { now, query, known: &known, stats, tokens };
+        let mut candidates: SmallVec<[Candidate; 64]> = SmallVec::new();
+        for (layers, group) in groups {
+            let drawn = self.draw(&cx, group, with_failed, rng);
+            let mean_load = self.mean_load(&drawn);
+            candidates.extend(drawn.iter().map(|server| {
+                let cost = self.cost(&cx, *server, mean_load);
+                Candidate { server: *server, layers: *layers, cost }
+            }));
+        }
+        let link_cost = |from, to| tokens * self.link_us(now, from, to);
+        let path = shortest(&candidates, query.layers, link_cost)?;
+        Some(path.iter().map(|i| (candidates[*i].server, candidates[*i].layers)).collect())
+    }
+
+    /// Draws servers of a group: own domain first, some others, and those with the prefix.
+    fn draw<R: Rng>(
+        &self,
+        cx: &Costing<'_>,
+        group: &Group,
+        with_failed: bool,
+        rng: &mut R,
+    ) -> SmallVec<[u16; 8]> {
+        let Costing { now, query, known, .. } = *cx;
+        let allowed = |server: &u16| self.is_allowed(now, query, *server, with_failed);
+        let near = group.in_domain(query.domain);
+        let mut drawn = SmallVec::new();
+        draw_some(near, SAMPLE_NEAR, allowed, rng, &mut drawn);
+        let missing = SAMPLE_NEAR - drawn.len().min(SAMPLE_NEAR);
+        let goal = drawn.len() + SAMPLE_FAR + missing;
+        draw_some(&group.servers, goal, allowed, rng, &mut drawn);
+        let extra = known.servers.iter().copied().chain(self.warm_servers(query));
+        for server in extra {
+            if group.servers.contains(&server) && !drawn.contains(&server) && allowed(&server) {
+                drawn.push(server);
+            }
+        }
+        drawn
+    }
+
+    fn warm_servers(&self, query: &Query<'_>) -> SmallVec<[u16; 4]> {
+        query.warm.iter().filter_map(|name| self.index.get(name).copied()).collect()
+    }
+
+    fn is_allowed(&self, now: Millis, query: &Query<'_>, server: u16, with_failed: bool) -> bool {
+        let Some(server) = self.server(server) else {
+            return false;
+        };
+        let in_standing = with_failed || !server.is_avoided(now);
+        in_standing && !query.avoid.contains(&server.name)
+    }
+
+    fn mean_load(&self, servers: &[u16]) -> u32 {
+        let loads = servers.iter().filter_map(|server| self.server(*server));
+        let sum: u32 = loads.map(ServerState::load).sum();
+        sum / (servers.len().max(1) as u32)
+    }
+
+    fn cost(&self, cx: &Costing<'_>, index: u16, mean_load: u32) -> u64 {
+        let Costing { now, query, known, stats, tokens } = *cx;
+        let Some(server) = self.server(index) else {
+            return u64::MAX / 4;
+        };
+        let step_us = server.step_us() + self.outliers.excess_us(now, Element::Server(index));
+        let wait_us = wait_us(server, stats);
+        let is_warm = query.warm.contains(&server.name);
+        let limit = (mean_load + 1) * AFFINITY_LOAD_PERCENT / 100;
+        let has_prefix = known.servers.contains(&index) && server.load() <= limit;
+        let words = if is_warm {
+            0
+        } else if has_prefix {
+            query.prompt_words.saturating_sub(known.blocks * BLOCK_WORDS)
+        } else {
+            query.prompt_words
+        };
+        let mut cost = tokens * step_us + wait_us + prefill_us(step_us, words);
+        if server.is_stale(now) {
+            cost *= STALE_FACTOR;
+        }
+        if query.shun.contains(&server.name) {
+            cost *= SHUN_FACTOR;
+        }
+        cost
+    }
+
+    fn link_us(&self, now: Millis, from: u16, to: u16) -> u64 {
+        if from == to {
+            return 0;
+        }
+        let excess = self.outliers.excess_us(now, Element::Link(from, to));
+        excess + self.reported_link_us(from, to)
+    }
+
+    fn reported_link_us(&self, from: u16, to: u16) -> u64 {
+        let (Some(a), Some(b)) = (self.server(from), self.server(to)) else {
+            return FAR_LINK_US;
+        };
+        match a.links.binary_search_by_key(&to, |(server, _)| *server) {
+            Ok(place) => u64::from(a.links[place].1),
+            Err(_) if a.domain == b.domain => NEAR_LINK_US,
+            Err(_) => FAR_LINK_US,
+        }
+    }
+
+    fn to_choice(&self, now: Millis, query: &Query<'_>, stages: &Stages) -> Choice {
+        let stats = self.stats_of(query.model);
+        let indices: SmallVec<[u16; 4]> = stages.iter().map(|(server, _)| *server).collect();
+        let raw_us = self.raw_step_us(&indices);
+        let excess_us = self.path_us(now, &indices) - raw_us;
+        let step_us = raw_us * stats.step_percent / NEUTRAL_PERCENT + excess_us;
+        let first_us: u64 = indices
+            .iter()
+            .filter_map(|index| self.server(*index))
+            .map(|server| wait_us(server, stats) + prefill_us(server.step_us(), query.prompt_words))
+            .sum();
+        let first_us = first_us * stats.first_percent / NEUTRAL_PERCENT + step_us;
+        Choice {
+            chain: stages.iter().filter_map(|(index, layers)| self.hop(*index, *layers)).collect(),
+            first_token: Millis(first_us.div_ceil(1000)),
+            step_us: u32::try_from(step_us).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn hop(&self, index: u16, layers: LayerRange) -> Option<Hop> {
+        let server = self.server(index)?;
+        Some(Hop { server: server.name.clone(), address: server.address.clone(), layers })
+    }
+
+    /// Returns the time between tokens that the reports promise, in microseconds.
+    fn raw_step_us(&self, chain: &[u16]) -> u64 {
+        let steps = chain.iter().filter_map(|index| self.server(*index));
+        let links = loop_pairs(chain).map(|(from, to)| self.reported_link_us(from, to));
+        steps.map(ServerState::step_us).sum::<u64>() + links.sum::<u64>()
+    }
+
+    /// Returns the time between tokens with the excess that was learned, in microseconds.
+    fn path_us(&self, now: Millis, chain: &[u16]) -> u64 {
+        let servers = chain.iter().map(|s| self.outliers.excess_us(now, Element::Server(*s)));
+        let links =
+            loop_pairs(chain).map(|(a, b)| self.outliers.excess_us(now, Element::Link(a, b)));
+        self.raw_step_us(chain) + servers.sum::<u64>() + links.sum::<u64>()
+    }
+
+    /// Records that an own attempt began on a chain.
+    pub fn on_start(&mut self, now: Millis, query: &Query<'_>, chain: &Chain) {
+        let indices = self.indices(chain);
+        self.change_own(now, &indices, 1);
+        self.prefixes.record(query.prefixes, &indices);
+    }
+
+    /// Records that an own attempt ended.
+    pub fn on_end(&mut self, now: Millis, chain: &Chain, verdict: Verdict<'_>) {
+        let indices = self.indices(chain);
+        self.change_own(now, &indices, -1);
+        match verdict {
+            Verdict::Good => {
+                for index in indices {
+                    if let Some(server) = self.server_mut(index) {
+                        server.on_success();
+                    }
+                }
+            }
+            Verdict::Failed(name) => self.on_failure(now, name),
+            Verdict::Silent | Verdict::Open => {}
+        }
+    }
+
+    /// Records that a server failed, so that it is avoided for a while.
+    pub fn on_failure(&mut self, now: Millis, name: &ServerName) {
+        if let Some(server) = self.index.get(name).copied().and_then(|i| self.server_mut(i)) {
+            server.on_failure(now);
+        }
+    }
+
+    /// Learns from a whole answer of one attempt.
+    pub fn on_answer(&mut self, model: &ModelName, tokens: u32, hold: Millis) {
+        let stats = self.stats.entry(model.clone()).or_default();
+        stats.answer_tokens = blend(stats.answer_tokens, u64::from(tokens)).max(1);
+        stats.hold_ms = blend(stats.hold_ms, hold.0).max(1);
+    }
+
+    /// Learns from the time to the first token of an attempt.
+    pub fn on_first_token(&mut self, model: &ModelName, expected: Millis, observed: Millis) {
+        let stats = self.stats.entry(model.clone()).or_default();
+        let raw = expected.0.max(1) * NEUTRAL_PERCENT / stats.first_percent;
+        let percent = (observed.0 * NEUTRAL_PERCENT / raw.max(1)).clamp(20, MAX_CORRECTION_PERCENT);
+        stats.first_percent = blend(stats.first_percent, percent);
+    }
+
+    /// Learns from the mean time between tokens of an attempt, in microseconds.
+    pub fn on_pace(&mut self, now: Millis, model: &ModelName, chain: &Chain, observed_us: u64) {
+        let indices = self.indices(chain);
+        if indices.len() != chain.len() {
+            return;
+        }
+        let raw_us = self.raw_step_us(&indices).max(1);
+        let stats = self.stats.entry(model.clone()).or_default();
+        let expected_us = raw_us * stats.step_percent / NEUTRAL_PERCENT;
+        // An outlier must not become the norm: the sample is capped near the present norm.
+        let cap = stats.step_percent * 5 / 4 + 1;
+        let percent = (observed_us * NEUTRAL_PERCENT / raw_us).clamp(20, MAX_CORRECTION_PERCENT);
+        stats.step_percent = blend(stats.step_percent, percent.min(cap));
+        self.outliers.observe(now, &indices, observed_us, expected_us);
+    }
+
+    /// Returns the runs that the usable servers can hold at a time for a model version: the least
+    /// sum of slots over all layers.
+    pub fn capacity(&self, model: &ModelName, version: &ModelVersion, layers: u16) -> u32 {
+        let Some(groups) = self.table.groups(model, version) else {
+            return 0;
+        };
+        let at_layer = |layer: u16| -> u32 {
+            let holding =
+                groups.iter().filter(|(range, _)| range.first <= layer && layer < range.end);
+            let servers = holding.flat_map(|(_, group)| group.servers.iter());
+            servers.filter_map(|index| self.server(*index)).map(|server| server.slots).sum()
+        };
+        let borders = groups.keys().map(|range| range.first).filter(|first| *first < layers);
+        borders.chain([0]).map(at_layer).min().unwrap_or(0)
+    }
+
+    /// Returns the expected time to serve a request of `tokens` tokens without a queue.
+    pub fn service_time(&self, model: &ModelName, tokens: u32) -> Millis {
+        let stats = self.stats_of(model);
+        let share = u64::from(tokens).min(stats.answer_tokens);
+        Millis(stats.hold_ms * share / stats.answer_tokens.max(1))
+    }
+
+    /// Returns the policy.
+    pub fn policy(&self) -> Policy {
+        self.policy
+    }
+
+    /// Returns the number of servers known.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Returns whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Returns the bytes of memory that the router takes, up to allocator overhead.
+    pub fn memory_bytes(&self) -> usize {
+        let servers = self.servers.iter().flatten().map(ServerState::heap_bytes).sum::<usize>();
+        servers
+            + self.servers.capacity() * size_of::<Option<ServerState>>()
+            + self.index.capacity() * size_of::<(ServerName, u16)>()
+            + self.outliers.heap_bytes()
+            + self.prefixes.heap_bytes()
+    }
+
+    fn change_own(&mut self, now: Millis, indices: &[u16], change: i32) {
+        for index in indices {
+            if let Some(server) = self.server_mut(*index) {
+                server.on_own(now, change);
+            }
+        }
+    }
+
+    fn indices(&self, chain: &Chain) -> SmallVec<[u16; 4]> {
+        chain.iter().filter_map(|hop| self.index.get(&hop.server).copied()).collect()
+    }
+
+    fn stats_of(&self, model: &ModelName) -> ModelStats {
+        self.stats.get(model).copied().unwrap_or_default()
+    }
+
+    fn server(&self, index: u16) -> Option<&ServerState> {
+        self.servers.get(usize::from(index))?.as_ref()
+    }
+
+    fn server_mut(&mut self, index: u16) -> Option<&mut ServerState> {
+        self.servers.get_mut(usize::from(index))?.as_mut()
+    }
+}
+
+fn wait_us(server: &ServerState, stats: ModelStats) -> u64 {
+    let ahead = u64::from(server.runs_ahead());
+    ahead * stats.hold_ms * 1000 / u64::from(server.slots.max(1))
+}
+
+fn prefill_us(step_us: u64, words: u32) -> u64 {
+    step_us * u64::from(words).div_ceil(WORDS_PER_PREFILL_STEP)
+}
+
+fn blend(old: u64, new: u64) -> u64 {
+    // Rounds towards the new value, so that small values are reached.
+    let sum = old * HISTORY_WEIGHT + new;
+    if new > old {
+        sum.div_ceil(HISTORY_WEIGHT + 1)
+    } else {
+        sum / (HISTORY_WEIGHT + 1)
+    }
+}
+
+/// Returns the links of a chain, the one back to the first stage included.
+fn loop_pairs(chain: &[u16]) -> impl Iterator<Item = (u16, u16)> + '_ {
+    let back = match chain {
+        [first, .., last] => Some((*last, *first)),
+        _ => None,
+    };
+    chain.windows(2).map(|pair| (pair[0], pair[1])).chain(back)
+}
+
+/// Draws distinct allowed servers out of `from` until `drawn` has `goal` of them.
+fn draw_some<R: Rng>(
+    from: &[u16],
+    goal: usize,
+    allowed: impl Fn(&u16) -> bool,
+    rng: &mut R,
+    drawn: &mut SmallVec<[u16; 8]>,
+) {
+    if from.is_empty() {
+        return;
+    }
+    let start = rng.random_range(0..from.len());
+    let stride = stride(from.len(), rng);
+    for step in 0..from.len() {
+        if drawn.len() >= goal {
+            return;
+        }
+        let server = from[(start + step * stride) % from.len()];
+        if !drawn.contains(&server) && allowed(&server) {
+            drawn.push(server);
+        }
+    }
+}
+
+/// Returns a random stride that visits all of `len` places.
+fn stride<R: Rng>(len: usize, rng: &mut R) -> usize {
+    if len < 3 {
+        return 1;
+    }
+    let is_coprime = |candidate: usize| gcd(candidate, len) == 1;
+    let first = rng.random_range(1..len);
+    (first..len).find(|candidate| is_coprime(*candidate)).unwrap_or(1)
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    if b == 0 {
+        a
+    } else {
+        gcd(b, a % b)
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/table.rs
@@ -0,0 +1,77 @@
+//! Servers by model, version and layer range.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::engine::LayerRange;
+use crate::name::DomainName;
+use crate::name::ModelName;
+use crate::name::ModelVersion;
+
+use super::server::ServerState;
+
+/// Servers that hold the same layers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Group {
+    /// Servers, sorted by domain and name.
+    pub(super) servers: Vec<u16>,
+    /// Part of `servers` that each domain takes.
+    pub(super) domains: Vec<(DomainName, std::ops::Range<usize>)>,
+}
+
+impl Group {
+    /// Returns the servers of one domain.
+    pub(super) fn in_domain(&self, domain: &DomainName) -> &[u16] {
+        let found = self.domains.iter().find(|(name, _)| name == domain);
+        found.map_or(&[], |(_, range)| &self.servers[range.clone()])
+    }
+}
+
+/// Groups of one model version by layer range.
+pub(super) type Groups = BTreeMap<LayerRange, Group>;
+
+/// All groups.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Table {
+    groups: HashMap<ModelName, HashMap<ModelVersion, Groups>>,
+}
+
+impl Table {
+    /// Builds the table out of the usable servers.
+    pub(super) fn build(servers: &[Option<ServerState>]) -> Self {
+        let mut table = Self::default();
+        for (index, server) in servers.iter().enumerate() {
+            let Some(server) = server.as_ref().filter(|server| server.usable) else {
+                continue;
+            };
+            for holding in &server.holdings {
+                let versions = table.groups.entry(holding.model.clone()).or_default();
+                let groups = versions.entry(holding.version.clone()).or_default();
+                groups.entry(holding.layers).or_default().servers.push(index as u16);
+            }
+        }
+        let groups = table.groups.values_mut().flat_map(HashMap::values_mut);
+        groups.flat_map(BTreeMap::values_mut).for_each(|group| sort_by_domain(group, servers));
+        table
+    }
+
+    /// Returns the groups of a model version.
+    pub(super) fn groups(&self, model: &ModelName, version: &ModelVersion) -> Option<&Groups> {
+        self.groups.get(model)?.get(version)
+    }
+}
+
+fn sort_by_domain(group: &mut Group, servers: &[Option<ServerState>]) {
+    let state = |index: u16| servers[usize::from(index)].as_ref();
+    let key = |index: &u16| state(*index).map(|server| (&server.domain, &server.name));
+    group.servers.sort_by(|a, b| key(a).cmp(&key(b)));
+    for (place, index) in group.servers.iter().enumerate() {
+        let Some(server) = state(*index) else {
+            continue;
+        };
+        match group.domains.last_mut() {
+            Some((domain, range)) if *domain == server.domain => range.end = place + 1,
+            _ => group.domains.push((server.domain.clone(), place..place + 1)),
+        }
+    }
+}
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -287,7 +287,7 @@
     fn new(job: &'a ChatJob, closing: &'a Closing) -> Self {
         Self {
             request: job.request,
-            version: job.version.as_str(),
+            version: closing.version.as_str(),
             tokens: closing.count,
             digest: closing.digest.to_string(),
             attempts: closing.attempts,
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -46,6 +46,7 @@
 use crate::peers::PeerSettings;
 use crate::peers::Peers;
 use crate::problem::Refusal;
+use crate::routing::Routing;
 use crate::settings::Settings;
 use crate::store_client::StoreClient;
 use crate::telemetry::Telemetry;
@@ -71,7 +72,9 @@
     /// The platform's store.
     pub store: Arc<dyn Store>,
     /// Client of the model engines and plain services.
-    pub engines: EngineClient,
+    pub engines: Arc<EngineClient>,
+    /// Router of model requests.
+    pub routing: Routing,
     /// Configuration in force.
     pub configuration: Configuration,
     /// Claims of calls that may not be repeated.
@@ -117,7 +120,8 @@
         Ok(Self {
             incarnation,
             peers,
-            engines: EngineClient::new(),
+            engines: Arc::new(EngineClient::new()),
+            routing: Routing::new(settings.routing, rng.random()),
             configuration: Configuration::new(),
             claims: Claims::new(store.clone(), clock.clone(), settings.host.clone(), incarnation),
             admission: Admission::new(clock.clone()),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,7 @@
+//! Entry host: callers' HTTP, routing, pipeline streams, peer links, admin port.
 //!
 //! All state hangs off one [`Host`]; several hosts can live in one process.
-//! Entry host: callers' HTTP, routing, pipeline streams, peer links, admin port.
-//! Entry host: callers, routing, pipeline streams, peer links, admin port.
+
 pub mod admin;
 pub mod admission;
 pub mod answer;
@@ -19,9 +19,11 @@
 pub mod pipelines;
 pub mod plain;
 pub mod problem;
+pub mod routing;
 pub mod settings;
 pub mod store_client;
 pub mod telemetry;
+
 pub use error::EntryError;
 pub use host::Host;
 pub use settings::Settings;
--- a/crates/entry/src/peer_handler.rs
+++ b/crates/entry/src/peer_handler.rs
@@ -10,9 +10,9 @@
 impl PeerHandler for Host {
     fn on_request(&self, _header: PeerHeader, request: PeerRequest) -> PeerReply {
         match request {
+            PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(message)),
             PeerRequest::Claim(_)
             | PeerRequest::Config(_)
-            | PeerRequest::Fleet(_)
             | PeerRequest::Quarantine(_)
             | PeerRequest::Share(_) => PeerReply::Declined,
         }
--- a/crates/entry/src/pipelines.rs
+++ b/crates/entry/src/pipelines.rs
@@ -1,33 +1,21 @@
-//! Runs of a request on a chain of backend servers.
+//! Runs of a request on chains of backend servers.
+
+mod attempt;
+mod runner;
 
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::digest::Digest;
-use yuccanotch_core::digest::TokenDigest;
-use yuccanotch_core::engine::CancelRequest;
 use yuccanotch_core::engine::Chain;
-use yuccanotch_core::engine::EndFrame;
 use yuccanotch_core::engine::Finish;
-use yuccanotch_core::engine::Frame;
-use yuccanotch_core::engine::Hop;
-use yuccanotch_core::engine::RunRequest;
-use yuccanotch_core::engine::TokenFrame;
-use yuccanotch_core::ids::Attempt;
 use yuccanotch_core::ids::RequestId;
 use yuccanotch_core::name::ModelName;
 use yuccanotch_core::name::ModelVersion;
 use yuccanotch_core::name::TeamName;
-use yuccanotch_core::reason::FrameFault;
-use yuccanotch_core::reason::RefusalReason;
 
 use crate::answer::CallerGone;
-use crate::engine_client::CallError;
-use crate::fleet::FleetView;
-use crate::fleet::Health;
 use crate::host::Host;
 use crate::problem::Refusal;
 
-const RETRY_AFTER: Millis = Millis(500);
-
 /// A request to a model.
 #[derive(Clone, Debug)]
 pub struct ChatJob {
@@ -79,150 +67,20 @@
     pub cached_tokens: u32,
     /// Attempts that the answer took.
     pub attempts: u32,
+    /// Version that produced all tokens.
+    pub version: ModelVersion,
     /// Chain that completed the answer.
     pub chain: Chain,
 }
 
 /// Runs a request and hands its tokens to `sink`.
 ///
+/// A chain that dies, stalls, slows down or sends bad frames is left for another one, which goes on
+/// after the last token handed over.
+///
 /// # Errors
 ///
 /// Refuses when no whole answer could be had before the deadline.
 pub fn run(host: &Host, job: &ChatJob, sink: &mut dyn TokenSink) -> Result<Closing, Refusal> {
-    let chain = choose_chain(&host.fleet.view(), job).ok_or_else(|| {
-        Refusal::not_run(RefusalReason::NoChain, "no chain of backend servers covers the model")
-            .retry_after(RETRY_AFTER)
-    })?;
-    let attempt = Attempt(1);
-    let run = RunRequest {
-        request: job.request,
-        attempt,
-        model: job.model.clone(),
-        version: job.version.clone(),
-        adapter: None,
-        chain: chain.clone(),
-        prompt: job.prompt.clone(),
-        released: Vec::new(),
-        max_tokens: job.max_tokens,
-        priority: job.priority,
-        deadline_ms: job.deadline.since(host.clock.now()),
-        kv_from: Default::default(),
-    };
-    let result = relay(host, job, &run, sink);
-    if result.is_err() {
-        host.engines.cancel(&chain[0].address, &CancelRequest { request: job.request, attempt });
-    }
-    let end = result?;
-    Ok(Closing {
-        count: end.count,
-        digest: end.digest,
-        finish: end.finish,
-        prompt_tokens: end.prompt_tokens,
-        cached_tokens: end.cached_tokens,
-        attempts: attempt.0,
-        chain,
-    })
-}
-
-fn choose_chain(view: &FleetView, job: &ChatJob) -> Option<Chain> {
-    let mut chain = Chain::new();
-    let mut layer = 0;
-    while layer < job.layers {
-        let hop = view
-            .servers
-            .values()
-            .filter(|server| !server.leaving && !server.suspected)
-            .filter_map(|server| {
-                let report = server.report.as_ref()?;
-                let holding = report.holdings.iter().find(|holding| {
-                    holding.model == job.model
-                        && holding.version == job.version
-                        && holding.layers.first == layer
-                })?;
-                Some((report.running + report.waiting, server, holding.layers))
-            })
-            .min_by_key(|(load, server, _)| (*load, server.name.clone()))
-            .map(|(_, server, layers)| Hop {
-                server: server.name.clone(),
-                address: server.address.clone(),
-                layers,
-            })?;
-        layer = hop.layers.end;
-        chain.push(hop);
-    }
-    Some(chain)
-}
-
-fn relay(
-    host: &Host,
-    job: &ChatJob,
-    run: &RunRequest,
-    sink: &mut dyn TokenSink,
-) -> Result<EndFrame, Refusal> {
-    let mut stream = host.engines.run(run).map_err(|e| to_refusal(host, run, &e))?;
-    let mut digest = TokenDigest::default();
-    let mut count = 0;
-    loop {
-        let frame = stream.next_frame().map_err(|e| to_refusal(host, run, &e))?;
-        let Some(frame) = frame else {
-            return Err(Refusal::not_run(RefusalReason::ServerFailed, "the stream was truncated"));
-        };
-        let fault = match frame {
-            Ok(Frame::Token(frame)) => match check_token(job, run, count, &frame) {
-                Ok(()) => {
-                    sink.token(&frame.token)
-                        .map_err(|e| Refusal::not_run(RefusalReason::CallerGone, e.to_string()))?;
-                    digest.push(&frame.token);
-                    count += 1;
-                    continue;
-                }
-                Err(fault) => fault,
-            },
-            Ok(Frame::End(frame)) => {
-                if frame.count == count && frame.digest == digest.finish() {
-                    return Ok(frame);
-                }
-                FrameFault::Digest
-            }
-            Ok(Frame::Error(frame)) => {
-                let text = format!("{:?} at {}", frame.fault, frame.server);
-                return Err(Refusal::not_run(RefusalReason::ServerFailed, text));
-            }
-            Err(_) => FrameFault::Malformed,
-        };
-        host.telemetry.frame_fault(fault);
-        return Err(Refusal::not_run(RefusalReason::ServerFailed, fault.as_str()));
-    }
-}
-
-fn check_token(
-    job: &ChatJob,
-    run: &RunRequest,
-    count: u32,
-    frame: &TokenFrame,
-) -> Result<(), FrameFault> {
-    if frame.request != job.request {
-        return Err(FrameFault::WrongRequest);
-    }
-    if frame.attempt != run.attempt {
-        return Err(FrameFault::OldAttempt);
-    }
-    if frame.index != count {
-        return Err(FrameFault::Gap);
-    }
-    let hops = run.chain.iter().map(|hop| (&hop.server, hop.layers));
-    if !frame.receipt.iter().map(|part| (&part.server, part.layers)).eq(hops) {
-        return Err(FrameFault::Layers);
-    }
-    if frame.receipt.iter().any(|part| part.version != job.version) {
-        return Err(FrameFault::WrongVersion);
-    }
-    Ok(())
-}
-
-fn to_refusal(host: &Host, run: &RunRequest, e: &CallError) -> Refusal {
-    if let (CallError::NotSent, Some(hop)) = (e, run.chain.first()) {
-        host.fleet.report(&hop.server, Health::Failed);
-    }
-    Refusal::not_run(RefusalReason::ServerFailed, e.to_string()).retry_after(RETRY_AFTER)
+    runner::Runner::new(host, job, sink).run()
 }
--- /dev/null
+++ b/crates/entry/src/pipelines/attempt.rs
@@ -0,0 +1,81 @@
+//! One attempt on a chain: a thread that reads its frames.
+
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use std::thread;
+
+use yuccanotch_core::engine::CancelRequest;
+use yuccanotch_core::engine::Frame;
+use yuccanotch_core::engine::RunRequest;
+use yuccanotch_core::stream::Event;
+
+use crate::engine_client::CallError;
+use crate::engine_client::EngineClient;
+
+/// What the reader of an attempt tells its request.
+#[derive(Debug)]
+#[allow(clippy::large_enum_variant)]
+pub(super) enum Progress {
+    /// The first server took the run, so that it may have begun.
+    Taken,
+    /// Something that the answer has to hear of.
+    Event(Event),
+}
+
+/// Starts an attempt; its frames and its end come through `tx`.
+pub(super) fn start(engines: &Arc<EngineClient>, run: RunRequest, tx: Sender<Progress>) {
+    let engines = engines.clone();
+    let attempt = run.attempt;
+    let failed = tx.clone();
+    let reader = move || read(&engines, &run, &tx);
+    let spawned = thread::Builder::new().name("attempt".to_owned()).spawn(reader);
+    if spawned.is_err() {
+        send(&failed, Event::ConnectRefused(attempt));
+    }
+}
+
+fn read(engines: &EngineClient, run: &RunRequest, tx: &Sender<Progress>) {
+    let attempt = run.attempt;
+    let mut stream = match engines.run(run) {
+        Ok(stream) => stream,
+        Err(CallError::NotSent) => {
+            send(tx, Event::ConnectRefused(attempt));
+            return;
+        }
+        Err(CallError::Refused(frame)) => {
+            send(tx, Event::Frame(attempt, Frame::Error(frame)));
+            return;
+        }
+        Err(CallError::Lost(_)) => {
+            let _ = tx.send(Progress::Taken);
+            send(tx, Event::Closed(attempt));
+            return;
+        }
+    };
+    if tx.send(Progress::Taken).is_err() {
+        return;
+    }
+    loop {
+        let event = match stream.next_frame() {
+            Ok(Some(Ok(frame))) => Event::Frame(attempt, frame),
+            Ok(Some(Err(_))) => Event::Malformed(attempt),
+            Ok(None) | Err(_) => break,
+        };
+        if !send(tx, event) {
+            return;
+        }
+    }
+    send(tx, Event::Closed(attempt));
+}
+
+fn send(tx: &Sender<Progress>, event: Event) -> bool {
+    tx.send(Progress::Event(event)).is_ok()
+}
+
+/// Cancels an attempt at its chain without waiting for the answer.
+pub(super) fn cancel(engines: &Arc<EngineClient>, address: String, cancel: CancelRequest) {
+    let engines = engines.clone();
+    let call = move || engines.cancel(&address, &cancel);
+    // The deadline ends the run when no thread can be had.
+    let _ = thread::Builder::new().name("cancel".to_owned()).spawn(call);
+}
--- /dev/null
+++ b/crates/entry/src/routing.rs
@@ -0,0 +1,186 @@
+//! The router of this host, kept up to date with the fleet view, and the retry policy of models.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::engine::Chain;
+use yuccanotch_core::name::ModelName;
+use yuccanotch_core::name::ModelVersion;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::retry::Decision;
+use yuccanotch_core::retry::FailedAttempt;
+use yuccanotch_core::retry::RetryPolicy;
+use yuccanotch_core::retry::RetrySettings;
+use yuccanotch_core::route::Choice;
+use yuccanotch_core::route::Policy;
+use yuccanotch_core::route::Query;
+use yuccanotch_core::route::Router;
+use yuccanotch_core::route::ServerInput;
+use yuccanotch_core::route::Verdict;
+
+use crate::fleet::FleetView;
+
+/// Shortest span between two takeovers of the fleet view.
+const MIN_UPDATE_SPAN: Millis = Millis(20);
+
+/// Upper end of the wait before an answer is resumed for the second time; it doubles.
+const RESUME_BACKOFF: Millis = Millis(20);
+
+/// Upper end of any wait before an answer is resumed.
+const MAX_RESUME_BACKOFF: Millis = Millis(500);
+
+/// The router with what it needs.
+#[derive(Debug)]
+pub struct Routing {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    router: Router,
+    retry: RetryPolicy,
+    rng: Pcg64Mcg,
+    view: Option<Arc<FleetView>>,
+    updated_at: Millis,
+}
+
+/// How an attempt went.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptResult<'a> {
+    /// Model.
+    pub model: &'a ModelName,
+    /// Chain.
+    pub chain: &'a Chain,
+    /// What it says of the servers.
+    pub verdict: Verdict<'a>,
+    /// Mean time between tokens in microseconds, when there were enough of them.
+    pub pace_us: Option<u64>,
+    /// Tokens and duration, when the attempt produced a whole answer alone.
+    pub whole: Option<(u32, Millis)>,
+}
+
+impl Routing {
+    /// Creates a router that knows no servers yet.
+    pub fn new(policy: Policy, seed: u64) -> Self {
+        let state = State {
+            router: Router::new(policy),
+            retry: RetryPolicy::new(RetrySettings::default()),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            view: None,
+            updated_at: Millis::ZERO,
+        };
+        Self { state: Mutex::new(state) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a new request towards the budget of retries.
+    pub fn on_request(&self, now: Millis) {
+        self.lock().retry.on_request(now);
+    }
+
+    /// Decides what follows a failed attempt of an answer of which nothing was released.
+    pub fn on_failed_attempt(&self, now: Millis, failed: FailedAttempt) -> Decision {
+        let state = &mut *self.lock();
+        state.retry.on_failure(now, failed, &mut state.rng)
+    }
+
+    /// Returns the wait before the `number`th resumption of an answer, counted from 1.
+    pub fn resume_wait(&self, number: u32) -> Millis {
+        if number <= 1 {
+            return Millis::ZERO;
+        }
+        let ceiling = Millis(RESUME_BACKOFF.0 << number.min(8)).min(MAX_RESUME_BACKOFF);
+        Millis(self.lock().rng.random_range(0..=ceiling.0))
+    }
+
+    /// Chooses a chain.
+    pub fn choose(&self, now: Millis, view: Arc<FleetView>, query: &Query<'_>) -> Option<Choice> {
+        let state = &mut *self.lock();
+        state.update(now, view);
+        state.router.choose(now, query, &mut state.rng)
+    }
+
+    /// Records the start of an attempt.
+    pub fn on_start(&self, now: Millis, query: &Query<'_>, chain: &Chain) {
+        self.lock().router.on_start(now, query, chain);
+    }
+
+    /// Learns from the time to the first token.
+    pub fn on_first_token(&self, model: &ModelName, expected: Millis, observed: Millis) {
+        self.lock().router.on_first_token(model, expected, observed);
+    }
+
+    /// Learns from a chain that is slow while its attempt goes on.
+    pub fn on_slow(&self, now: Millis, model: &ModelName, chain: &Chain, pace_us: u64) {
+        self.lock().router.on_pace(now, model, chain, pace_us);
+    }
+
+    /// Records the end of an attempt.
+    pub fn on_end(&self, now: Millis, result: &AttemptResult<'_>) {
+        let router = &mut self.lock().router;
+        router.on_end(now, result.chain, result.verdict);
+        if let Some(pace_us) = result.pace_us {
+            router.on_pace(now, result.model, result.chain, pace_us);
+        }
+        if let Some((tokens, hold)) = result.whole {
+            router.on_answer(result.model, tokens, hold);
+        }
+    }
+
+    /// Returns the runs that the servers of a model version can hold at a time.
+    pub fn capacity(
+        &self,
+        now: Millis,
+        view: Arc<FleetView>,
+        model: &ModelName,
+        version: &ModelVersion,
+        layers: u16,
+    ) -> u32 {
+        let state = &mut *self.lock();
+        state.update(now, view);
+        state.router.capacity(model, version, layers)
+    }
+
+    /// Returns the expected time to serve a request without a queue.
+    pub fn service_time(&self, model: &ModelName, tokens: u32) -> Millis {
+        self.lock().router.service_time(model, tokens)
+    }
+
+    /// Records that a server failed outside of an attempt.
+    pub fn on_failure(&self, now: Millis, server: &ServerName) {
+        self.lock().router.on_failure(now, server);
+    }
+}
+
+impl State {
+    fn update(&mut self, now: Millis, view: Arc<FleetView>) {
+        let is_same = self.view.as_ref().is_some_and(|seen| Arc::ptr_eq(seen, &view));
+        let is_early = self.view.is_some() && now.since(self.updated_at) < MIN_UPDATE_SPAN;
+        if is_same || is_early {
+            return;
+        }
+        let engines = view.servers.values().filter_map(|server| {
+            Some(ServerInput {
+                name: &server.name,
+                domain: &server.domain,
+                address: &server.address,
+                report: server.report.as_ref()?,
+                reported_at: server.reported_at,
+                leaving: server.leaving,
+                suspected: server.suspected,
+            })
+        });
+        self.router.update(engines);
+        self.view = Some(view);
+        self.updated_at = now;
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,6 +11,7 @@
 use yuccanotch_core::finding::Findings;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::HostName;
+use yuccanotch_core::route::Policy;
 
 use crate::error::EntryError;
 
@@ -35,6 +36,8 @@
     pub peer_keys: Vec<Vec<u8>>,
     /// Limits.
     pub limits: Limits,
+    /// How chains of model engines are chosen.
+    pub routing: Policy,
     /// Seed of the request ids and random choices; drawn from the machine when absent.
     pub seed: Option<u64>,
 }
@@ -111,6 +114,7 @@
         store: fields.address("store", findings),
         peer_keys: read_keys(&mut fields, findings),
         limits: read_limits(&mut fields, findings),
+        routing: read_routing(&mut fields, findings),
         seed: fields.value("seed").map(|_| fields.number("seed", 0, 0..=u64::MAX, findings)),
     };
     fields.finish(findings);
@@ -131,6 +135,18 @@
     keys
 }
 
+fn read_routing(fields: &mut Fields<'_>, findings: &mut Findings) -> Policy {
+    let Some(value) = fields.value("routing") else {
+        return Policy::default();
+    };
+    let found = Policy::ALL.into_iter().find(|policy| value.as_str() == Some(policy.as_str()));
+    found.unwrap_or_else(|| {
+        let names = Policy::ALL.map(Policy::as_str).join(", ");
+        findings.add(fields.place("routing"), format!("must be one of {names}"));
+        Policy::default()
+    })
+}
+
 fn read_limits(fields: &mut Fields<'_>, findings: &mut Findings) -> Limits {
     let default = Limits::default();
     let Some(value) = fields.value("limits") else {
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,1 +1,11 @@
-//! Embedded deployment: the platform, backend servers and entry hosts in one process.
+//! Embedded deployment: the platform, backend servers and entry hosts in one process on loopback.
+
+pub mod client;
+pub mod deployment;
+pub mod error;
+pub mod plan;
+pub mod samples;
+
+pub use deployment::Deployment;
+pub use error::LocalError;
+pub use plan::Plan;
--- a/crates/local/src/main.rs
+++ b/crates/local/src/main.rs
@@ -1,3 +1,127 @@
-//! `yuccanotch-local`.
+//! `yuccanotch-local`: a small deployment in one process.
 
-fn main() {}
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+use lexopt::prelude::*;
+use yuccanotch_local::samples;
+use yuccanotch_local::samples::Sample;
+use yuccanotch_local::Deployment;
+use yuccanotch_local::LocalError;
+use yuccanotch_local::Plan;
+
+const USAGE: &str = "\
+Runs a small deployment in one process on loopback: store, host list, model engines, plain
+services and entry hosts.
+
+Usage: yuccanotch-local [--once] [--seed N]
+
+Options:
+    --once        send the sample requests of both deployments, check their promises, and exit
+    --seed N      seed of everything random [default: 7]
+    -h, --help    show this text
+
+Exit codes: 0 all promises held, 1 a promise was broken or a part did not start, 2 usage.
+";
+
+#[derive(Debug)]
+struct Args {
+    once: bool,
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let args = match parse_args() {
+        Ok(Some(args)) => args,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("yuccanotch-local: {e}\n\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(&args) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("yuccanotch-local: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn parse_args() -> Result<Option<Args>, lexopt::Error> {
+    let mut args = Args { once: false, seed: 7 };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("once") => args.once = true,
+            Long("seed") => args.seed = parser.value()?.parse()?,
+            Short('h') | Long("help") => {
+                print!("{USAGE}");
+                return Ok(None);
+            }
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Some(args))
+}
+
+fn run(args: &Args) -> Result<bool, LocalError> {
+    if !args.once {
+        return serve(args.seed);
+    }
+    let haddad = run_samples("haddad", Plan::haddad(args.seed), &samples::HADDAD)?;
+    let association =
+        run_samples("association", Plan::association(args.seed), &samples::ASSOCIATION)?;
+    Ok(haddad && association)
+}
+
+fn run_samples(name: &str, plan: Plan, samples: &[Sample]) -> Result<bool, LocalError> {
+    let deployment = Deployment::start(plan)?;
+    println!("# {name}: {} entry hosts", deployment.running().count());
+    let mut held = true;
+    for sample in samples {
+        let report = samples::run(&deployment, sample);
+        println!("\n## {}", report.title);
+        report.lines.iter().for_each(|line| println!("{line}"));
+        report.broken.iter().for_each(|line| println!("BROKEN: {line}"));
+        held &= report.broken.is_empty();
+    }
+    println!("\n## counters");
+    for running in deployment.running() {
+        print_counters(running.host.settings.host.as_str(), &running.host.telemetry.render());
+    }
+    println!("\n{name}: {}\n", if held { "all promises held" } else { "a promise was broken" });
+    deployment.stop();
+    Ok(held)
+}
+
+fn print_counters(host: &str, text: &str) {
+    let mut lines: Vec<&str> = text
+        .lines()
+        .filter(|line| !line.starts_with('#') && !line.is_empty() && !line.ends_with(" 0"))
+        .collect();
+    lines.sort_unstable();
+    lines.iter().for_each(|line| println!("{host} {line}"));
+}
+
+fn serve(seed: u64) -> Result<bool, LocalError> {
+    let deployment = Deployment::start(Plan::haddad(seed))?;
+    println!("store    http://{}", deployment.standin.store_address());
+    for running in deployment.running() {
+        let name = &running.host.settings.host;
+        println!("{name}  callers http://{}  admin http://{}", running.callers, running.admin);
+    }
+    if let Some(running) = deployment.running().next() {
+        println!(
+            "\ntry:\ncurl -N http://{}/v1/chat/completions -H 'Authorization: Bearer retail-key' \\\n  \
+             -d '{{\"model\": \"assistant\", \"stream\": true, \"messages\": \
+             [{{\"role\": \"user\", \"content\": \"Quote 5000 kraft bags\"}}]}}'",
+            running.callers
+        );
+    }
+    loop {
+        thread::sleep(Duration::from_secs(3600));
+    }
+}
--- /dev/null
+++ b/crates/local/tests/once.rs
@@ -0,0 +1,24 @@
+//! `yuccanotch-local --once`: the sample requests keep every promise.
+
+use std::process::Command;
+
+#[test]
+fn all_promises_hold_on_the_samples() {
+    let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-local"))
+        .arg("--once")
+        .output()
+        .expect("the binary starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert_eq!(text.matches("all promises held").count(), 2, "{text}");
+    assert!(!text.contains("BROKEN"), "{text}");
+}
+
+#[test]
+fn usage_faults_exit_with_2() {
+    let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-local"))
+        .arg("--nothing")
+        .output()
+        .expect("the binary starts");
+    assert_eq!(output.status.code(), Some(2));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! anything the router says. They are for tests and experiments only.
 
 mod admin;
+mod bound;
 mod engine;
 mod fault;
 mod http;
@@ -18,6 +19,9 @@
 #[cfg(test)]
 mod tests;
 
+pub use bound::max_flow_bound;
+pub use bound::max_flow_bound_for;
+pub use bound::WorkMix;
 pub use engine::CRASH_MARK;
 pub use fault::Fault;
 pub use fault::FaultRequest;
--- a/crates/standin/src/tests/mod.rs
+++ b/crates/standin/src/tests/mod.rs
@@ -18,7 +18,10 @@
 use crate::Standin;
 use crate::StandinSettings;
 
+mod bound;
 mod engines;
+mod platform;
+mod services;
 
 const LAYERS: u16 = 12;
 
