Spread configurations by watchers and peer push

Cause: every entry host polled the store, which costs calls with the size of the fleet, and a host that started in an outage had no configuration.

Change: two hosts of a failure domain hold the store's watch; the rest learn by push along a tree, by the numbers in the headers of peer messages, and by a question to a random peer now and then. A starting host asks peers before the store. A store that went back is marked and reported.

--- /dev/null
+++ b/crates/entry/src/configuration/driver.rs
@@ -0,0 +1,251 @@
+//! Carries out what the adopter decides.
+
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::adopter::AdoptAction;
+use yuccanotch_core::config::adopter::AdoptEvent;
+use yuccanotch_core::config::adopter::Adopter;
+use yuccanotch_core::config::adopter::Source;
+use yuccanotch_core::config::adopter::Trouble;
+use yuccanotch_core::config::call::drive;
+use yuccanotch_core::config::floor::FloorRaiser;
+use yuccanotch_core::config::manifest::ChunkRef;
+use yuccanotch_core::config::manifest::Floor;
+use yuccanotch_core::config::manifest::Manifest;
+use yuccanotch_core::config::messages::WireChunk;
+use yuccanotch_core::config::messages::MAX_ASKED_CHUNKS;
+use yuccanotch_core::config::spread::told_by;
+use yuccanotch_core::config::Active;
+use yuccanotch_core::config::ConfigMessage;
+use yuccanotch_core::config::ConfigReply;
+use yuccanotch_core::event::emit;
+use yuccanotch_core::event::Event;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+use yuccanotch_core::store::StoreError;
+
+use crate::configuration::watch;
+use crate::host::Host;
+
+const TICK: Duration = Duration::from_millis(250);
+/// Ticks between two questions to a random peer.
+const TICKS_PER_QUESTION: u32 = 12;
+const PEER_TIMEOUT: Millis = Millis(1_000);
+/// Chunks read from the store for one step of the adopter.
+const STORE_BATCH: usize = 16;
+/// Longest wait for the first peers to be known.
+const PEERS_TIMEOUT: Duration = Duration::from_millis(500);
+const PEERS_POLL: Duration = Duration::from_millis(20);
+/// Peers asked before a starting host turns to the store.
+const FIRST_PEERS: usize = 3;
+
+/// Follows the store and the peers until the host stops.
+pub fn run(host: &Arc<Host>) {
+    let Some(rx) = host.configuration.take_events() else { return };
+    ask_first_peers(host);
+    watch::start(host);
+    let mut driver = Driver { host, adopter: Adopter::new() };
+    let mut ticks = 0;
+    while !host.is_stopped() {
+        match next_event(&rx) {
+            Some(AdoptEvent::Tick) => {
+                ticks += 1;
+                if ticks % TICKS_PER_QUESTION == 0 {
+                    ask_random_peer(host);
+                }
+                driver.on_event(AdoptEvent::Tick);
+            }
+            Some(event) => driver.on_event(event),
+            None => return,
+        }
+    }
+}
+
+fn next_event(rx: &Receiver<AdoptEvent>) -> Option<AdoptEvent> {
+    match rx.recv_timeout(TICK) {
+        Ok(event) => Some(event),
+        Err(RecvTimeoutError::Timeout) => Some(AdoptEvent::Tick),
+        Err(RecvTimeoutError::Disconnected) => None,
+    }
+}
+
+/// Asks peers for their numbers before the store is read, which may be an old copy or away.
+fn ask_first_peers(host: &Host) {
+    let end = host.clock.now() + PEERS_TIMEOUT.into();
+    while host.peers.known().is_empty() && host.clock.now() < end && !host.is_stopped() {
+        thread::sleep(PEERS_POLL);
+    }
+    for peer in host.peers.known().iter().take(FIRST_PEERS) {
+        ask_peer(host, peer);
+    }
+}
+
+fn ask_random_peer(host: &Host) {
+    let known = host.peers.known();
+    if known.is_empty() {
+        return;
+    }
+    let i = host.random_u64() % known.len() as u64;
+    ask_peer(host, &known[usize::try_from(i).unwrap_or(0)]);
+}
+
+/// Asks a peer for its number; the answer is passed on to the adopter.
+fn ask_peer(host: &Host, peer: &HostName) {
+    let notice = ConfigMessage::Notice(host.configuration.number());
+    let reply = host.peers.call(peer, PeerRequest::Config(notice), PEER_TIMEOUT);
+    if let Ok(PeerReply::Config(ConfigReply::Held(number))) = reply {
+        host.configuration.heard(peer, number);
+    }
+}
+
+struct Driver<'a> {
+    host: &'a Arc<Host>,
+    adopter: Adopter,
+}
+
+impl Driver<'_> {
+    fn on_event(&mut self, event: AdoptEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for action in self.adopter.on_event(self.host.clock.now(), event) {
+                events.extend(self.execute(action));
+            }
+        }
+    }
+
+    fn execute(&self, action: AdoptAction) -> Option<AdoptEvent> {
+        match action {
+            AdoptAction::FetchManifest(from) => Some(self.fetch_manifest(from)),
+            AdoptAction::FetchChunks { from, chunks } => Some(self.fetch_chunks(from, &chunks)),
+            AdoptAction::Adopt(active) => {
+                self.adopt(&active);
+                None
+            }
+            AdoptAction::RaiseFloor(number) => {
+                self.raise_floor(number);
+                None
+            }
+            AdoptAction::Report(trouble) => {
+                self.report(&trouble);
+                None
+            }
+        }
+    }
+
+    fn fetch_manifest(&self, from: Source) -> AdoptEvent {
+        let manifest = match &from {
+            Source::Store => watch::read_manifest(self.host).ok(),
+            Source::Peer(peer) => self.manifest_of(peer),
+        };
+        match manifest {
+            Some(manifest) => AdoptEvent::Manifest { from, manifest },
+            None => AdoptEvent::Failed { from },
+        }
+    }
+
+    fn manifest_of(&self, peer: &HostName) -> Option<Option<Manifest>> {
+        match self.ask(peer, ConfigMessage::GetManifest)? {
+            ConfigReply::Manifest(None) => Some(None),
+            ConfigReply::Manifest(Some(bytes)) => Manifest::decode(&bytes).ok().map(Some),
+            _ => None,
+        }
+    }
+
+    fn fetch_chunks(&self, from: Source, chunks: &[ChunkRef]) -> AdoptEvent {
+        let fetched = match &from {
+            Source::Store => self.chunks_of_store(chunks).ok(),
+            Source::Peer(peer) => self.chunks_of(peer, chunks),
+        };
+        match fetched {
+            Some(chunks) => AdoptEvent::Chunks { from, chunks },
+            None => AdoptEvent::Failed { from },
+        }
+    }
+
+    fn chunks_of_store(&self, chunks: &[ChunkRef]) -> Result<Vec<WireChunk>, StoreError> {
+        let mut fetched = Vec::new();
+        for chunk in chunks.iter().take(STORE_BATCH) {
+            if let Some(found) = self.host.store.get(&chunk.key())? {
+                fetched.push(WireChunk { digest: chunk.digest, bytes: found.value });
+            }
+        }
+        Ok(fetched)
+    }
+
+    fn chunks_of(&self, peer: &HostName, chunks: &[ChunkRef]) -> Option<Vec<WireChunk>> {
+        let digests = chunks.iter().take(MAX_ASKED_CHUNKS).map(|chunk| chunk.digest).collect();
+        match self.ask(peer, ConfigMessage::GetChunks(digests))? {
+            ConfigReply::Chunks(chunks) => Some(chunks),
+            _ => None,
+        }
+    }
+
+    fn ask(&self, peer: &HostName, message: ConfigMessage) -> Option<ConfigReply> {
+        match self.host.peers.call(peer, PeerRequest::Config(message), PEER_TIMEOUT) {
+            Ok(PeerReply::Config(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    fn adopt(&self, active: &Arc<Active>) {
+        let host = self.host;
+        let number = active.number;
+        host.configuration.set(Arc::clone(active));
+        host.peers.set_config(number);
+        host.telemetry.gauge("yuccanotch_config_number", number.0 as f64);
+        let name = &host.settings.host;
+        emit(
+            Event::ConfigAdopted,
+            format_args!("host={name} number={number} patch={}", active.patch()),
+        );
+        let notice = PeerRequest::Config(ConfigMessage::Notice(number));
+        for peer in told_by(&host.settings.domain, &watch::members(host), name) {
+            host.peers.send(&peer, notice.clone());
+        }
+    }
+
+    fn raise_floor(&self, number: ConfigNumber) {
+        let floor = Floor { number, host: self.host.settings.host.clone() };
+        let sleep = &mut |pause: Millis| thread::sleep(pause.to_duration());
+        drive(FloorRaiser::new(floor), &*self.host.store, sleep);
+    }
+
+    fn report(&self, trouble: &Trouble) {
+        let (event, reason, detail) = describe(trouble);
+        self.host.telemetry.counter("yuccanotch_config_troubles_total", reason);
+        emit(event, format_args!("host={} {detail}", self.host.settings.host));
+    }
+}
+
+fn describe(trouble: &Trouble) -> (Event, &'static str, String) {
+    match trouble {
+        Trouble::StoreBehind { store, held } => {
+            (Event::ConfigWentBack, "store_behind", format!("store={store} held={held}"))
+        }
+        Trouble::Forked { number, from } => {
+            (Event::ConfigForked, "forked", format!("number={number} from={}", source_name(from)))
+        }
+        Trouble::Unreadable { number, text } => {
+            (Event::ConfigInvalid, "unreadable", format!("number={number}: {text}"))
+        }
+        Trouble::BadChunk { from, digest } => (
+            Event::ConfigBadChunk,
+            "bad_chunk",
+            format!("digest={digest} from={}", source_name(from)),
+        ),
+    }
+}
+
+fn source_name(from: &Source) -> &str {
+    match from {
+        Source::Store => "the store",
+        Source::Peer(host) => host.as_str(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/configuration/mod.rs
@@ -0,0 +1,108 @@
+//! Configuration in force on this host: kept, served to peers, and driven by the adopter.
+
+mod driver;
+mod watch;
+
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::RwLock;
+
+use yuccanotch_core::config::adopter::AdoptEvent;
+use yuccanotch_core::config::messages::WireChunk;
+use yuccanotch_core::config::messages::MAX_ASKED_CHUNKS;
+use yuccanotch_core::config::messages::MAX_REPLY_BYTES;
+use yuccanotch_core::config::Active;
+use yuccanotch_core::config::ConfigMessage;
+use yuccanotch_core::config::ConfigReply;
+use yuccanotch_core::digest::Digest;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::name::HostName;
+
+pub use driver::run;
+
+/// Holds the configuration in force.
+#[derive(Debug)]
+pub struct Configuration {
+    active: RwLock<Option<Arc<Active>>>,
+    tx: Sender<AdoptEvent>,
+    rx: Mutex<Option<Receiver<AdoptEvent>>>,
+}
+
+impl Default for Configuration {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Configuration {
+    /// Creates a holder without a configuration.
+    pub fn new() -> Self {
+        let (tx, rx) = mpsc::channel();
+        Self { active: RwLock::default(), tx, rx: Mutex::new(Some(rx)) }
+    }
+
+    /// Returns the configuration in force.
+    pub fn current(&self) -> Option<Arc<Active>> {
+        self.active.read().expect("no panic while adopting").clone()
+    }
+
+    /// Returns the number in force, 0 without a configuration.
+    pub fn number(&self) -> ConfigNumber {
+        self.current().map(|active| active.number).unwrap_or_default()
+    }
+
+    /// Takes note of the number that a peer holds; never blocks.
+    pub fn heard(&self, from: &HostName, number: ConfigNumber) {
+        if number > self.number() {
+            let _ = self.tx.send(AdoptEvent::Heard { from: from.clone(), number });
+        }
+    }
+
+    /// Answers a peer.
+    pub fn on_peer(&self, from: &HostName, message: ConfigMessage) -> ConfigReply {
+        let active = self.current();
+        match message {
+            ConfigMessage::Notice(number) => {
+                self.heard(from, number);
+                ConfigReply::Held(active.map(|active| active.number).unwrap_or_default())
+            }
+            ConfigMessage::GetManifest => {
+                ConfigReply::Manifest(active.map(|active| active.manifest().encode()))
+            }
+            ConfigMessage::GetChunks(digests) => {
+                let chunks = active.map(|active| chunks_at_hand(&active, &digests));
+                ConfigReply::Chunks(chunks.unwrap_or_default())
+            }
+        }
+    }
+
+    fn set(&self, next: Arc<Active>) {
+        let mut active = self.active.write().expect("no panic while adopting");
+        assert!(
+            active.as_ref().is_none_or(|active| active.number < next.number),
+            "a configuration is replaced by a higher number only"
+        );
+        *active = Some(next);
+    }
+
+    fn take_events(&self) -> Option<Receiver<AdoptEvent>> {
+        self.rx.lock().expect("no panic while taking the events").take()
+    }
+}
+
+fn chunks_at_hand(active: &Active, digests: &[Digest]) -> Vec<WireChunk> {
+    let mut chunks = Vec::new();
+    let mut bytes_so_far = 0;
+    for digest in digests.iter().take(MAX_ASKED_CHUNKS) {
+        let Some(bytes) = active.chunks().get(digest) else { continue };
+        bytes_so_far += bytes.len();
+        if bytes_so_far > MAX_REPLY_BYTES && !chunks.is_empty() {
+            break;
+        }
+        chunks.push(WireChunk { digest: *digest, bytes: bytes.to_vec() });
+    }
+    chunks
+}
--- a/crates/entry/src/peer_handler.rs
+++ b/crates/entry/src/peer_handler.rs
@@ -8,13 +8,20 @@
 use crate::peers::PeerHandler;
 
 impl PeerHandler for Host {
-    fn on_request(&self, _header: PeerHeader, request: PeerRequest) -> PeerReply {
+    fn on_request(&self, header: PeerHeader, request: PeerRequest) -> PeerReply {
+        self.configuration.heard(&header.host, header.config);
         match request {
+            PeerRequest::Config(message) => {
+                PeerReply::Config(self.configuration.on_peer(&header.host, message))
+            }
             PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(message)),
-            PeerRequest::Claim(_)
-            | PeerRequest::Config(_)
-            | PeerRequest::Quarantine(_)
-            | PeerRequest::Share(_) => PeerReply::Declined,
+            PeerRequest::Claim(_) | PeerRequest::Quarantine(_) | PeerRequest::Share(_) => {
+                PeerReply::Declined
+            }
         }
     }
+
+    fn on_reply_header(&self, header: &PeerHeader) {
+        self.configuration.heard(&header.host, header.config);
+    }
 }
