--- /dev/null
+++ b/crates/load/src/arrivals.rs
@@ -0,0 +1,144 @@
+//! Arrivals of a scenario, drawn from a seed before the run.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::scenario::CallLoad;
+use crate::scenario::ChatLoad;
+use crate::scenario::Scenario;
+use crate::scenario::TimedFault;
+
+const WORDS: [&str; 24] = [
+    "kraft", "paper", "bags", "handles", "twisted", "print", "proof", "quote", "bakery", "order",
+    "reorder", "stock", "colour", "lane", "closure", "paint", "batch", "tender", "summary",
+    "report", "crew", "shift", "highway", "lot",
+];
+const US_PER_S: f64 = 1e6;
+/// Span between the two sends of a call that is sent twice.
+const MAX_DOUBLE_GAP_US: u64 = 20_000;
+
+/// One arrival.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// Time since the start of the run, in microseconds.
+    pub at_us: u64,
+    /// Number of the request; the sends of one call share it.
+    pub number: usize,
+    /// What is sent.
+    pub work: Work,
+}
+
+/// What a caller sends.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Work {
+    /// A request to a model.
+    Chat {
+        /// Index of the load in the scenario.
+        load: usize,
+        /// Text of the user.
+        content: String,
+    },
+    /// A call to a plain service.
+    Call {
+        /// Index of the load in the scenario.
+        load: usize,
+        /// Idempotency key, if the load has keys.
+        key: Option<String>,
+    },
+}
+
+/// Returns the arrivals of a scenario, in order of time.
+pub fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
+    let mut list = Vec::new();
+    let end_us = u64::from(scenario.seconds) * 1_000_000;
+    for (load, chat) in scenario.chat.iter().enumerate() {
+        // A generator of its own per load keeps the others' arrivals when one is changed.
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (load as u64 + 1) << 32);
+        for at_us in times(&mut rng, chat.per_s, chat.from_ms, chat.to_ms, end_us) {
+            let content = content(&mut rng, chat, load, list.len());
+            list.push(Arrival { at_us, number: list.len(), work: Work::Chat { load, content } });
+        }
+    }
+    for (load, call) in scenario.calls.iter().enumerate() {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed ^ (load as u64 + 1) << 40);
+        add_calls(&mut list, &mut rng, call, load, seed, end_us);
+    }
+    list.sort_by_key(|arrival| (arrival.at_us, arrival.number));
+    list
+}
+
+fn add_calls(
+    list: &mut Vec<Arrival>,
+    rng: &mut Pcg64Mcg,
+    call: &CallLoad,
+    load: usize,
+    seed: u64,
+    end_us: u64,
+) {
+    for at_us in times(rng, call.per_s, call.from_ms, call.to_ms, end_us) {
+        let number = list.len();
+        let key = call.keyed.then(|| format!("{}-{seed}-{number}", call.service));
+        let work = Work::Call { load, key };
+        if rng.random_range(0..100) < call.double_percent {
+            let at_us = at_us + rng.random_range(0..MAX_DOUBLE_GAP_US);
+            list.push(Arrival { at_us, number, work: work.clone() });
+        }
+        list.push(Arrival { at_us, number, work });
+    }
+}
+
+fn times(
+    rng: &mut Pcg64Mcg,
+    per_s: f64,
+    from_ms: u64,
+    to_ms: Option<u64>,
+    end_us: u64,
+) -> Vec<u64> {
+    let end_us = to_ms.map_or(end_us, |to_ms| end_us.min(to_ms * 1000));
+    let mut at_us = from_ms as f64 * 1000.0;
+    let mut times = Vec::new();
+    loop {
+        let uniform: f64 = rng.random();
+        at_us += -(1.0 - uniform).ln() / per_s * US_PER_S;
+        if at_us >= end_us as f64 {
+            return times;
+        }
+        times.push(at_us as u64);
+    }
+}
+
+fn content(rng: &mut Pcg64Mcg, chat: &ChatLoad, load: usize, number: usize) -> String {
+    let word = |rng: &mut Pcg64Mcg| WORDS[rng.random_range(0..WORDS.len())];
+    let mut words: Vec<String> = Vec::new();
+    if chat.shared_prefixes > 0 {
+        let prefix = rng.random_range(0..chat.shared_prefixes);
+        let mut prefix_rng = Pcg64Mcg::seed_from_u64((load as u64) << 32 | prefix as u64);
+        words.extend((0..chat.prompt_words / 2).map(|_| word(&mut prefix_rng).to_owned()));
+    }
+    if !chat.mark.is_empty() {
+        // A marked prompt is the same each time, as a caller's that sends it again.
+        words.push(chat.mark.clone());
+        return words.join(" ");
+    }
+    words.push(format!("request-{number}"));
+    while words.len() < chat.prompt_words {
+        words.push(word(rng).to_owned());
+    }
+    words.join(" ")
+}
+
+/// Returns the faults with their times drawn, in order of time.
+pub fn fault_times(scenario: &Scenario, seed: u64) -> Vec<(u64, TimedFault)> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfa17);
+    let mut list: Vec<(u64, TimedFault)> = scenario
+        .faults
+        .iter()
+        .map(|fault| {
+            let to_ms = fault.to_ms.unwrap_or(fault.at_ms).max(fault.at_ms);
+            (rng.random_range(fault.at_ms..=to_ms), fault.clone())
+        })
+        .collect();
+    list.sort_by_key(|(at_ms, _)| *at_ms);
+    list
+}
--- /dev/null
+++ b/crates/load/src/compare.rs
@@ -0,0 +1,62 @@
+//! Two reports side by side.
+
+use std::fmt::Write;
+
+use serde_json::Value;
+
+/// Parts of a report that are lists of measured points, not figures.
+const SERIES: [&str; 5] = ["series", "first_token", "inter_token", "faults", "broken_examples"];
+
+/// One figure of two reports.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// JSON pointer of the figure.
+    pub pointer: String,
+    /// Value in the first report.
+    pub a: f64,
+    /// Value in the second report.
+    pub b: f64,
+}
+
+impl Row {
+    /// Returns the second value over the first; `None` when the first is zero.
+    pub fn ratio(&self) -> Option<f64> {
+        (self.a != 0.0).then(|| self.b / self.a)
+    }
+}
+
+/// Returns the figures that either report has, in order of their place.
+pub fn rows(a: &Value, b: &Value) -> Vec<Row> {
+    let mut rows = Vec::new();
+    collect("", a, b, &mut rows);
+    rows.sort_by(|x, y| x.pointer.cmp(&y.pointer));
+    rows
+}
+
+fn collect(at: &str, a: &Value, b: &Value, rows: &mut Vec<Row>) {
+    if a.is_number() || b.is_number() {
+        let number = |value: &Value| value.as_f64().unwrap_or(0.0);
+        rows.push(Row { pointer: at.to_owned(), a: number(a), b: number(b) });
+        return;
+    }
+    let keys = |value: &Value| -> Vec<String> {
+        value.as_object().map(|map| map.keys().cloned().collect()).unwrap_or_default()
+    };
+    let mut names = keys(a);
+    names.extend(keys(b));
+    names.sort();
+    names.dedup();
+    for name in names.iter().filter(|name| !SERIES.contains(&name.as_str())) {
+        collect(&format!("{at}/{name}"), &a[name], &b[name], rows);
+    }
+}
+
+/// Returns the rows as a table.
+pub fn text(rows: &[Row]) -> String {
+    let mut out = format!("{:<40} {:>12} {:>12} {:>8}\n", "figure", "A", "B", "B/A");
+    for row in rows {
+        let ratio = row.ratio().map_or("-".to_owned(), |ratio| format!("{ratio:.3}"));
+        let _ = writeln!(out, "{:<40} {:>12.3} {:>12.3} {ratio:>8}", row.pointer, row.a, row.b);
+    }
+    out
+}
--- /dev/null
+++ b/crates/load/src/experiment.rs
@@ -0,0 +1,304 @@
+//! Runs the arrivals and faults of a scenario against a target.
+
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand::seq::IndexedRandom;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::reason::Outcome;
+use yuccanotch_local::client::CallError;
+use yuccanotch_local::client::Caller;
+
+use crate::arrivals::arrivals;
+use crate::arrivals::fault_times;
+use crate::arrivals::Arrival;
+use crate::arrivals::Work;
+use crate::error::LoadError;
+use crate::outcome::FaultRun;
+use crate::outcome::Sent;
+use crate::outcome::SentResult;
+use crate::outcome::WholeAnswer;
+use crate::plan::team_key;
+use crate::scenario::Scenario;
+use crate::scenario::TimedFault;
+use crate::target::Target;
+
+const MAX_CALLERS: usize = 1500;
+const CALLER_STACK_BYTES: usize = 256 << 10;
+const CALLER_SLACK_MS: u64 = 3_000;
+const CALL_TIMEOUT: Duration = Duration::from_secs(12);
+const CONNECT_TRIES: usize = 25;
+const CONNECT_PAUSE: Duration = Duration::from_millis(40);
+const RESEND_PAUSE: Duration = Duration::from_millis(150);
+const PROGRESS_EVERY: Duration = Duration::from_secs(1);
+
+/// Everything that was seen in a run.
+#[derive(Debug, Default)]
+pub struct Observed {
+    /// Sends, in order of their end.
+    pub sent: Vec<Sent>,
+    /// Faults, in order of their time.
+    pub faults: Vec<FaultRun>,
+    /// Connections that callers opened or tried to open.
+    pub connections: u64,
+    /// Arrivals that had to wait because too many callers were waiting for answers.
+    pub delayed_arrivals: u64,
+}
+
+struct Run<'a> {
+    target: &'a Target,
+    scenario: &'a Scenario,
+    seed: u64,
+    started: Instant,
+    sent: Mutex<Vec<Sent>>,
+    faults: Mutex<Vec<FaultRun>>,
+    connections: AtomicU64,
+    callers: AtomicUsize,
+    tokens: AtomicU64,
+    done: AtomicBool,
+}
+
+/// Runs a scenario to the end of its last request.
+///
+/// # Errors
+///
+/// Returns an error when a thread cannot be had.
+pub fn run(target: &Target, scenario: &Scenario, seed: u64) -> Result<Observed, LoadError> {
+    let run = Run {
+        target,
+        scenario,
+        seed,
+        started: Instant::now(),
+        sent: Mutex::default(),
+        faults: Mutex::default(),
+        connections: AtomicU64::new(0),
+        callers: AtomicUsize::new(0),
+        tokens: AtomicU64::new(0),
+        done: AtomicBool::new(false),
+    };
+    let delayed_arrivals = thread::scope(|scope| {
+        if std::io::stderr().is_terminal() {
+            scope.spawn(|| run.show_progress());
+        }
+        let callers = thread::scope(|scope| {
+            for (at_ms, fault) in fault_times(scenario, seed) {
+                let run = &run;
+                scope.spawn(move || run.inject(at_ms, &fault));
+            }
+            run.send_all(scope)
+        });
+        run.done.store(true, Ordering::SeqCst);
+        callers
+    })?;
+    let mut faults = run.faults.into_inner().unwrap_or_else(PoisonError::into_inner);
+    faults.sort_by_key(|fault| fault.at_ms);
+    Ok(Observed {
+        sent: run.sent.into_inner().unwrap_or_else(PoisonError::into_inner),
+        faults,
+        connections: run.connections.into_inner(),
+        delayed_arrivals,
+    })
+}
+
+impl<'a> Run<'a> {
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+
+    fn sleep_until(&self, at_us: u64) {
+        thread::sleep(Duration::from_micros(at_us.saturating_sub(self.now_us())));
+    }
+
+    fn inject(&self, at_ms: u64, fault: &TimedFault) {
+        self.sleep_until(at_ms * 1000);
+        let at_ms = self.now_us() / 1000;
+        let error = self.target.act(&fault.action).err().map(|e| e.to_string());
+        let run = FaultRun { label: fault.label(), at_ms, for_ms: fault.for_ms(), error };
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+    }
+
+    fn send_all<'scope>(
+        &'scope self,
+        scope: &'scope thread::Scope<'scope, '_>,
+    ) -> Result<u64, LoadError> {
+        let mut delayed = 0;
+        for arrival in arrivals(self.scenario, self.seed) {
+            self.sleep_until(arrival.at_us);
+            if self.callers.load(Ordering::SeqCst) >= MAX_CALLERS {
+                delayed += 1;
+                while self.callers.load(Ordering::SeqCst) >= MAX_CALLERS {
+                    thread::sleep(CONNECT_PAUSE);
+                }
+            }
+            self.callers.fetch_add(1, Ordering::SeqCst);
+            let builder = thread::Builder::new().stack_size(CALLER_STACK_BYTES);
+            builder.spawn_scoped(scope, move || {
+                self.serve(&arrival);
+                self.callers.fetch_sub(1, Ordering::SeqCst);
+            })?;
+        }
+        Ok(delayed)
+    }
+
+    /// Sends one request until it has a final result or its resends are used up.
+    fn serve(&self, arrival: &Arrival) {
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed ^ arrival.at_us);
+        let (team, timeout, resends) = self.caller_of(&arrival.work);
+        let caller = Caller::new(&team_key(team), timeout);
+        let mut last = None;
+        for send in 0..=resends {
+            if send > 0 {
+                thread::sleep(RESEND_PAUSE);
+            }
+            let started_us = self.now_us();
+            let result = self.send(&caller, arrival, &mut rng, &mut last);
+            let wants_more = wants_resend(&arrival.work, &result);
+            let sent = Sent {
+                number: arrival.number,
+                work: arrival.work.clone(),
+                due_us: if send == 0 { arrival.at_us } else { started_us },
+                started_us,
+                ended_us: self.now_us(),
+                result,
+            };
+            self.sent.lock().unwrap_or_else(PoisonError::into_inner).push(sent);
+            if !wants_more {
+                return;
+            }
+        }
+    }
+
+    fn caller_of(&self, work: &Work) -> (&'a str, Duration, u32) {
+        match work {
+            Work::Chat { load, .. } => {
+                let chat = &self.scenario.chat[*load];
+                let timeout = Duration::from_millis(chat.deadline_ms + CALLER_SLACK_MS);
+                (&chat.team, timeout, chat.resends)
+            }
+            Work::Call { load, .. } => {
+                let call = &self.scenario.calls[*load];
+                (&call.team, CALL_TIMEOUT, call.resends)
+            }
+        }
+    }
+
+    /// Sends once, to another entry host than the last time; tries others while none is reached.
+    fn send(
+        &self,
+        caller: &Caller,
+        arrival: &Arrival,
+        rng: &mut Pcg64Mcg,
+        last: &mut Option<SocketAddr>,
+    ) -> SentResult {
+        for _ in 0..CONNECT_TRIES {
+            let entries = self.target.entries();
+            let others: Vec<SocketAddr> =
+                entries.iter().copied().filter(|entry| Some(*entry) != *last).collect();
+            let choice = others.choose(rng).or_else(|| entries.choose(rng)).copied();
+            if let Some(entry) = choice {
+                *last = Some(entry);
+                self.connections.fetch_add(1, Ordering::SeqCst);
+                match self.send_to(caller, arrival, entry) {
+                    SentResult::NotSent => {}
+                    result => return result,
+                }
+            }
+            thread::sleep(CONNECT_PAUSE);
+        }
+        SentResult::NotSent
+    }
+
+    fn send_to(&self, caller: &Caller, arrival: &Arrival, entry: SocketAddr) -> SentResult {
+        match &arrival.work {
+            Work::Chat { load, content } => {
+                let chat = &self.scenario.chat[*load];
+                let begun_us = self.now_us();
+                let deadline = Some(Millis(chat.deadline_ms));
+                let answer = caller.chat(entry, &chat.model, content, chat.max_tokens, deadline);
+                match answer {
+                    Ok(answer) => {
+                        self.tokens.fetch_add(answer.tokens.len() as u64, Ordering::Relaxed);
+                        let arrivals = answer.arrivals.iter();
+                        SentResult::Whole(WholeAnswer {
+                            arrivals_us: arrivals.map(|at| begun_us + at.0 * 1000).collect(),
+                            tokens: answer.tokens,
+                            version: answer.closing.version,
+                            told_tokens: answer.closing.tokens,
+                            told_digest: answer.closing.digest,
+                            attempts: answer.closing.attempts,
+                        })
+                    }
+                    Err(e) => failed(e),
+                }
+            }
+            Work::Call { load, key } => {
+                let call = &self.scenario.calls[*load];
+                let path = call_path(&call.service, &call.path, arrival.number);
+                let body = call_body(arrival.number);
+                let method = call.method.as_str();
+                let body = if method == "GET" { "" } else { &body };
+                match caller.plain(entry, method, &path, key.as_deref(), body) {
+                    Ok(answer) => SentResult::Answered { status: answer.status, body: answer.body },
+                    Err(e) => failed(e),
+                }
+            }
+        }
+    }
+
+    fn show_progress(&self) {
+        let mut before = 0;
+        while !self.done.load(Ordering::SeqCst) {
+            thread::sleep(PROGRESS_EVERY);
+            let tokens = self.tokens.load(Ordering::Relaxed);
+            let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner).len();
+            eprint!(
+                "\r{:>3} s  {sent:>6} results  {:>5} in flight  {:>6} tokens/s ",
+                self.now_us() / 1_000_000,
+                self.callers.load(Ordering::SeqCst),
+                tokens - before,
+            );
+            before = tokens;
+        }
+        eprintln!();
+    }
+}
+
+/// Returns the path of a call, which names the request so that records can be matched.
+pub fn call_path(service: &str, path: &str, number: usize) -> String {
+    format!("/{service}{path}?call={number}")
+}
+
+/// Returns the body of a call, which names the request so that records can be matched.
+pub fn call_body(number: usize) -> String {
+    format!("{{\"call\": {number}}}")
+}
+
+fn failed(e: CallError) -> SentResult {
+    match e {
+        CallError::Refused(problem) => {
+            SentResult::Refused { reason: problem.reason, outcome: problem.outcome }
+        }
+        CallError::NotSent => SentResult::NotSent,
+        CallError::Broken(text) => SentResult::Broken(text),
+    }
+}
+
+/// Returns whether a caller sends its request again after a result.
+fn wants_resend(work: &Work, result: &SentResult) -> bool {
+    match (work, result) {
+        (_, SentResult::Whole(_) | SentResult::Answered { .. }) => false,
+        (Work::Call { .. }, SentResult::Refused { outcome, .. }) => *outcome == Outcome::Unknown,
+        (_, SentResult::Refused { .. } | SentResult::NotSent | SentResult::Broken(_)) => true,
+    }
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,53 @@
-//! `yuccanotch-load`.
+//! `yuccanotch-load`: load and experiment tool.
 
-fn main() {}
+mod cmd_compare;
+mod cmd_run;
+
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use yuccanotch_load::CliResult;
+use yuccanotch_load::LoadError;
+
+const USAGE: &str = "\
+Loads a deployment with callers and faults, and checks its promises.
+
+Usage: yuccanotch-load COMMAND [ARGUMENTS]
+
+Commands:
+    run         carry out one scenario
+    compare     show two reports side by side
+
+Each command takes --help.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("yuccanotch-load: {e}");
+            match e {
+                LoadError::Usage(_) | LoadError::Findings(_) => ExitCode::from(2),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn run() -> CliResult<bool> {
+    let mut parser = lexopt::Parser::from_env();
+    match parser.next()? {
+        Some(Value(command)) => match command.string()?.as_str() {
+            "run" => cmd_run::run(&mut parser),
+            "compare" => cmd_compare::run(&mut parser),
+            other => Err(lexopt::Error::from(format!("no command {other:?}\n\n{USAGE}")).into()),
+        },
+        Some(Short('h') | Long("help")) => {
+            print!("{USAGE}");
+            Ok(true)
+        }
+        Some(arg) => Err(arg.unexpected().into()),
+        None => Err(lexopt::Error::from(format!("no command\n\n{USAGE}")).into()),
+    }
+}
--- /dev/null
+++ b/crates/load/src/promises.rs
@@ -0,0 +1,232 @@
+//! Checks of what callers were told against the stand-ins' own record.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use serde_json::Value;
+use yuccanotch_core::digest::TokenDigest;
+use yuccanotch_core::reason::Outcome;
+use yuccanotch_standin::expected_answer;
+use yuccanotch_standin::prompt_hash;
+use yuccanotch_standin::Record;
+use yuccanotch_standin::RunEnd;
+
+use crate::arrivals::Work;
+use crate::experiment::Observed;
+use crate::outcome::Sent;
+use crate::outcome::SentResult;
+use crate::outcome::WholeAnswer;
+use crate::scenario::Action;
+use crate::scenario::EntryStop;
+use crate::scenario::Scenario;
+
+const MAX_EXAMPLES: usize = 5;
+
+/// Broken promises by kind, with a few examples each.
+#[derive(Debug, Default)]
+pub struct Broken {
+    /// Number of cases by kind.
+    pub counts: BTreeMap<String, u64>,
+    /// Examples.
+    pub examples: Vec<String>,
+}
+
+impl Broken {
+    fn add(&mut self, kind: &str, example: String) {
+        let count = self.counts.entry(kind.to_owned()).or_default();
+        *count += 1;
+        if *count <= MAX_EXAMPLES as u64 {
+            self.examples.push(format!("{kind}: {example}"));
+        }
+    }
+
+    /// Returns whether every promise was kept.
+    pub fn is_empty(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
+
+/// Checks all results; without a record, only what callers can see is checked.
+pub fn check(scenario: &Scenario, observed: &Observed, record: Option<&Record>) -> Broken {
+    let mut broken = Broken::default();
+    for sent in &observed.sent {
+        match (&sent.work, &sent.result) {
+            (Work::Chat { load, content }, SentResult::Whole(answer)) => {
+                check_answer(&mut broken, scenario, *load, content, sent.number, answer);
+            }
+            (_, SentResult::Broken(text)) if !cuts_allowed(scenario) => {
+                broken.add("connection lost", format!("request {}: {text}", sent.number));
+            }
+            _ => {}
+        }
+    }
+    check_resends(&mut broken, &observed.sent);
+    if let Some(record) = record {
+        check_calls(&mut broken, scenario, &observed.sent, record);
+        check_runs(&mut broken, &observed.sent, record);
+        check_crashes(&mut broken, scenario, record);
+    }
+    for fault in &observed.faults {
+        if let Some(e) = &fault.error {
+            broken.add("fault not carried out", format!("{}: {e}", fault.label));
+        }
+    }
+    broken
+}
+
+/// Returns whether connections may break, because an entry host is killed.
+fn cuts_allowed(scenario: &Scenario) -> bool {
+    scenario.faults.iter().any(
+        |fault| matches!(&fault.action, Action::Entry(entry) if entry.entry == EntryStop::Kill),
+    )
+}
+
+/// Returns the prompt that an entry host makes of a user's text.
+pub fn prompt(content: &str) -> String {
+    format!("user: {content}")
+}
+
+fn check_answer(
+    broken: &mut Broken,
+    scenario: &Scenario,
+    load: usize,
+    content: &str,
+    number: usize,
+    answer: &WholeAnswer,
+) {
+    let chat = &scenario.chat[load];
+    let model = scenario.deployment.models.iter().find(|model| model.name == chat.model);
+    let layers = model.map_or(0, |model| model.layers);
+    let prompt = prompt(content);
+    let version = &answer.version;
+    let expected = expected_answer(&chat.model, version, layers, &prompt, chat.max_tokens);
+    if answer.tokens != expected {
+        let example = format!(
+            "request {number}: {} tokens, {} expected, first difference at {:?}",
+            answer.tokens.len(),
+            expected.len(),
+            answer.tokens.iter().zip(&expected).position(|(a, b)| a != b),
+        );
+        broken.add("wrong or cut answer told whole", example);
+    }
+    let mut digest = TokenDigest::default();
+    answer.tokens.iter().for_each(|token| digest.push(token));
+    let count_matches = answer.told_tokens as usize == answer.tokens.len();
+    if !count_matches || answer.told_digest != digest.finish().to_string() {
+        broken.add("closing part does not match", format!("request {number}"));
+    }
+}
+
+/// Checks that all answers under one key are the same.
+fn check_resends(broken: &mut Broken, sent: &[Sent]) {
+    let mut bodies: HashMap<&str, &str> = HashMap::new();
+    for sent in sent {
+        if let (Work::Call { key: Some(key), .. }, SentResult::Answered { body, .. }) =
+            (&sent.work, &sent.result)
+        {
+            let first = bodies.entry(key).or_insert(body);
+            if *first != body {
+                broken.add("another answer under the same key", format!("{key}: {first} | {body}"));
+            }
+        }
+    }
+}
+
+fn check_calls(broken: &mut Broken, scenario: &Scenario, sent: &[Sent], record: &Record) {
+    let runs = record.runs_by_key();
+    for ((service, key), count) in &runs {
+        if *count > 1 && !is_repeatable(scenario, sent, key) {
+            broken.add("run more than once", format!("{service} key {key}: {count} times"));
+        }
+    }
+    let ran: HashMap<&str, u64> =
+        record.calls.iter().map(|call| (call.path.as_str(), call.run)).collect();
+    let mut keys_run: HashMap<&str, u32> = HashMap::new();
+    for ((_, key), count) in &runs {
+        *keys_run.entry(key).or_default() += count;
+    }
+    for sent in sent {
+        let Work::Call { load, key } = &sent.work else { continue };
+        let call = &scenario.calls[*load];
+        match (&sent.result, key) {
+            (SentResult::Refused { outcome: Outcome::NotRun, reason }, Some(key))
+                if keys_run.contains_key(key.as_str()) =>
+            {
+                broken.add("told not run, but ran", format!("key {key}: {reason}"));
+            }
+            (SentResult::Refused { outcome: Outcome::NotRun, reason }, None) => {
+                let path = format!("{}?call={}", call.path, sent.number);
+                if ran.contains_key(path.as_str()) {
+                    broken.add("told not run, but ran", format!("{path}: {reason}"));
+                }
+            }
+            (SentResult::Answered { status: 200, body }, _) => {
+                check_call_answer(broken, sent.number, body, record);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn is_repeatable(scenario: &Scenario, sent: &[Sent], key: &str) -> bool {
+    let load = sent.iter().find_map(|sent| match &sent.work {
+        Work::Call { load, key: Some(own) } if own == key => Some(*load),
+        _ => None,
+    });
+    let Some(call) = load.and_then(|load| scenario.calls.get(load)) else { return false };
+    let services = scenario.deployment.services.iter();
+    services.filter(|service| service.name == call.service).any(|service| {
+        let mut routes = service.routes.iter();
+        routes.any(|r| r.repeatable && r.method == call.method && r.path == call.path)
+    })
+}
+
+/// Checks that an answer is of the caller's own call, and that the service recorded it.
+fn check_call_answer(broken: &mut Broken, number: usize, body: &str, record: &Record) {
+    let answer: Value = serde_json::from_str(body).unwrap_or_default();
+    let run = answer["run"].as_u64().unwrap_or(0);
+    let own_path = format!("call={number}");
+    let recorded = usize::try_from(run).ok().and_then(|run| record.calls.get(run.checked_sub(1)?));
+    let own = recorded.is_some_and(|call| call.path.split('?').nth(1) == Some(&own_path));
+    if !own {
+        broken.add("answer of another call", format!("request {number}: {body}"));
+    }
+}
+
+/// Checks that a model request that was told not to have run brought no token to life.
+fn check_runs(broken: &mut Broken, sent: &[Sent], record: &Record) {
+    let mut tokens: HashMap<u64, u32> = HashMap::new();
+    for run in &record.runs {
+        if run.end != RunEnd::Refused {
+            *tokens.entry(run.prompt).or_default() += run.tokens;
+        }
+    }
+    let mut answered: HashMap<u64, u32> = HashMap::new();
+    let hash_of = |content: &str| prompt_hash(&prompt(content));
+    for sent in sent {
+        if let (Work::Chat { content, .. }, SentResult::Whole(_)) = (&sent.work, &sent.result) {
+            *answered.entry(hash_of(content)).or_default() += 1;
+        }
+    }
+    for sent in sent {
+        let Work::Chat { content, .. } = &sent.work else { continue };
+        let SentResult::Refused { outcome: Outcome::NotRun, reason } = &sent.result else {
+            continue;
+        };
+        let hash = hash_of(content);
+        // Another send of the same text may have run and been told so.
+        if tokens.get(&hash).is_some_and(|n| *n > 0) && !answered.contains_key(&hash) {
+            let example = format!("request {}: {reason}", sent.number);
+            broken.add("told not run, but made tokens", example);
+        }
+    }
+}
+
+fn check_crashes(broken: &mut Broken, scenario: &Scenario, record: &Record) {
+    if let Some(most) = scenario.max_crashes {
+        if record.crashes > most {
+            let example = format!("{} crashes, at most {most} expected", record.crashes);
+            broken.add("too many crashes", example);
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,459 @@
+//! The report of a run.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use serde::Deserialize;
+use serde::Serialize;
+use yuccanotch_standin::max_flow_bound_for;
+use yuccanotch_standin::Record;
+use yuccanotch_standin::StandinSettings;
+use yuccanotch_standin::StoreCalls;
+use yuccanotch_standin::WorkMix;
+
+use crate::arrivals::Work;
+use crate::experiment::Observed;
+use crate::outcome::FaultRun;
+use crate::outcome::SentResult;
+use crate::outcome::WholeAnswer;
+use crate::promises::Broken;
+use crate::scenario::Scenario;
+
+/// Width of the steps of the throughput series, in milliseconds.
+pub const STEP_MS: u64 = 250;
+/// Span at the start of a run that throughput leaves out, in milliseconds.
+const WARM_UP_MS: u64 = 1000;
+const BASELINE_STEPS: usize = 8;
+/// Share of the throughput before a fault at which it counts as back.
+const BACK_SHARE: f64 = 0.8;
+const MAX_LATENCY_US: u64 = 120_000_000;
+
+/// Report of one run; all spans are in milliseconds.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Title of the scenario.
+    pub title: String,
+    /// Seed.
+    pub seed: u64,
+    /// Routing policy of the entry hosts.
+    pub policy: String,
+    /// Span of the arrivals, in seconds.
+    pub seconds: u32,
+    /// Requests to models.
+    pub chat: ChatFigures,
+    /// Calls to plain services.
+    pub calls: CallFigures,
+    /// Refusals by reason and outcome.
+    pub refusals: BTreeMap<String, u64>,
+    /// Faults with their recovery.
+    pub faults: Vec<FaultFigures>,
+    /// Connections that callers opened.
+    pub connections: u64,
+    /// Arrivals that were sent late because the tool had too many callers waiting.
+    pub delayed_arrivals: u64,
+    /// Calls of the store.
+    pub store: Option<StoreCalls>,
+    /// Crashes of engines.
+    pub crashes: u64,
+    /// Broken promises by kind.
+    pub broken: BTreeMap<String, u64>,
+    /// Examples of broken promises.
+    pub broken_examples: Vec<String>,
+    /// Tokens per second that callers received, in steps of [`STEP_MS`].
+    pub series: Vec<f64>,
+    /// First-token latencies.
+    pub first_token: Vec<Bucket>,
+    /// Inter-token latencies.
+    pub inter_token: Vec<Bucket>,
+}
+
+/// Figures of requests to models.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ChatFigures {
+    /// Requests sent, resends included.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Broken connections.
+    pub broken: u64,
+    /// Whole answers after their deadline.
+    pub late: u64,
+    /// Whole answers that took more than one attempt.
+    pub resumed: u64,
+    /// Tokens per second received, without the first second.
+    pub tokens_per_s: f64,
+    /// Tokens per second that the requests would need to be answered whole.
+    pub offered_tokens_per_s: f64,
+    /// Tokens per second that the engines can give at most.
+    pub bound_tokens_per_s: f64,
+    /// Received tokens against the bound.
+    pub share_of_bound: f64,
+    /// Tokens that engines made for each token that callers received.
+    pub work_per_token: f64,
+    /// Time from the due time of a request to its first token.
+    pub first_token_ms: Quantiles,
+    /// Time between tokens.
+    pub inter_token_ms: Quantiles,
+}
+
+/// Figures of calls to plain services.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CallFigures {
+    /// Calls sent, resends included.
+    pub sent: u64,
+    /// Answers of services.
+    pub answered: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Refusals with an unknown outcome.
+    pub unknown: u64,
+    /// Broken connections.
+    pub broken: u64,
+    /// Time from the due time of a call to its answer.
+    pub answer_ms: Quantiles,
+}
+
+/// Quantiles of a latency.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Half of the values are at most this.
+    pub p50: f64,
+    /// 95 of 100 values are at most this.
+    pub p95: f64,
+    /// 99 of 100 values are at most this.
+    pub p99: f64,
+    /// Largest value.
+    pub max: f64,
+}
+
+/// Values of a histogram up to a limit and above the preceding one.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Bucket {
+    /// Upper limit.
+    pub to_ms: f64,
+    /// Number of values.
+    pub count: u64,
+}
+
+/// A fault and the recovery from it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct FaultFigures {
+    /// What it was.
+    pub label: String,
+    /// Time since the start of the run.
+    pub at_ms: u64,
+    /// How long it lasted.
+    pub for_ms: u64,
+    /// Answers in flight at its start that took more than one attempt.
+    pub resumed: u64,
+    /// Longest pause between tokens of these answers.
+    pub pause_ms: Quantiles,
+    /// Time until throughput was back at four fifths of the one before; `None` if it was not.
+    pub back_ms: Option<u64>,
+}
+
+struct Latencies {
+    histogram: Histogram<u64>,
+}
+
+impl Latencies {
+    fn new() -> Self {
+        let histogram = Histogram::new_with_max(MAX_LATENCY_US, 3);
+        Self { histogram: histogram.expect("the limits of the histogram are valid") }
+    }
+
+    fn add(&mut self, us: u64) {
+        self.histogram.saturating_record(us);
+    }
+
+    fn quantiles(&self) -> Quantiles {
+        let at = |q| self.histogram.value_at_quantile(q) as f64 / 1000.0;
+        if self.histogram.is_empty() {
+            return Quantiles::default();
+        }
+        Quantiles {
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            max: self.histogram.max() as f64 / 1000.0,
+        }
+    }
+
+    fn buckets(&self) -> Vec<Bucket> {
+        let steps = self.histogram.iter_log(500, 1.5);
+        steps
+            .map(|step| Bucket {
+                to_ms: step.value_iterated_to() as f64 / 1000.0,
+                count: step.count_since_last_iteration(),
+            })
+            .skip_while(|bucket| bucket.count == 0)
+            .collect()
+    }
+}
+
+/// Returns the report of a run.
+pub fn report(
+    scenario: &Scenario,
+    seed: u64,
+    policy: &str,
+    observed: &Observed,
+    record: Option<&Record>,
+    broken: Broken,
+    settings: &StandinSettings,
+) -> Report {
+    let mut report = Report {
+        title: scenario.title.clone(),
+        seed,
+        policy: policy.to_owned(),
+        seconds: scenario.seconds,
+        connections: observed.connections,
+        delayed_arrivals: observed.delayed_arrivals,
+        store: record.map(|record| record.store),
+        crashes: record.map_or(0, |record| record.crashes),
+        broken: broken.counts,
+        broken_examples: broken.examples,
+        ..Report::default()
+    };
+    count_results(&mut report, scenario, observed);
+    report.series = series(observed);
+    add_throughput(&mut report, scenario, observed, record, settings);
+    let answers: Vec<&WholeAnswer> = answers(observed).collect();
+    let faults = observed.faults.iter();
+    report.faults = faults.map(|fault| recovery(fault, &answers, &report.series)).collect();
+    report
+}
+
+fn answers(observed: &Observed) -> impl Iterator<Item = &WholeAnswer> {
+    observed.sent.iter().filter_map(|sent| match &sent.result {
+        SentResult::Whole(answer) => Some(answer),
+        _ => None,
+    })
+}
+
+fn count_results(report: &mut Report, scenario: &Scenario, observed: &Observed) {
+    let mut first_token = Latencies::new();
+    let mut inter_token = Latencies::new();
+    let mut call = Latencies::new();
+    for sent in &observed.sent {
+        match &sent.work {
+            Work::Chat { .. } => report.chat.sent += 1,
+            Work::Call { .. } => report.calls.sent += 1,
+        }
+        match (&sent.work, &sent.result) {
+            (Work::Chat { load, .. }, SentResult::Whole(answer)) => {
+                report.chat.whole += 1;
+                report.chat.resumed += u64::from(answer.attempts > 1);
+                let deadline_us = scenario.chat[*load].deadline_ms * 1000;
+                report.chat.late += u64::from(sent.ended_us - sent.started_us > deadline_us);
+                if let Some(first) = answer.arrivals_us.first() {
+                    first_token.add(first.saturating_sub(sent.due_us));
+                }
+                gaps_us(answer).for_each(|gap| inter_token.add(gap));
+            }
+            (Work::Call { .. }, SentResult::Answered { .. }) => {
+                report.calls.answered += 1;
+                call.add(sent.ended_us.saturating_sub(sent.due_us));
+            }
+            (Work::Chat { .. }, SentResult::Refused { .. }) => report.chat.refused += 1,
+            (Work::Call { .. }, SentResult::Refused { outcome, .. }) => {
+                report.calls.refused += 1;
+                let unknown = *outcome == yuccanotch_core::reason::Outcome::Unknown;
+                report.calls.unknown += u64::from(unknown);
+            }
+            (Work::Chat { .. }, _) => report.chat.broken += 1,
+            (Work::Call { .. }, _) => report.calls.broken += 1,
+        }
+        if let SentResult::Refused { reason, outcome } = &sent.result {
+            *report.refusals.entry(format!("{reason} ({outcome})")).or_default() += 1;
+        }
+    }
+    report.chat.first_token_ms = first_token.quantiles();
+    report.chat.inter_token_ms = inter_token.quantiles();
+    report.calls.answer_ms = call.quantiles();
+    report.first_token = first_token.buckets();
+    report.inter_token = inter_token.buckets();
+}
+
+fn gaps_us(answer: &WholeAnswer) -> impl Iterator<Item = u64> + '_ {
+    answer.arrivals_us.windows(2).map(|pair| pair[1].saturating_sub(pair[0]))
+}
+
+fn series(observed: &Observed) -> Vec<f64> {
+    let mut counts: Vec<u64> = Vec::new();
+    for at_us in answers(observed).flat_map(|answer| &answer.arrivals_us) {
+        let step = (at_us / (STEP_MS * 1000)) as usize;
+        if counts.len() <= step {
+            counts.resize(step + 1, 0);
+        }
+        counts[step] += 1;
+    }
+    counts.into_iter().map(|count| count as f64 * 1000.0 / STEP_MS as f64).collect()
+}
+
+fn add_throughput(
+    report: &mut Report,
+    scenario: &Scenario,
+    observed: &Observed,
+    record: Option<&Record>,
+    settings: &StandinSettings,
+) {
+    let window_us = WARM_UP_MS * 1000..u64::from(scenario.seconds) * 1_000_000;
+    let window_s = (window_us.end - window_us.start) as f64 / 1e6;
+    let received = answers(observed).flat_map(|answer| &answer.arrivals_us);
+    let received = received.filter(|at_us| window_us.contains(at_us)).count() as f64;
+    let mut words = 0.0;
+    let mut offered = 0.0;
+    let mut numbers = std::collections::HashSet::new();
+    for sent in &observed.sent {
+        let Work::Chat { load, content } = &sent.work else { continue };
+        if !numbers.insert(sent.number) || !window_us.contains(&sent.due_us) {
+            continue;
+        }
+        let chat = &scenario.chat[*load];
+        let prompt = crate::promises::prompt(content);
+        offered += f64::from(yuccanotch_standin::answer_len(&prompt).min(chat.max_tokens));
+        // Half of a prompt with a shared beginning is cached in the best case.
+        let share = if chat.shared_prefixes > 0 { 0.5 } else { 1.0 };
+        words += share * prompt.split_whitespace().count() as f64;
+    }
+    let mix =
+        WorkMix { prefill_words_per_token: if offered > 0.0 { words / offered } else { 0.0 } };
+    let bound: f64 = max_flow_bound_for(settings, mix).values().sum();
+    let chat = &mut report.chat;
+    chat.tokens_per_s = received / window_s.max(f64::MIN_POSITIVE);
+    chat.offered_tokens_per_s = offered / window_s.max(f64::MIN_POSITIVE);
+    chat.bound_tokens_per_s = bound;
+    chat.share_of_bound = if bound > 0.0 { chat.tokens_per_s / bound } else { 0.0 };
+    let all: usize = answers(observed).map(|answer| answer.tokens.len()).sum();
+    if let Some(record) = record {
+        chat.work_per_token = record.tokens as f64 / (all as f64).max(1.0);
+    }
+}
+
+fn recovery(fault: &FaultRun, answers: &[&WholeAnswer], series: &[f64]) -> FaultFigures {
+    let at_us = fault.at_ms * 1000;
+    let mut pauses = Latencies::new();
+    let mut resumed = 0;
+    for answer in answers.iter().filter(|answer| answer.attempts > 1) {
+        let (Some(first), Some(last)) = (answer.arrivals_us.first(), answer.arrivals_us.last())
+        else {
+            continue;
+        };
+        if *first <= at_us && at_us <= *last {
+            resumed += 1;
+            pauses.add(gaps_us(answer).max().unwrap_or(0));
+        }
+    }
+    FaultFigures {
+        label: fault.label.clone(),
+        at_ms: fault.at_ms,
+        for_ms: fault.for_ms,
+        resumed,
+        pause_ms: pauses.quantiles(),
+        back_ms: back_ms(fault.at_ms, series),
+    }
+}
+
+fn back_ms(at_ms: u64, series: &[f64]) -> Option<u64> {
+    let step = (at_ms / STEP_MS) as usize;
+    let before = series.get(step.saturating_sub(BASELINE_STEPS)..step)?;
+    if before.is_empty() {
+        return None;
+    }
+    let baseline = before.iter().sum::<f64>() / before.len() as f64;
+    let after = series.get(step + 1..)?;
+    let back = after.iter().position(|rate| *rate >= baseline * BACK_SHARE)?;
+    Some(back as u64 * STEP_MS)
+}
+
+impl Report {
+    /// Returns whether every promise was kept.
+    pub fn is_kept(&self) -> bool {
+        self.broken.is_empty()
+    }
+
+    /// Returns the report as text.
+    pub fn text(&self) -> String {
+        let mut out = String::new();
+        self.write_text(&mut out).expect("writing to a string does not fail");
+        out
+    }
+
+    fn write_text(&self, out: &mut String) -> std::fmt::Result {
+        let chat = &self.chat;
+        writeln!(out, "{} (seed {}, {})", self.title, self.seed, self.policy)?;
+        writeln!(
+            out,
+            "models    {} sent, {} whole, {} refused, {} broken, {} late, {} resumed",
+            chat.sent, chat.whole, chat.refused, chat.broken, chat.late, chat.resumed
+        )?;
+        writeln!(
+            out,
+            "tokens/s  {:.0} received, {:.0} offered, {:.0} bound, {:.3} of the bound, \
+             {:.3} made per token received",
+            chat.tokens_per_s,
+            chat.offered_tokens_per_s,
+            chat.bound_tokens_per_s,
+            chat.share_of_bound,
+            chat.work_per_token
+        )?;
+        write_quantiles(out, "first token", &chat.first_token_ms)?;
+        write_quantiles(out, "inter-token", &chat.inter_token_ms)?;
+        let calls = &self.calls;
+        writeln!(
+            out,
+            "services  {} sent, {} answered, {} refused ({} unknown), {} broken",
+            calls.sent, calls.answered, calls.refused, calls.unknown, calls.broken
+        )?;
+        write_quantiles(out, "call", &calls.answer_ms)?;
+        for (reason, count) in &self.refusals {
+            writeln!(out, "refused   {count:>6}  {reason}")?;
+        }
+        for fault in &self.faults {
+            let back = fault.back_ms.map_or("not seen".to_owned(), |ms| format!("{ms} ms"));
+            writeln!(
+                out,
+                "fault     {:>6} ms  {} for {} ms: {} resumed, pause p50 {:.0} p95 {:.0} ms, \
+                 throughput back after {back}",
+                fault.at_ms,
+                fault.label,
+                fault.for_ms,
+                fault.resumed,
+                fault.pause_ms.p50,
+                fault.pause_ms.p95
+            )?;
+        }
+        let store = self.store.unwrap_or_default();
+        writeln!(
+            out,
+            "store     {} reads, {} writes, {} watches, {} lease calls, {} over rate, {} faulted",
+            store.reads, store.writes, store.watches, store.leases, store.over_rate, store.faulted
+        )?;
+        writeln!(
+            out,
+            "callers   {} connections, {} late arrivals; {} engine crashes",
+            self.connections, self.delayed_arrivals, self.crashes
+        )?;
+        for example in &self.broken_examples {
+            writeln!(out, "BROKEN    {example}")?;
+        }
+        for (kind, count) in &self.broken {
+            writeln!(out, "BROKEN    {count:>6}  {kind}")?;
+        }
+        if self.broken.is_empty() {
+            writeln!(out, "all promises held")?;
+        }
+        Ok(())
+    }
+}
+
+fn write_quantiles(out: &mut String, name: &str, q: &Quantiles) -> std::fmt::Result {
+    writeln!(
+        out,
+        "{name:<12}p50 {:.1} ms, p95 {:.1} ms, p99 {:.1} ms, max {:.1} ms",
+        q.p50, q.p95, q.p99, q.max
+    )
+}
--- /dev/null
+++ b/crates/load/src/scenario.rs
@@ -0,0 +1,458 @@
+//! Scenario files: a deployment, callers and faults.
+
+use std::fs;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde::Serialize;
+use yuccanotch_core::config::Method;
+use yuccanotch_core::config::Priority;
+use yuccanotch_core::finding::Finding;
+use yuccanotch_core::finding::Findings;
+use yuccanotch_core::name::is_valid_name;
+use yuccanotch_standin::FaultRequest;
+
+use crate::error::LoadError;
+
+/// Shortest run, in seconds; throughput leaves out the first second.
+pub const MIN_SECONDS: u32 = 2;
+/// Longest run, in seconds.
+pub const MAX_SECONDS: u32 = 50;
+
+/// One experiment.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Title of the report.
+    pub title: String,
+    /// Span of the arrivals, in seconds.
+    pub seconds: u32,
+    /// Deployment to start when no addresses are given.
+    pub deployment: DeploymentSpec,
+    /// Callers of models.
+    #[serde(default)]
+    pub chat: Vec<ChatLoad>,
+    /// Callers of plain services.
+    #[serde(default)]
+    pub calls: Vec<CallLoad>,
+    /// Faults.
+    #[serde(default)]
+    pub faults: Vec<TimedFault>,
+    /// Most crashes of engines that marked requests may cause; `None` for no limit.
+    #[serde(default)]
+    pub max_crashes: Option<u64>,
+}
+
+/// Sizes of an embedded deployment.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeploymentSpec {
+    /// Region.
+    pub region: String,
+    /// Failure domains.
+    pub domains: Vec<String>,
+    /// Entry hosts in each failure domain.
+    pub entries_per_domain: usize,
+    /// Requests in flight that one entry host takes; `None` for its default.
+    #[serde(default)]
+    pub in_flight: Option<usize>,
+    /// Teams; the bearer key of a team is its name and `-key`.
+    pub teams: Vec<TeamSpec>,
+    /// Models.
+    pub models: Vec<ModelSpec>,
+    /// Plain services, each with one instance in each failure domain.
+    #[serde(default)]
+    pub services: Vec<ServiceSpec>,
+    /// One-way delay between failure domains, in microseconds; `None` for the default.
+    #[serde(default)]
+    pub cross_domain_us: Option<u32>,
+    /// Writes per second that the store takes; `None` for the default.
+    #[serde(default)]
+    pub store_writes_per_s: Option<u32>,
+}
+
+/// A team.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamSpec {
+    /// Name.
+    pub name: String,
+    /// Share against other teams.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Priority.
+    #[serde(default)]
+    pub priority: Priority,
+    /// Requests per second over all hosts.
+    #[serde(default)]
+    pub requests_per_s: Option<u32>,
+    /// Requests in flight on one host.
+    #[serde(default)]
+    pub in_flight: Option<u32>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// A model with its engines.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelSpec {
+    /// Name.
+    pub name: String,
+    /// Number of layers.
+    pub layers: u16,
+    /// Stages of equal layer ranges.
+    pub stages: u16,
+    /// Time of one step for an empty batch, in microseconds, of each replica of a stage; its
+    /// length is the number of replicas.
+    pub step_base_us: Vec<u32>,
+    /// Additional time of a step per sequence, in microseconds.
+    #[serde(default = "default_step_sequence_us")]
+    pub step_sequence_us: u32,
+    /// Time of prefill per word, in microseconds.
+    #[serde(default = "default_prefill_word_us")]
+    pub prefill_word_us: u32,
+    /// Most runs in progress on one engine.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Time from a crash to the next boot, in milliseconds.
+    #[serde(default = "default_restart_ms")]
+    pub restart_ms: u64,
+}
+
+fn default_step_sequence_us() -> u32 {
+    100
+}
+
+fn default_prefill_word_us() -> u32 {
+    20
+}
+
+fn default_slots() -> u32 {
+    32
+}
+
+fn default_restart_ms() -> u64 {
+    2000
+}
+
+/// A plain service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Name.
+    pub name: String,
+    /// Routes.
+    pub routes: Vec<RouteSpec>,
+    /// Time to execute a call, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+}
+
+/// A route of a plain service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteSpec {
+    /// Method.
+    pub method: Method,
+    /// Path below the service's name.
+    pub path: String,
+    /// Whether a call may be repeated.
+    pub repeatable: bool,
+}
+
+/// Callers of one model from one team.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChatLoad {
+    /// Model.
+    pub model: String,
+    /// Team.
+    pub team: String,
+    /// Arrivals per second on average.
+    pub per_s: f64,
+    /// Words of each prompt.
+    #[serde(default = "default_prompt_words")]
+    pub prompt_words: usize,
+    /// Number of beginnings that prompts share; 0 for none.
+    #[serde(default)]
+    pub shared_prefixes: usize,
+    /// Most tokens of an answer.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u32,
+    /// Deadline, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// Text put into each prompt, such as the mark that crashes engines.
+    #[serde(default)]
+    pub mark: String,
+    /// Start of the arrivals, in milliseconds.
+    #[serde(default)]
+    pub from_ms: u64,
+    /// End of the arrivals, in milliseconds; `None` for the end of the run.
+    #[serde(default)]
+    pub to_ms: Option<u64>,
+    /// Times that a refused or broken request is sent again.
+    #[serde(default)]
+    pub resends: u32,
+}
+
+fn default_prompt_words() -> usize {
+    32
+}
+
+fn default_max_tokens() -> u32 {
+    64
+}
+
+fn default_deadline_ms() -> u64 {
+    15_000
+}
+
+/// Callers of one route from one team.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallLoad {
+    /// Service.
+    pub service: String,
+    /// Method.
+    pub method: Method,
+    /// Path below the service's name.
+    pub path: String,
+    /// Team.
+    pub team: String,
+    /// Arrivals per second on average.
+    pub per_s: f64,
+    /// Whether each call carries an idempotency key of its own.
+    #[serde(default)]
+    pub keyed: bool,
+    /// Calls that are sent twice at nearly the same time under the same key, in percent.
+    #[serde(default)]
+    pub double_percent: u8,
+    /// Times that a call without a final answer is sent again under its key.
+    #[serde(default)]
+    pub resends: u32,
+    /// Start of the arrivals, in milliseconds.
+    #[serde(default)]
+    pub from_ms: u64,
+    /// End of the arrivals, in milliseconds; `None` for the end of the run.
+    #[serde(default)]
+    pub to_ms: Option<u64>,
+}
+
+/// A fault at a set time, or at a random one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TimedFault {
+    /// Earliest time, in milliseconds.
+    pub at_ms: u64,
+    /// Latest time, in milliseconds; the seed draws one in between.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub to_ms: Option<u64>,
+    /// What happens.
+    #[serde(flatten)]
+    pub action: Action,
+}
+
+/// What a fault does.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Action {
+    /// Something happens to an entry host.
+    Entry(EntryAction),
+    /// The peer links of a failure domain's entry hosts are cut.
+    Peers(PeersAction),
+    /// A fault of the stand-ins.
+    Standin(FaultRequest),
+}
+
+/// Kinds of stops of an entry host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryStop {
+    /// At once, as by a crash.
+    Kill,
+    /// Gracefully.
+    Drain,
+}
+
+/// Stops an entry host and starts it again.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EntryAction {
+    /// How it stops.
+    pub entry: EntryStop,
+    /// Index of the host.
+    pub index: usize,
+    /// Time until it is started again, in milliseconds; 0 for never.
+    #[serde(default)]
+    pub for_ms: u64,
+}
+
+/// Cuts the peer links of a failure domain.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeersAction {
+    /// Failure domain.
+    pub peers_cut: String,
+    /// How long, in milliseconds.
+    pub for_ms: u64,
+}
+
+impl TimedFault {
+    /// Returns a short text for reports.
+    pub fn label(&self) -> String {
+        match &self.action {
+            Action::Entry(entry) => match entry.entry {
+                EntryStop::Kill => format!("entry {} killed", entry.index),
+                EntryStop::Drain => format!("entry {} drained", entry.index),
+            },
+            Action::Peers(peers) => format!("peer links of {} cut", peers.peers_cut),
+            Action::Standin(req) => {
+                let value = serde_json::to_value(&req.fault).unwrap_or_default();
+                let text = |key: &str| value[key].as_str().unwrap_or_default().to_owned();
+                format!("{} {}", text("fault"), text("target")).trim().to_owned()
+            }
+        }
+    }
+
+    /// Returns how long it lasts, in milliseconds.
+    pub fn for_ms(&self) -> u64 {
+        match &self.action {
+            Action::Entry(entry) => entry.for_ms,
+            Action::Peers(peers) => peers.for_ms,
+            Action::Standin(req) => req.for_ms,
+        }
+    }
+}
+
+impl Scenario {
+    /// Reads and checks a scenario file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be read, or with all findings.
+    pub fn read(path: &Path) -> Result<Self, LoadError> {
+        let text = fs::read(path).map_err(|e| LoadError::File(path.to_owned(), e))?;
+        Self::parse(&text).map_err(LoadError::Findings)
+    }
+
+    /// Parses and checks a scenario.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its JSON pointer.
+    pub fn parse(text: &[u8]) -> Result<Self, Vec<Finding>> {
+        let scenario: Self = serde_json::from_slice(text)
+            .map_err(|e| vec![Finding { pointer: String::new(), text: e.to_string() }])?;
+        let mut findings = Findings::new();
+        scenario.check(&mut findings);
+        findings.into_result(scenario)
+    }
+
+    fn check(&self, findings: &mut Findings) {
+        findings.check((MIN_SECONDS..=MAX_SECONDS).contains(&self.seconds), "/seconds", || {
+            format!("must be {MIN_SECONDS} to {MAX_SECONDS}")
+        });
+        self.deployment.check(findings);
+        for (i, load) in self.chat.iter().enumerate() {
+            let at = format!("/chat/{i}");
+            let models = self.deployment.models.iter().map(|model| &model.name);
+            check_known(findings, &format!("{at}/model"), models, &load.model);
+            self.check_team(findings, &at, &load.team);
+            check_rate(findings, &at, load.per_s);
+        }
+        for (i, load) in self.calls.iter().enumerate() {
+            let at = format!("/calls/{i}");
+            let services = self.deployment.services.iter().map(|service| &service.name);
+            check_known(findings, &format!("{at}/service"), services, &load.service);
+            self.check_team(findings, &at, &load.team);
+            check_rate(findings, &at, load.per_s);
+            let resent = load.resends > 0 || load.double_percent > 0;
+            findings.check(load.keyed || !resent, &format!("{at}/keyed"), || {
+                "a call that is sent again needs a key".to_owned()
+            });
+        }
+        self.check_faults(findings);
+    }
+
+    fn check_team(&self, findings: &mut Findings, at: &str, team: &str) {
+        let teams = self.deployment.teams.iter().map(|team| &team.name);
+        check_known(findings, &format!("{at}/team"), teams, team);
+    }
+
+    fn check_faults(&self, findings: &mut Findings) {
+        let entries = self.deployment.domains.len() * self.deployment.entries_per_domain;
+        for (i, fault) in self.faults.iter().enumerate() {
+            let at = format!("/faults/{i}");
+            findings.check(fault.at_ms < u64::from(self.seconds) * 1000, &at, || {
+                "begins after the end of the run".to_owned()
+            });
+            let later = fault.to_ms.is_none_or(|to_ms| to_ms >= fault.at_ms);
+            findings.check(later, &format!("{at}/to_ms"), || "is before at_ms".to_owned());
+            match &fault.action {
+                Action::Entry(entry) => {
+                    findings.check(entry.index < entries, &format!("{at}/index"), || {
+                        format!("there are {entries} entry hosts")
+                    });
+                }
+                Action::Peers(peers) => {
+                    let domains = self.deployment.domains.iter();
+                    check_known(findings, &format!("{at}/peers_cut"), domains, &peers.peers_cut);
+                }
+                Action::Standin(_) => {}
+            }
+        }
+    }
+}
+
+impl DeploymentSpec {
+    fn check(&self, findings: &mut Findings) {
+        findings.check(!self.domains.is_empty(), "/deployment/domains", || "is empty".to_owned());
+        findings.check(self.entries_per_domain > 0, "/deployment/entries_per_domain", || {
+            "must be at least 1".to_owned()
+        });
+        for (i, domain) in self.domains.iter().enumerate() {
+            check_name(findings, &format!("/deployment/domains/{i}"), domain);
+        }
+        for (i, team) in self.teams.iter().enumerate() {
+            check_name(findings, &format!("/deployment/teams/{i}/name"), &team.name);
+        }
+        for (i, service) in self.services.iter().enumerate() {
+            check_name(findings, &format!("/deployment/services/{i}/name"), &service.name);
+        }
+        for (i, model) in self.models.iter().enumerate() {
+            let at = format!("/deployment/models/{i}");
+            check_name(findings, &format!("{at}/name"), &model.name);
+            let stages = (1..=model.layers).contains(&model.stages);
+            findings.check(stages, &format!("{at}/stages"), || {
+                "must be 1 to the number of layers".to_owned()
+            });
+            findings.check(!model.step_base_us.is_empty(), &format!("{at}/step_base_us"), || {
+                "names no replica".to_owned()
+            });
+            findings
+                .check(model.slots > 0, &format!("{at}/slots"), || "must be at least 1".to_owned());
+        }
+    }
+}
+
+fn check_name(findings: &mut Findings, at: &str, name: &str) {
+    findings.check(is_valid_name(name), at, || {
+        "a name has 1 to 64 of a-z, 0-9, '-', '_' and '.'".to_owned()
+    });
+}
+
+fn check_known<'a>(
+    findings: &mut Findings,
+    at: &str,
+    mut known: impl Iterator<Item = &'a String>,
+    name: &str,
+) {
+    findings.check(known.any(|other| other == name), at, || format!("no {name:?} in /deployment"));
+}
+
+fn check_rate(findings: &mut Findings, at: &str, per_s: f64) {
+    findings.check(per_s > 0.0 && per_s <= 1000.0, &format!("{at}/per_s"), || {
+        "must be above 0 and at most 1000".to_owned()
+    });
+}
--- /dev/null
+++ b/crates/load/tests/promises.rs
@@ -0,0 +1,153 @@
+//! Tests that each check of a promise goes red on results that break it.
+
+use std::fs;
+use std::path::PathBuf;
+
+use yuccanotch_core::digest::TokenDigest;
+use yuccanotch_core::reason::Outcome;
+use yuccanotch_core::reason::RefusalReason;
+use yuccanotch_load::arrivals::Work;
+use yuccanotch_load::experiment::Observed;
+use yuccanotch_load::outcome::Sent;
+use yuccanotch_load::outcome::SentResult;
+use yuccanotch_load::outcome::WholeAnswer;
+use yuccanotch_load::promises::check;
+use yuccanotch_load::promises::prompt;
+use yuccanotch_load::Scenario;
+use yuccanotch_standin::expected_answer;
+use yuccanotch_standin::prompt_hash;
+use yuccanotch_standin::CallRecord;
+use yuccanotch_standin::Record;
+use yuccanotch_standin::RunEnd;
+use yuccanotch_standin::RunRecord;
+
+/// Index of the load of confirmations in the scenario.
+const CONFIRMATIONS: usize = 1;
+
+fn scenario() -> Scenario {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/stage-dies.json");
+    Scenario::parse(&fs::read(path).unwrap()).unwrap()
+}
+
+fn sent(number: usize, work: Work, result: SentResult) -> Sent {
+    Sent { number, work, due_us: 0, started_us: 0, ended_us: 1000, result }
+}
+
+fn chat(content: &str) -> Work {
+    Work::Chat { load: 0, content: content.to_owned() }
+}
+
+fn confirmation(key: &str) -> Work {
+    Work::Call { load: CONFIRMATIONS, key: Some(key.to_owned()) }
+}
+
+fn whole(tokens: Vec<String>) -> SentResult {
+    let mut digest = TokenDigest::default();
+    tokens.iter().for_each(|token| digest.push(token));
+    SentResult::Whole(WholeAnswer {
+        arrivals_us: vec![0; tokens.len()],
+        told_tokens: u32::try_from(tokens.len()).unwrap(),
+        told_digest: digest.finish().to_string(),
+        version: "v1".to_owned(),
+        attempts: 1,
+        tokens,
+    })
+}
+
+fn refused(outcome: Outcome) -> SentResult {
+    SentResult::Refused { reason: RefusalReason::NoServer, outcome }
+}
+
+fn right_answer(content: &str) -> Vec<String> {
+    expected_answer("assistant", "v1", 24, &prompt(content), 64)
+}
+
+fn call_record(run: u64, key: &str, number: usize) -> CallRecord {
+    CallRecord {
+        run,
+        service: "ordering".into(),
+        server: "ordering-sahab".into(),
+        method: "POST".to_owned(),
+        path: format!("/confirmations?call={number}"),
+        key: Some(key.to_owned()),
+        body: 0,
+        started_us: 0,
+    }
+}
+
+fn broken_kinds(sent: Vec<Sent>, record: &Record) -> Vec<String> {
+    let observed = Observed { sent, ..Observed::default() };
+    check(&scenario(), &observed, Some(record)).counts.into_keys().collect()
+}
+
+#[test]
+fn a_right_answer_and_an_honest_refusal_pass() {
+    let results = vec![
+        sent(0, chat("bags"), whole(right_answer("bags"))),
+        sent(1, confirmation("k"), refused(Outcome::NotRun)),
+        sent(2, confirmation("l"), refused(Outcome::Unknown)),
+    ];
+    let record = Record { calls: vec![call_record(1, "l", 2)], ..Record::default() };
+    assert!(broken_kinds(results, &record).is_empty());
+}
+
+#[test]
+fn a_cut_answer_that_is_told_whole_is_broken() {
+    let mut tokens = right_answer("bags");
+    tokens.pop();
+    let results = vec![sent(0, chat("bags"), whole(tokens))];
+    assert_eq!(broken_kinds(results, &Record::default()), ["wrong or cut answer told whole"]);
+}
+
+#[test]
+fn another_requests_answer_is_broken() {
+    let results = vec![sent(0, chat("bags"), whole(right_answer("lanes")))];
+    assert_eq!(broken_kinds(results, &Record::default()), ["wrong or cut answer told whole"]);
+}
+
+#[test]
+fn a_confirmation_that_ran_twice_is_broken() {
+    let calls = vec![call_record(1, "k", 0), call_record(2, "k", 0)];
+    let record = Record { calls, ..Record::default() };
+    assert_eq!(broken_kinds(Vec::new(), &record), ["run more than once"]);
+}
+
+#[test]
+fn a_call_that_was_told_not_run_and_ran_is_broken() {
+    let record = Record { calls: vec![call_record(1, "k", 0)], ..Record::default() };
+    let results = vec![sent(0, confirmation("k"), refused(Outcome::NotRun))];
+    assert_eq!(broken_kinds(results, &record), ["told not run, but ran"]);
+}
+
+#[test]
+fn the_answer_of_another_call_is_broken() {
+    let record = Record { calls: vec![call_record(1, "l", 5)], ..Record::default() };
+    let answer = SentResult::Answered { status: 200, body: r#"{"run": 1}"#.to_owned() };
+    let results = vec![sent(0, confirmation("k"), answer)];
+    assert_eq!(broken_kinds(results, &record), ["answer of another call"]);
+}
+
+#[test]
+fn a_model_request_that_was_told_not_run_and_made_tokens_is_broken() {
+    let run = RunRecord {
+        request: yuccanotch_core::ids::RequestId(1),
+        attempt: yuccanotch_core::ids::Attempt(1),
+        model: "assistant".into(),
+        version: "v1".into(),
+        prompt: prompt_hash(&prompt("bags")),
+        chain: Vec::new(),
+        released: 0,
+        tokens: 3,
+        end: RunEnd::Crashed,
+        started_us: 0,
+    };
+    let record = Record { runs: vec![run], ..Record::default() };
+    let results = vec![sent(0, chat("bags"), refused(Outcome::NotRun))];
+    assert_eq!(broken_kinds(results, &record), ["told not run, but made tokens"]);
+}
+
+#[test]
+fn a_lost_connection_without_a_killed_host_is_broken() {
+    let results = vec![sent(0, chat("bags"), SentResult::Broken("cut".to_owned()))];
+    assert_eq!(broken_kinds(results, &Record::default()), ["connection lost"]);
+}
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -44,6 +44,15 @@
         pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 
+    /// Returns the path with its query.
+    pub(crate) fn target(&self) -> String {
+        if self.query.is_empty() {
+            self.path.clone()
+        } else {
+            format!("{}?{}", self.path, self.query)
+        }
+    }
+
     fn wants_close(&self) -> bool {
         self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -66,7 +66,7 @@
     pub server: ServerName,
     /// Method.
     pub method: String,
-    /// Path.
+    /// Path with its query.
     pub path: String,
     /// Idempotency key, if one was sent.
     pub key: Option<String>,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -47,7 +47,7 @@
             service: settings.service.clone(),
             server: settings.name.clone(),
             method: req.method.clone(),
-            path: req.path.clone(),
+            path: req.target(),
             key: req.header("idempotency-key").map(str::to_owned),
             body: fast_hash(&req.body),
             started_us,
