Add the operators' command

Cause: operators need to check, change and watch the configuration, and to know whether a patch was accepted.

Change: yuccanotch-ctl with validate, init, show, diff, patch, wait, status, drain and recover; exit codes tell findings, a stale base and an unknown outcome apart. Entry hosts answer status, config and drain on the admin port for keys whose digests the settings list.

--- a/crates/core/src/config/publisher.rs
+++ b/crates/core/src/config/publisher.rs
@@ -144,6 +144,11 @@
         Self { resumed: true, ..Self::new(id, change) }
     }
 
+    /// Returns the id that the change is published under.
+    pub fn id(&self) -> PatchId {
+        self.id
+    }
+
     fn done(&mut self, outcome: Published) -> Step<Published> {
         self.state = State::Ended;
         Step::Done(outcome)
--- /dev/null
+++ b/crates/ctl/src/admin_client.rs
@@ -0,0 +1,91 @@
+//! Client of an entry host's admin port.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+use ureq::http::Response;
+use ureq::Agent;
+use ureq::Body;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_entry::operators::Status;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const TIMEOUT: Duration = Duration::from_millis(3_000);
+const MAX_BODY_BYTES: u64 = 64 << 20;
+
+/// Declaration that an entry host holds.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Held {
+    /// Its number.
+    pub number: ConfigNumber,
+    /// The declaration.
+    pub declaration: Value,
+}
+
+/// Client of one entry host.
+#[derive(Debug)]
+pub struct AdminClient {
+    /// Address of the admin port.
+    pub address: SocketAddr,
+    agent: Agent,
+    key: String,
+}
+
+impl AdminClient {
+    /// Creates a client that presents `key`.
+    pub fn new(address: SocketAddr, key: &str) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .build();
+        Self { address, agent: agent.into(), key: format!("Bearer {key}") }
+    }
+
+    /// Returns the host's state.
+    pub fn status(&self) -> CliResult<Status> {
+        self.read(self.agent.get(self.url("status")).header("authorization", &self.key).call())
+    }
+
+    /// Returns the declaration that the host holds.
+    pub fn config(&self) -> CliResult<Held> {
+        self.read(self.agent.get(self.url("config")).header("authorization", &self.key).call())
+    }
+
+    /// Lets the host take no new requests, end those in flight and exit.
+    pub fn drain(&self) -> CliResult<()> {
+        let sent =
+            self.agent.post(self.url("drain")).header("authorization", &self.key).send_empty();
+        self.checked(sent).map(|_| ())
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}/{path}", self.address)
+    }
+
+    fn read<T: for<'de> Deserialize<'de>>(
+        &self,
+        called: Result<Response<Body>, ureq::Error>,
+    ) -> CliResult<T> {
+        let mut response = self.checked(called)?;
+        let body = response.body_mut().with_config().limit(MAX_BODY_BYTES);
+        body.read_json().map_err(|e| self.failed(&e.to_string()))
+    }
+
+    fn checked(&self, called: Result<Response<Body>, ureq::Error>) -> CliResult<Response<Body>> {
+        let response = called.map_err(|e| self.failed(&e.to_string()))?;
+        match response.status().as_u16() {
+            200..=299 => Ok(response),
+            401 => Err(self.failed("the key is not an admin key of this host")),
+            status => Err(self.failed(&format!("answered with status {status}"))),
+        }
+    }
+
+    fn failed(&self, text: &str) -> CliError {
+        CliError::Failed(format!("{}: {text}", self.address))
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/cmd_diff.rs
@@ -0,0 +1,127 @@
+//! `yuccanotch-ctl diff`.
+
+use std::path::PathBuf;
+
+use lexopt::Arg;
+use serde_json::Map;
+use serde_json::Value;
+use yuccanotch_core::config::check_document;
+use yuccanotch_core::config::parse_document;
+use yuccanotch_core::finding::pointer_token;
+
+use crate::config::Config;
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::util;
+
+const USAGE: &str = "
+Compares a declaration with the current configuration.
+
+Usage: yuccanotch-ctl diff --store IP:PORT [--patch] FILE
+
+Prints a line for each added (+), removed (-) and changed (~) value, and the
+current number, which a patch has to name as its base.
+
+Options:
+    --patch       Prints the JSON merge patch that leads to FILE instead.
+    -h, --help    Prints this text.
+";
+
+#[derive(Debug)]
+struct Args {
+    config: Config,
+    patch: bool,
+    file: PathBuf,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut config = Config::default();
+        let mut patch = false;
+        let mut file = None;
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Value(path) if file.is_none() => file = Some(path.into()),
+                Arg::Long("patch") => patch = true,
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    config.take(&name, &mut parser)?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        let file = file.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
+        Ok(Some(Self { config, patch, file }))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when the declaration has faults or the store cannot be read.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    let wanted = parse_document(&util::read_file(&args.file)?).map_err(CliError::Findings)?;
+    check_document(&wanted).map_err(CliError::Findings)?;
+    let stored = args.config.read()?;
+    let old = stored.document()?.to_value();
+    let new = wanted.to_value();
+    if args.patch {
+        println!("{:#}", merge_patch(&old, &new));
+        return Ok(());
+    }
+    let mut lines = Vec::new();
+    compare("", &old, &new, &mut lines);
+    lines.iter().for_each(|line| println!("{line}"));
+    println!("{} differences from configuration {}", lines.len(), stored.manifest.number);
+    Ok(())
+}
+
+fn compare(at: &str, old: &Value, new: &Value, lines: &mut Vec<String>) {
+    let (Value::Object(old_members), Value::Object(new_members)) = (old, new) else {
+        if old != new {
+            lines.push(format!("~ {at}: {old} -> {new}"));
+        }
+        return;
+    };
+    for (name, old) in old_members {
+        let at = format!("{at}/{}", pointer_token(name));
+        match new_members.get(name) {
+            Some(new) => compare(&at, old, new, lines),
+            None => lines.push(format!("- {at}: {old}")),
+        }
+    }
+    for (name, new) in new_members {
+        if !old_members.contains_key(name) {
+            lines.push(format!("+ {at}/{}: {new}", pointer_token(name)));
+        }
+    }
+}
+
+/// Returns the merge patch (RFC 7396) that turns `old` into `new`.
+fn merge_patch(old: &Value, new: &Value) -> Value {
+    let (Value::Object(old), Value::Object(new)) = (old, new) else {
+        return new.clone();
+    };
+    let mut patch = Map::new();
+    for name in old.keys().filter(|name| !new.contains_key(*name)) {
+        patch.insert(name.clone(), Value::Null);
+    }
+    for (name, new) in new {
+        match old.get(name) {
+            Some(old) if old == new => {}
+            Some(old) => {
+                patch.insert(name.clone(), merge_patch(old, new));
+            }
+            None => {
+                patch.insert(name.clone(), new.clone());
+            }
+        }
+    }
+    Value::Object(patch)
+}
--- /dev/null
+++ b/crates/ctl/src/cmd_drain.rs
@@ -0,0 +1,110 @@
+//! `yuccanotch-ctl drain`.
+
+use lexopt::Arg;
+use lexopt::ValueExt;
+use serde_json::json;
+use serde_json::Value;
+use yuccanotch_core::config::publisher::Change;
+
+use crate::cmd_patch::check_hosts;
+use crate::config::Config;
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::util;
+
+const USAGE: &str = "
+Lets a backend server or an entry host take no new work.
+
+Usage: yuccanotch-ctl drain --store IP:PORT [--hosts ... --key FILE] [--undo] NAME
+
+A backend server is drained by a patch of the configuration, which is made
+anew when another one comes first. An entry host ends its requests in flight
+and exits; it is looked for among --hosts.
+
+Options:
+    --undo        Lets a backend server take work again.
+    -h, --help    Prints this text.
+";
+
+/// Times that the patch is made anew after another one came first.
+const MAX_RACES: usize = 10;
+
+#[derive(Debug)]
+struct Args {
+    config: Config,
+    undo: bool,
+    name: String,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut config = Config::default();
+        let mut undo = false;
+        let mut name = None;
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Value(value) if name.is_none() => name = Some(value.string()?),
+                Arg::Long("undo") => undo = true,
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                Arg::Long(option) => {
+                    let option = option.to_owned();
+                    config.take(&option, &mut parser)?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        let name = name.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
+        Ok(Some(Self { config, undo, name }))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when nothing has this name or the patch is not accepted.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    check_hosts(&args.config)?;
+    let mut races = 0;
+    loop {
+        match drain_server(&args) {
+            Err(CliError::Stale(..)) if races < MAX_RACES => races += 1,
+            Ok(false) => return drain_host(&args),
+            Ok(true) => return Ok(()),
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// Returns whether a backend server has the name.
+fn drain_server(args: &Args) -> CliResult<bool> {
+    let stored = args.config.read()?;
+    let document = stored.document()?;
+    let servers = document.sections().get("servers");
+    if !servers.is_some_and(|servers| servers.contains_key(&args.name)) {
+        return Ok(false);
+    }
+    let drain = if args.undo { Value::Null } else { Value::Bool(true) };
+    let base = stored.manifest.number;
+    let patch = json!({"servers": {&args.name: {"drain": drain}}});
+    util::publish(None, base, Change::Patch { base, patch }, &args.config.store()?)?;
+    Ok(true)
+}
+
+fn drain_host(args: &Args) -> CliResult<()> {
+    for client in args.config.hosts()? {
+        if client.status().is_ok_and(|status| status.host.as_str() == args.name) {
+            if args.undo {
+                return Err(CliError::Usage("an entry host that drains exits".to_owned()));
+            }
+            client.drain()?;
+            println!("draining: entry host {}", args.name);
+            return Ok(());
+        }
+    }
+    Err(CliError::Failed(format!("no backend server and no entry host is named {:?}", args.name)))
+}
--- /dev/null
+++ b/crates/ctl/src/cmd_init.rs
@@ -0,0 +1,70 @@
+//! `yuccanotch-ctl init`.
+
+use std::path::PathBuf;
+
+use lexopt::Arg;
+use lexopt::ValueExt;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::parse_document;
+use yuccanotch_core::config::publisher::Change;
+use yuccanotch_core::ids::ConfigNumber;
+
+use crate::config::Config;
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::util;
+
+const USAGE: &str = "
+Writes the first configuration into an empty store.
+
+Usage: yuccanotch-ctl init --store IP:PORT [--id ID] FILE
+
+Options:
+    --id ID       Settles an earlier run whose outcome is unknown.
+    -h, --help    Prints this text.
+";
+
+#[derive(Debug)]
+struct Args {
+    config: Config,
+    id: Option<PatchId>,
+    file: PathBuf,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut config = Config::default();
+        let mut id = None;
+        let mut file = None;
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Value(path) if file.is_none() => file = Some(path.into()),
+                Arg::Long("id") => id = Some(parser.value()?.parse()?),
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    config.take(&name, &mut parser)?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        let file = file.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
+        Ok(Some(Self { config, id, file }))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when the declaration has faults or the store holds a configuration.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    let document = parse_document(&util::read_file(&args.file)?).map_err(CliError::Findings)?;
+    let store = args.config.store()?;
+    util::publish(args.id, ConfigNumber(0), Change::First(document), &store)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/cmd_patch.rs
@@ -0,0 +1,100 @@
+//! `yuccanotch-ctl patch`.
+
+use std::path::PathBuf;
+
+use lexopt::Arg;
+use lexopt::ValueExt;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::publisher::Change;
+use yuccanotch_core::ids::ConfigNumber;
+
+use crate::config::Config;
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::util;
+
+const USAGE: &str = "
+Submits a JSON merge patch (RFC 7396) against a number.
+
+Usage: yuccanotch-ctl patch --store IP:PORT --base N [--hosts ... --key FILE] FILE
+
+The patch is accepted only while N is the current number; else the current
+number is printed and the exit code is 3. With --hosts, the entry hosts are
+asked first whether they hold a higher number than the store.
+
+Options:
+    --base N      Number that the patch was made against.
+    --id ID       Settles an earlier run whose outcome is unknown.
+    -h, --help    Prints this text.
+";
+
+#[derive(Debug)]
+struct Args {
+    config: Config,
+    base: ConfigNumber,
+    id: Option<PatchId>,
+    file: PathBuf,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut config = Config::default();
+        let mut base = None;
+        let mut id = None;
+        let mut file = None;
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Value(path) if file.is_none() => file = Some(path.into()),
+                Arg::Long("base") => base = Some(ConfigNumber(parser.value()?.parse()?)),
+                Arg::Long("id") => id = Some(parser.value()?.parse()?),
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    config.take(&name, &mut parser)?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        let file = file.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
+        let base = base.ok_or_else(|| CliError::Usage("--base N is required".to_owned()))?;
+        Ok(Some(Self { config, base, id, file }))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error unless the patch is accepted or changes nothing.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    let patch = util::read_json(&args.file)?;
+    let store = args.config.store()?;
+    check_hosts(&args.config)?;
+    util::publish(args.id, args.base, Change::Patch { base: args.base, patch }, &store)?;
+    Ok(())
+}
+
+/// Refuses when an entry host holds a higher number than the store.
+pub fn check_hosts(config: &Config) -> CliResult<()> {
+    let hosts = config.hosts()?;
+    if hosts.is_empty() {
+        return Ok(());
+    }
+    let mut highest = ConfigNumber(0);
+    for host in &hosts {
+        match host.status() {
+            Ok(status) => highest = highest.max(status.config),
+            Err(e) => eprintln!("not asked: {e}"),
+        }
+    }
+    // The store is read last: what a host held before can't be ahead of it by a race.
+    let number = config.read()?.manifest.number;
+    if highest > number {
+        return Err(util::behind(number, highest));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/cmd_recover.rs
@@ -0,0 +1,73 @@
+//! `yuccanotch-ctl recover`.
+
+use lexopt::Arg;
+use yuccanotch_core::config::document::Document;
+use yuccanotch_core::config::publisher::Change;
+
+use crate::config::Config;
+use crate::error::CliError;
+use crate::error::CliResult;
+use crate::util;
+
+const USAGE: &str = "
+Brings a store that was restored from an old copy up to the entry hosts.
+
+Usage: yuccanotch-ctl recover --store IP:PORT --hosts IP:PORT,... --key FILE
+
+Takes the configuration with the highest number that any of the hosts holds
+and writes it back under the first number of the next million, which is above
+every number that a host out of reach may hold.
+
+Options:
+    -h, --help    Prints this text.
+";
+
+#[derive(Debug, Default)]
+struct Args {
+    config: Config,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut args = Self::default();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    args.config.take(&name, &mut parser)?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        Ok(Some(args))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when no host answers or the store is not behind.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    let mut best = None;
+    for client in args.config.some_hosts()? {
+        match client.status() {
+            Ok(status) => best = best.max(Some((status.config, client.address))),
+            Err(e) => eprintln!("not asked: {e}"),
+        }
+    }
+    let (_, address) = best.ok_or_else(|| CliError::Failed("no host answered".to_owned()))?;
+    let hosts = args.config.some_hosts()?;
+    let client = hosts.iter().find(|client| client.address == address);
+    let held = client.ok_or_else(|| CliError::Failed("no host answered".to_owned()))?.config()?;
+    let document = Document::try_from(held.declaration).map_err(CliError::Findings)?;
+    println!("highest: configuration {} on {address}", held.number);
+    let change = Change::Recovery { highest: held.number, document };
+    util::publish(None, held.number, change, &args.config.store()?)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/cmd_wait.rs
@@ -0,0 +1,93 @@
+//! `yuccanotch-ctl wait`.
+
+use std::thread;
+use std::time::Duration;
+
+use lexopt::Arg;
+use lexopt::ValueExt;
+use yuccanotch_core::clock::Clock;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::ConfigNumber;
+
+use crate::admin_client::AdminClient;
+use crate::config::Config;
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const USAGE: &str = "
+Waits until a number is in force on all entry hosts.
+
+Usage: yuccanotch-ctl wait --hosts IP:PORT,... --key FILE --number N [--timeout MS]
+
+Options:
+    --number N      Number to wait for.
+    --timeout MS    Longest wait, in milliseconds [default: 9000]
+    -h, --help      Prints this text.
+";
+
+const DEFAULT_TIMEOUT: Millis = Millis(9_000);
+const POLL: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct Args {
+    config: Config,
+    number: ConfigNumber,
+    timeout: Millis,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut config = Config::default();
+        let mut number = None;
+        let mut timeout = DEFAULT_TIMEOUT;
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("number") => number = Some(ConfigNumber(parser.value()?.parse()?)),
+                Arg::Long("timeout") => timeout = Millis(parser.value()?.parse()?),
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                Arg::Long(name) => {
+                    let name = name.to_owned();
+                    config.take(&name, &mut parser)?;
+                }
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        let number = number.ok_or_else(|| CliError::Usage("--number N is required".to_owned()))?;
+        Ok(Some(Self { config, number, timeout }))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when a host does not hold the number in time.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    let hosts = args.config.some_hosts()?;
+    let clock = Clock::monotonic();
+    let mut behind: Vec<&AdminClient> = hosts.iter().collect();
+    loop {
+        behind.retain(|host| !holds(host, args.number));
+        if behind.is_empty() {
+            println!("configuration {} is in force on {} hosts", args.number, hosts.len());
+            return Ok(());
+        }
+        if clock.now() >= args.timeout {
+            let late: Vec<String> = behind.iter().map(|host| host.address.to_string()).collect();
+            return Err(CliError::Failed(format!(
+                "after {} not in force on {}",
+                args.timeout,
+                late.join(", ")
+            )));
+        }
+        thread::sleep(POLL);
+    }
+}
+
+fn holds(host: &AdminClient, number: ConfigNumber) -> bool {
+    host.status().is_ok_and(|status| status.config >= number)
+}
--- /dev/null
+++ b/crates/ctl/src/error.rs
@@ -0,0 +1,76 @@
+//! The error type of the commands and their exit codes.
+
+use std::process::ExitCode;
+
+use quick_error::quick_error;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::ConfigError;
+use yuccanotch_core::finding::Finding;
+use yuccanotch_core::ids::ConfigNumber;
+
+/// Result of a command.
+pub type CliResult<T> = Result<T, CliError>;
+
+quick_error! {
+    /// Why a command did not succeed.
+    #[derive(Debug)]
+    pub enum CliError {
+        /// The command line is wrong.
+        Usage(text: String) {
+            display("{}", text)
+        }
+        /// The command line is wrong.
+        Args(e: lexopt::Error) {
+            from()
+            display("{}", e)
+        }
+        /// The declaration has faults.
+        Findings(findings: Vec<Finding>) {
+            display("{}", list(findings))
+        }
+        /// The base is not current.
+        Stale(base: ConfigNumber, current: ConfigNumber) {
+            display(
+                "stale base: the patch was made against {}, the current number is {}; \
+                 nothing was changed",
+                base,
+                current
+            )
+        }
+        /// The store did not tell whether the change was accepted.
+        Unknown(id: PatchId) {
+            display(
+                "outcome unknown: the change may have been accepted; run the same command with \
+                 --id {} to settle it",
+                id
+            )
+        }
+        /// The command failed.
+        Failed(text: String) {
+            display("{}", text)
+        }
+        /// The configuration could not be read or written.
+        Config(e: ConfigError) {
+            from()
+            display("{}", e)
+        }
+    }
+}
+
+fn list(findings: &[Finding]) -> String {
+    let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+    format!("{}\n{} findings; nothing was changed", lines.join("\n"), lines.len())
+}
+
+impl CliError {
+    /// Returns 1 for a failure, 2 for findings or a wrong command line, 3 for a stale base and 4
+    /// for an unknown outcome.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Failed(_) | Self::Config(_) => ExitCode::FAILURE,
+            Self::Usage(_) | Self::Args(_) | Self::Findings(_) => ExitCode::from(2),
+            Self::Stale(..) => ExitCode::from(3),
+            Self::Unknown(_) => ExitCode::from(4),
+        }
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,3 +1,86 @@
-//! `yuccanotch-ctl`.
+//! `yuccanotch-ctl`: the operators' command.
 
-fn main() {}
+use std::process::ExitCode;
+
+use lexopt::Arg;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+
+mod admin_client;
+mod cmd_diff;
+mod cmd_drain;
+mod cmd_init;
+mod cmd_patch;
+mod cmd_recover;
+mod cmd_show;
+mod cmd_status;
+mod cmd_validate;
+mod cmd_wait;
+mod config;
+mod error;
+mod util;
+
+const USAGE: &str = "
+Checks, changes and watches the configuration of a deployment.
+
+Usage: yuccanotch-ctl COMMAND [options]
+
+Commands:
+    validate   Checks a declaration without reaching anything.
+    init       Writes the first configuration.
+    show       Prints the current configuration or its number.
+    diff       Compares a declaration with the current configuration.
+    patch      Submits a JSON merge patch against a number.
+    wait       Waits until a number is in force on all entry hosts.
+    status     Prints which entry host is at which number.
+    drain      Lets a backend server or an entry host take no new work.
+    recover    Brings a store that was restored from an old copy up to the hosts.
+
+Options of all commands:
+    --store IP:PORT        The platform's store.
+    --hosts IP:PORT,...    Admin ports of the entry hosts.
+    --key FILE             File with the operators' key.
+    -h, --help             Prints the help of a command.
+
+Exit codes: 0 done, 1 failure, 2 findings or usage, 3 stale base, 4 outcome unknown.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            e.exit_code()
+        }
+    }
+}
+
+fn run() -> CliResult<()> {
+    let mut parser = lexopt::Parser::from_env();
+    let command = match parser.next()? {
+        Some(Arg::Value(command)) => command,
+        Some(Arg::Long("help") | Arg::Short('h')) => {
+            println!("{}", USAGE.trim());
+            return Ok(());
+        }
+        Some(Arg::Long("version") | Arg::Short('V')) => {
+            println!("yuccanotch-ctl {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        Some(arg) => return Err(arg.unexpected().into()),
+        None => return Err(CliError::Usage(USAGE.trim().to_owned())),
+    };
+    match command.to_str() {
+        Some("diff") => cmd_diff::run(parser),
+        Some("drain") => cmd_drain::run(parser),
+        Some("init") => cmd_init::run(parser),
+        Some("patch") => cmd_patch::run(parser),
+        Some("recover") => cmd_recover::run(parser),
+        Some("show") => cmd_show::run(parser),
+        Some("status") => cmd_status::run(parser),
+        Some("validate") => cmd_validate::run(parser),
+        Some("wait") => cmd_wait::run(parser),
+        _ => Err(CliError::Usage(format!("unknown command {command:?}\n\n{}", USAGE.trim()))),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/util.rs
@@ -0,0 +1,96 @@
+//! Files, identifiers and procedures over the store.
+
+use std::collections::hash_map::RandomState;
+use std::fs;
+use std::hash::BuildHasher;
+use std::hash::Hasher;
+use std::io;
+use std::io::Read;
+use std::path::Path;
+use std::thread;
+
+use serde_json::Value;
+use yuccanotch_core::config::call;
+use yuccanotch_core::config::call::Procedure;
+use yuccanotch_core::config::collect::Collector;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::publisher::Change;
+use yuccanotch_core::config::publisher::Published;
+use yuccanotch_core::config::publisher::Publisher;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::store::Store;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+
+/// Reads a file, or standard input for `-`.
+pub fn read_file(path: &Path) -> CliResult<Vec<u8>> {
+    let mut buf = Vec::new();
+    let read = if path == Path::new("-") {
+        io::stdin().read_to_end(&mut buf).map(|_| buf)
+    } else {
+        fs::read(path)
+    };
+    read.map_err(|e| CliError::Failed(format!("{}: {e}", path.display())))
+}
+
+/// Reads a file of JSON.
+pub fn read_json(path: &Path) -> CliResult<Value> {
+    let text = read_file(path)?;
+    serde_json::from_slice(&text).map_err(|e| CliError::Usage(format!("{}: {e}", path.display())))
+}
+
+/// Draws a fresh patch id; the hasher of the standard library is seeded by the machine.
+pub fn fresh_id() -> PatchId {
+    PatchId(RandomState::new().build_hasher().finish())
+}
+
+/// Runs a procedure over the store.
+pub fn drive<P: Procedure>(procedure: P, store: &dyn Store) -> P::Outcome {
+    call::drive(procedure, store, &mut |pause| thread::sleep(pause.to_duration()))
+}
+
+/// Publishes a change and prints its number.
+///
+/// # Errors
+///
+/// Returns an error unless the change is current.
+pub fn publish(
+    id: Option<PatchId>,
+    base: ConfigNumber,
+    change: Change,
+    store: &dyn Store,
+) -> CliResult<ConfigNumber> {
+    let publisher = match id {
+        Some(id) => Publisher::resumed(id, change),
+        None => Publisher::new(fresh_id(), change),
+    };
+    let id = publisher.id();
+    match drive(publisher, store) {
+        Published::Accepted(number) => {
+            drive(Collector::new(), store);
+            println!("accepted: configuration {number}, patch {id}");
+            Ok(number)
+        }
+        Published::Unchanged(number) => {
+            println!("unchanged: configuration {number} has this already");
+            Ok(number)
+        }
+        Published::Stale { current } => Err(CliError::Stale(base, current)),
+        Published::Invalid(findings) => Err(CliError::Findings(findings)),
+        Published::Behind { store, hosts } => Err(behind(store, hosts)),
+        Published::Empty => {
+            Err(CliError::Failed("the store holds no configuration; see `init`".to_owned()))
+        }
+        Published::Unknown => Err(CliError::Unknown(id)),
+        Published::Failed(e) => Err(e.into()),
+    }
+}
+
+/// Returns the error for a store that is behind the entry hosts.
+pub fn behind(store: ConfigNumber, hosts: ConfigNumber) -> CliError {
+    CliError::Failed(format!(
+        "the store is at {store}, but entry hosts hold {hosts}: it was restored from an old copy; \
+         nothing was changed; see `recover`"
+    ))
+}
--- /dev/null
+++ b/crates/ctl/tests/util/mod.rs
@@ -0,0 +1,187 @@
+//! A work directory, a store and entry hosts for the tests of one command.
+
+#![allow(dead_code)]
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use serde_json::Value;
+use yuccanotch_core::digest::Digest;
+use yuccanotch_core::engine::HostKind;
+use yuccanotch_core::engine::ListedHost;
+use yuccanotch_entry::host::Running;
+use yuccanotch_entry::Settings;
+use yuccanotch_standin::Fault;
+use yuccanotch_standin::FaultRequest;
+use yuccanotch_standin::Standin;
+use yuccanotch_standin::StandinSettings;
+
+const KEY: &str = "operators' key for tests";
+const DOMAIN: &str = "sahab";
+const PATIENCE: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+static DIRS: AtomicUsize = AtomicUsize::new(0);
+
+/// A store, entry hosts and a directory of files.
+pub struct Work {
+    dir: PathBuf,
+    standin: Standin,
+    hosts: Vec<Running>,
+}
+
+/// What a run of the command printed.
+#[derive(Debug)]
+pub struct Ran {
+    pub code: i32,
+    pub out: String,
+    pub err: String,
+}
+
+impl Work {
+    /// Starts an empty store.
+    pub fn new() -> Self {
+        let n = DIRS.fetch_add(1, Ordering::SeqCst);
+        let name = format!("yuccanotch-ctl-{}-{n}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        fs::create_dir_all(&dir).unwrap();
+        fs::write(dir.join("key"), KEY).unwrap();
+        let standin = Standin::start(StandinSettings::default()).unwrap();
+        Self { dir, standin, hosts: Vec::new() }
+    }
+
+    /// Starts a store that holds the sample declaration.
+    pub fn with_sample() -> Self {
+        let work = Self::new();
+        work.write("first.json", &sample());
+        assert_eq!(work.run("init", &["first.json"]).code, 0);
+        work
+    }
+
+    /// Writes a file of JSON.
+    pub fn write(&self, name: &str, value: &Value) {
+        fs::write(self.dir.join(name), value.to_string()).unwrap();
+    }
+
+    /// Writes a file of any text.
+    pub fn write_text(&self, name: &str, text: &str) {
+        fs::write(self.dir.join(name), text).unwrap();
+    }
+
+    /// Starts an entry host and waits until it has a configuration.
+    pub fn add_host(&mut self, name: &str) {
+        let settings = json!({
+            "host": name,
+            "domain": DOMAIN,
+            "callers": "127.0.0.1:0",
+            "admin": "127.0.0.1:0",
+            "peer": "127.0.0.1:0",
+            "store": self.standin.store_address().to_string(),
+            "peer_keys": ["00112233445566778899aabbccddeeff"],
+            "admin_keys": [Digest::of(KEY.as_bytes()).to_string()],
+        });
+        let settings = Settings::parse(settings.to_string().as_bytes()).unwrap();
+        let running = Running::start(settings).unwrap();
+        self.standin.add_host(ListedHost {
+            name: name.to_owned(),
+            domain: DOMAIN.into(),
+            address: running.peer.to_string(),
+            kind: HostKind::Entry,
+            leaving: false,
+        });
+        let has_config = || running.host.configuration.current().is_some();
+        assert!(eventually(has_config), "{name} has no configuration");
+        self.hosts.push(running);
+    }
+
+    /// Returns the hosts.
+    pub fn hosts(&self) -> &[Running] {
+        &self.hosts
+    }
+
+    /// Injects a fault into the store.
+    pub fn inject(&self, fault: Fault, for_ms: u64) {
+        self.standin.inject(FaultRequest { fault, for_ms }).unwrap();
+    }
+
+    /// Runs a command that does not reach anything.
+    pub fn run_offline(&self, command: &str, args: &[&str]) -> Ran {
+        self.execute(command, &[], args)
+    }
+
+    /// Runs a command on the store.
+    pub fn run(&self, command: &str, args: &[&str]) -> Ran {
+        let store = self.standin.store_address().to_string();
+        self.execute(command, &["--store", &store], args)
+    }
+
+    /// Runs a command on the store and the hosts.
+    pub fn run_with_hosts(&self, command: &str, args: &[&str]) -> Ran {
+        let store = self.standin.store_address().to_string();
+        let hosts: Vec<String> = self.hosts.iter().map(|host| host.admin.to_string()).collect();
+        let shared = ["--store", &store, "--hosts", &hosts.join(","), "--key", "key"];
+        self.execute(command, &shared, args)
+    }
+
+    fn execute(&self, command: &str, shared: &[&str], args: &[&str]) -> Ran {
+        let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-ctl"))
+            .current_dir(&self.dir)
+            .arg(command)
+            .args(shared)
+            .args(args)
+            .output()
+            .unwrap();
+        output.into()
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.dir);
+        for running in self.hosts.drain(..) {
+            running.kill();
+        }
+    }
+}
+
+impl From<Output> for Ran {
+    fn from(output: Output) -> Self {
+        Self {
+            code: output.status.code().unwrap(),
+            out: String::from_utf8(output.stdout).unwrap(),
+            err: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+/// Returns whether `holds` becomes true long before a test is given up.
+pub fn eventually(holds: impl Fn() -> bool) -> bool {
+    let polls = PATIENCE.as_millis() / POLL.as_millis();
+    (0..polls).any(|_| {
+        let held = holds();
+        if !held {
+            thread::sleep(POLL);
+        }
+        held
+    })
+}
+
+/// Returns a declaration with one team, one service and one server.
+pub fn sample() -> Value {
+    json!({
+        "domains": {DOMAIN: {"region": "amman"}},
+        "teams": {"bakery": {"keys": [Digest::of(b"bakery-key").to_string()]}},
+        "services": {"ordering": {"routes": [{"method": "POST", "path": "/confirm"}]}},
+        "servers": {"ordering-1": {
+            "domain": DOMAIN,
+            "address": "127.0.0.1:7001",
+            "use": {"service": "ordering"},
+        }},
+    })
+}
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -7,18 +7,16 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use serde::Serialize;
 use tiny_http::Header;
 use tiny_http::Method;
 use tiny_http::Request;
 use tiny_http::Response;
 use tiny_http::Server;
-use yuccanotch_core::ids::ConfigNumber;
-use yuccanotch_core::name::DomainName;
-use yuccanotch_core::name::HostName;
 
 use crate::error::EntryError;
 use crate::host::Host;
+use crate::operators;
+use crate::operators::Answer;
 
 const POLL: Duration = Duration::from_millis(50);
 
@@ -60,40 +58,21 @@
 }
 
 fn answer(host: &Arc<Host>, req: Request) {
-    let (status, content_type, body) = match (req.method(), req.url()) {
+    let answer = match (req.method(), req.url()) {
         (Method::Get, "/healthz") => {
             let (status, text) = host.health();
-            (status, "text/plain", text.to_owned())
+            Answer::text(status, text)
         }
-        (Method::Get, "/metrics") => (200, "text/plain; version=0.0.4", host.telemetry.render()),
-        (Method::Get, "/status") => (200, "application/json", status(host)),
-        _ => (404, "text/plain", "not found\n".to_owned()),
+        (Method::Get, "/metrics") => Answer {
+            status: 200,
+            content_type: "text/plain; version=0.0.4",
+            body: host.telemetry.render(),
+        },
+        _ => operators::answer(host, &req),
     };
-    let mut response = Response::from_string(body).with_status_code(status);
-    if let Ok(header) = Header::from_bytes("content-type", content_type) {
+    let mut response = Response::from_string(answer.body).with_status_code(answer.status);
+    if let Ok(header) = Header::from_bytes("content-type", answer.content_type) {
         response.add_header(header);
     }
     let _ = req.respond(response);
 }
-
-#[derive(Serialize)]
-struct Status<'a> {
-    host: &'a HostName,
-    domain: &'a DomainName,
-    incarnation: String,
-    config: ConfigNumber,
-    draining: bool,
-    in_flight: usize,
-}
-
-fn status(host: &Host) -> String {
-    let status = Status {
-        host: &host.settings.host,
-        domain: &host.settings.domain,
-        incarnation: host.incarnation.to_string(),
-        config: host.configuration.current().map(|active| active.number).unwrap_or_default(),
-        draining: host.is_draining(),
-        in_flight: host.in_flight.load(std::sync::atomic::Ordering::SeqCst),
-    };
-    serde_json::to_string(&status).expect("a status has only texts and numbers")
-}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -152,6 +152,11 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Fails the health check and refuses new requests from now on.
+    pub fn start_draining(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
     /// Returns whether the host has stopped or was killed.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod host;
 pub mod logging;
+pub mod operators;
 pub mod peer_handler;
 pub mod peers;
 pub mod pipelines;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
 
 use lexopt::prelude::*;
 use log::LevelFilter;
@@ -13,6 +15,8 @@
 use yuccanotch_entry::EntryError;
 use yuccanotch_entry::Settings;
 
+const SIGNAL_POLL: Duration = Duration::from_millis(50);
+
 const USAGE: &str = "\
 Runs an entry host until SIGTERM or SIGINT, which drain it.
 
@@ -92,6 +96,9 @@
     logging::init(args.log)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let running = Running::start(settings)?;
-    signals.forever().next();
+    // An operator's call drains the host as a signal does.
+    while signals.pending().next().is_none() && !running.host.is_draining() {
+        thread::sleep(SIGNAL_POLL);
+    }
     Ok(running.drain())
 }
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,107 @@
+//! Authenticated calls of operators on the admin port.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use tiny_http::Method;
+use tiny_http::Request;
+use yuccanotch_core::digest::Digest;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+
+use crate::host::Host;
+
+/// State of an entry host, `GET /status`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// The host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its incarnation.
+    pub incarnation: String,
+    /// Number of the configuration in force, 0 without one.
+    pub config: ConfigNumber,
+    /// Patch that led to it, empty without one.
+    pub patch: String,
+    /// Whether it takes no new requests.
+    pub draining: bool,
+    /// Requests in flight.
+    pub in_flight: usize,
+}
+
+/// An answer to an operator.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: &'static str,
+    /// Body.
+    pub body: String,
+}
+
+impl Answer {
+    /// Creates an answer in plain text.
+    pub fn text(status: u16, body: &str) -> Self {
+        Self { status, content_type: "text/plain", body: body.to_owned() }
+    }
+
+    fn json(body: String) -> Self {
+        Self { status: 200, content_type: "application/json", body }
+    }
+}
+
+/// Answers an operator's call; the key has to be one that the settings list by its digest.
+pub fn answer(host: &Arc<Host>, req: &Request) -> Answer {
+    if !is_authorized(host, req) {
+        host.telemetry.counter("yuccanotch_admin_refused_total", "unauthorized");
+        return Answer::text(401, "the Authorization header carries no admin key\n");
+    }
+    match (req.method(), req.url()) {
+        (Method::Get, "/status") => Answer::json(status(host)),
+        (Method::Get, "/config") => config(host),
+        (Method::Post, "/drain") => {
+            host.start_draining();
+            Answer::text(202, "draining\n")
+        }
+        _ => Answer::text(404, "not found\n"),
+    }
+}
+
+fn is_authorized(host: &Host, req: &Request) -> bool {
+    let header = req.headers().iter().find(|header| header.field.equiv("authorization"));
+    let key = header.and_then(|header| header.value.as_str().strip_prefix("Bearer "));
+    key.is_some_and(|key| host.settings.admin_keys.contains(&Digest::of(key.as_bytes())))
+}
+
+fn status(host: &Host) -> String {
+    let active = host.configuration.current();
+    let status = Status {
+        host: host.settings.host.clone(),
+        domain: host.settings.domain.clone(),
+        incarnation: host.incarnation.to_string(),
+        config: active.as_ref().map(|active| active.number).unwrap_or_default(),
+        patch: active.map(|active| active.patch().to_string()).unwrap_or_default(),
+        draining: host.is_draining(),
+        in_flight: host.in_flight.load(std::sync::atomic::Ordering::SeqCst),
+    };
+    serde_json::to_string(&status).expect("a status has only texts and numbers")
+}
+
+/// Returns the declaration in force, from which operators recover a store.
+fn config(host: &Host) -> Answer {
+    let Some(active) = host.configuration.current() else {
+        return Answer::text(404, "no configuration\n");
+    };
+    match active.document() {
+        Ok(document) => {
+            let body = json!({"number": active.number, "declaration": document.to_value()});
+            Answer::json(body.to_string())
+        }
+        Err(e) => Answer::text(500, &format!("{e}\n")),
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,7 @@
 
 use serde_json::Value;
 use yuccanotch_core::clock::Millis;
+use yuccanotch_core::digest::Digest;
 use yuccanotch_core::fields::Fields;
 use yuccanotch_core::finding::Finding;
 use yuccanotch_core::finding::Findings;
@@ -34,6 +35,8 @@
     pub store: SocketAddr,
     /// Shared keys of the entry hosts; the first one signs, all verify.
     pub peer_keys: Vec<Vec<u8>>,
+    /// Digests of the operators' keys; without one, only health and metrics are shown.
+    pub admin_keys: Vec<Digest>,
     /// Limits.
     pub limits: Limits,
     /// How chains of model engines are chosen.
@@ -113,6 +116,7 @@
         peer: fields.address("peer", findings),
         store: fields.address("store", findings),
         peer_keys: read_keys(&mut fields, findings),
+        admin_keys: read_admin_keys(&mut fields, findings),
         limits: read_limits(&mut fields, findings),
         routing: read_routing(&mut fields, findings),
         seed: fields.value("seed").map(|_| fields.number("seed", 0, 0..=u64::MAX, findings)),
@@ -147,6 +151,20 @@
     })
 }
 
+fn read_admin_keys(fields: &mut Fields<'_>, findings: &mut Findings) -> Vec<Digest> {
+    if fields.value("admin_keys").is_none() {
+        return Vec::new();
+    }
+    let mut digests = Vec::new();
+    for (place, value) in fields.list("admin_keys", findings) {
+        match value.as_str().and_then(|text| text.parse().ok()) {
+            Some(digest) => digests.push(digest),
+            None => findings.add(place, "must be a SHA-256 digest in hexadecimal"),
+        }
+    }
+    digests
+}
+
 fn read_limits(fields: &mut Fields<'_>, findings: &mut Findings) -> Limits {
     let default = Limits::default();
     let Some(value) = fields.value("limits") else {
--- a/crates/local/src/deployment.rs
+++ b/crates/local/src/deployment.rs
@@ -8,6 +8,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::config::write_first;
 use yuccanotch_core::config::Declaration;
+use yuccanotch_core::digest::Digest;
 use yuccanotch_core::engine::HostKind;
 use yuccanotch_core::engine::ListedHost;
 use yuccanotch_core::name::DomainName;
@@ -22,6 +23,9 @@
 
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Key of operators' calls on the admin ports of an embedded deployment.
+pub const ADMIN_KEY: &str = "local-admin-key";
+
 const PEER_KEY: [u8; 32] = [7; 32];
 const READY_TIMEOUT: Millis = Millis(10_000);
 const READY_POLL: Duration = Duration::from_millis(10);
@@ -146,6 +150,7 @@
             peer: LOOPBACK,
             store: self.standin.store_address_of(domain.as_str()),
             peer_keys: vec![PEER_KEY.to_vec()],
+            admin_keys: vec![Digest::of(ADMIN_KEY.as_bytes())],
             limits: self.plan.limits.clone(),
             routing: self.plan.routing,
             seed: Some(
