Admit requests by teams' shares, limits and deadlines

Cause: one team's flood delayed all others, and requests without a chance took places. Change: core::admit: one queue per active team, start-time fair queueing by weight and priority, rate and in-flight limits, a bounded queue that drops from the longest one, early refusal with a Retry-After derived from the queue, a reserve for teams active lately. entry::admission drives it; a model's limit of a host is its own runs plus what is free on the narrowest stage, but not less than its even part.

--- a/crates/core/src/admit/mod.rs
+++ b/crates/core/src/admit/mod.rs
@@ -1,1 +1,24 @@
-//! Admission by team, priority, limit and deadline.
+//! Admission of requests: teams' shares and limits, priorities, bounded queues, early refusal.
+//!
+//! Each [`Pool`] has a limit of requests in flight. Requests beyond it wait in one queue per team;
+//! free places go to the teams by start-time fair queueing, so that a team's flood delays that
+//! team. A request that could not finish by its deadline is refused at once.
+
+mod messages;
+mod pool;
+mod state;
+mod team;
+
+#[cfg(test)]
+mod tests;
+
+pub use messages::Action;
+pub use messages::Actions;
+pub use messages::AdmitSettings;
+pub use messages::Arrival;
+pub use messages::Denial;
+pub use messages::Event;
+pub use messages::Pool;
+pub use messages::RequestKey;
+pub use messages::TeamTerms;
+pub use state::Admit;
--- /dev/null
+++ b/crates/core/src/admit/state.rs
@@ -0,0 +1,202 @@
+//! Admission over all pools.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::name::TeamName;
+use crate::reason::RefusalReason;
+
+use super::messages::Action;
+use super::messages::Actions;
+use super::messages::AdmitSettings;
+use super::messages::Arrival;
+use super::messages::Denial;
+use super::messages::Event;
+use super::messages::Pool;
+use super::messages::RequestKey;
+use super::pool::PoolState;
+use super::team::RateLimit;
+use super::team::TeamUse;
+
+/// Time between two searches for teams that can be forgotten.
+const FORGET_SPAN: Millis = Millis(5_000);
+
+/// When a team at its limit of requests in flight should try again.
+const IN_FLIGHT_RETRY_AFTER: Millis = Millis(500);
+
+/// Limit of a pool of which no limit was told.
+const NO_LIMIT: u32 = u32::MAX;
+
+#[derive(Clone, Debug)]
+struct Known {
+    pool: Pool,
+    team: TeamName,
+    admitted_at: Option<Millis>,
+}
+
+/// Decides which requests may run.
+#[derive(Clone, Debug, Default)]
+pub struct Admit {
+    settings: AdmitSettings,
+    pools: HashMap<Pool, PoolState>,
+    teams: HashMap<TeamName, TeamUse>,
+    requests: HashMap<RequestKey, Known>,
+    forgot_at: Millis,
+}
+
+impl Admit {
+    /// Creates an admission without requests.
+    pub fn new(settings: AdmitSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Handles an event.
+    pub fn on_event(&mut self, now: Millis, event: Event) -> Actions {
+        let mut actions = match event {
+            Event::Arrive(arrival) => self.arrive(now, arrival),
+            Event::Finish(key) => self.finish(now, key),
+            Event::Abandon(key) => self.abandon(now, key),
+            Event::Limit(pool, limit) => self.set_limit(now, pool, limit),
+            Event::Tick => Actions::new(),
+        };
+        if self.wake_at().is_some_and(|at| at <= now) {
+            let settings = self.settings;
+            let expired: Vec<Actions> =
+                self.pools.values_mut().map(|pool| pool.grant(now, &settings)).collect();
+            actions.extend(expired.into_iter().flatten());
+        }
+        self.settle(now, &actions);
+        self.forget_idle(now);
+        actions
+    }
+
+    /// Returns the time at which [`Event::Tick`] is due, if any.
+    pub fn wake_at(&self) -> Option<Millis> {
+        self.pools.values().filter_map(PoolState::wake_at).min()
+    }
+
+    fn arrive(&mut self, now: Millis, arrival: Arrival) -> Actions {
+        if let Err(denial) = self.check_team(now, &arrival) {
+            return Actions::from_iter([Action::Refuse(arrival.key, denial)]);
+        }
+        if let Some(team) = self.teams.get_mut(&arrival.team) {
+            team.in_flight += 1;
+        }
+        let known =
+            Known { pool: arrival.pool.clone(), team: arrival.team.clone(), admitted_at: None };
+        self.requests.insert(arrival.key, known);
+        let others = self.pools.iter().filter(|(pool, _)| **pool != arrival.pool);
+        let queued_elsewhere: usize = others.map(|(_, pool)| pool.queued()).sum();
+        let queue = self.settings.queue.saturating_sub(queued_elsewhere);
+        let settings = AdmitSettings { queue, ..self.settings };
+        self.pool(&arrival.pool).arrive(now, &arrival, &settings)
+    }
+
+    fn check_team(&mut self, now: Millis, arrival: &Arrival) -> Result<(), Denial> {
+        let terms = arrival.terms;
+        let team = self
+            .teams
+            .entry(arrival.team.clone())
+            .or_insert_with(|| TeamUse { in_flight: 0, rate: None });
+        let denial = |after| Denial { reason: RefusalReason::TeamLimit, retry_after: Some(after) };
+        if terms.in_flight.is_some_and(|limit| team.in_flight >= limit) {
+            return Err(denial(IN_FLIGHT_RETRY_AFTER));
+        }
+        let Some(per_s) = terms.requests_per_s else {
+            team.rate = None;
+            return Ok(());
+        };
+        let rate = team.rate.get_or_insert_with(|| RateLimit::new(now, per_s));
+        rate.take(now, per_s).map_err(denial)
+    }
+
+    fn pool(&mut self, pool: &Pool) -> &mut PoolState {
+        if !self.pools.contains_key(pool) {
+            self.pools.insert(pool.clone(), PoolState::new(NO_LIMIT));
+        }
+        self.pools.get_mut(pool).expect("the pool was inserted")
+    }
+
+    fn finish(&mut self, now: Millis, key: RequestKey) -> Actions {
+        let Some(known) = self.requests.remove(&key) else {
+            return Actions::new();
+        };
+        self.release_team(&known.team);
+        let settings = self.settings;
+        let pool = self.pool(&known.pool);
+        match known.admitted_at {
+            Some(at) => pool.finish(&known.team, now.since(at)),
+            None => {
+                pool.remove_waiting(&known.team, key);
+            }
+        }
+        pool.grant(now, &settings)
+    }
+
+    fn abandon(&mut self, now: Millis, key: RequestKey) -> Actions {
+        let is_waiting = self.requests.get(&key).is_some_and(|known| known.admitted_at.is_none());
+        if is_waiting {
+            self.finish(now, key)
+        } else {
+            Actions::new()
+        }
+    }
+
+    fn set_limit(&mut self, now: Millis, pool: Pool, limit: u32) -> Actions {
+        let settings = self.settings;
+        let pool = self.pool(&pool);
+        pool.limit = limit;
+        pool.grant(now, &settings)
+    }
+
+    /// Brings the requests in line with what they are told.
+    fn settle(&mut self, now: Millis, actions: &Actions) {
+        for action in actions {
+            match action {
+                Action::Admit(key) => {
+                    if let Some(known) = self.requests.get_mut(key) {
+                        known.admitted_at = Some(now);
+                    }
+                }
+                Action::Refuse(key, _) => {
+                    if let Some(known) = self.requests.remove(key) {
+                        self.release_team(&known.team);
+                    }
+                }
+            }
+        }
+    }
+
+    fn release_team(&mut self, name: &TeamName) {
+        if let Some(team) = self.teams.get_mut(name) {
+            team.in_flight = team.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn forget_idle(&mut self, now: Millis) {
+        if now.since(self.forgot_at) < FORGET_SPAN {
+            return;
+        }
+        self.forgot_at = now;
+        self.pools.values_mut().for_each(|pool| pool.forget_idle(now));
+        let is_idle =
+            |team: &TeamUse| team.in_flight == 0 && team.rate.is_none_or(|rate| rate.is_full(now));
+        self.teams.retain(|_, team| !is_idle(team));
+    }
+
+    /// Returns the requests of a pool that run.
+    pub fn running(&self, pool: &Pool) -> u32 {
+        self.pools.get(pool).map_or(0, PoolState::running)
+    }
+
+    /// Returns the requests of a pool that wait.
+    pub fn queued(&self, pool: &Pool) -> usize {
+        self.pools.get(pool).map_or(0, PoolState::queued)
+    }
+
+    /// Returns the teams of which state is kept.
+    pub fn team_count(&self) -> usize {
+        let in_pools = self.pools.values().map(PoolState::team_count).max().unwrap_or(0);
+        self.teams.len().max(in_pools)
+    }
+}
--- /dev/null
+++ b/crates/core/src/admit/team.rs
@@ -0,0 +1,122 @@
+//! What admission keeps of an active team.
+
+use std::collections::VecDeque;
+
+use crate::clock::Millis;
+use crate::config::Priority;
+
+use super::messages::RequestKey;
+use super::messages::TeamTerms;
+
+/// Time in which the peak of a team's requests in flight is halved.
+const PEAK_HALF_LIFE: Millis = Millis(10_000);
+
+/// Seconds of a team's rate that may come at once.
+const BURST_S: u64 = 1;
+
+/// Thousandths of a request, the unit of rate limits.
+const MILLI: u64 = 1_000;
+
+/// Counts the requests that a team may send by its rate.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RateLimit {
+    milli: u64,
+    at: Millis,
+}
+
+impl RateLimit {
+    pub(super) fn new(now: Millis, per_s: u32) -> Self {
+        Self { milli: u64::from(per_s) * MILLI * BURST_S, at: now }
+    }
+
+    /// Takes one request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a request may come.
+    pub(super) fn take(&mut self, now: Millis, per_s: u32) -> Result<(), Millis> {
+        let per_s = u64::from(per_s);
+        let full = per_s * MILLI * BURST_S;
+        // A rate of one per second is one thousandth of a request per millisecond.
+        self.milli = (self.milli + now.since(self.at).0 * per_s).min(full);
+        self.at = now;
+        if self.milli >= MILLI {
+            self.milli -= MILLI;
+            return Ok(());
+        }
+        let missing = MILLI - self.milli;
+        Err(Millis(missing.div_ceil(per_s.max(1))))
+    }
+
+    /// Returns whether nothing would be lost by forgetting the state.
+    pub(super) fn is_full(&self, now: Millis) -> bool {
+        now.since(self.at) >= Millis(BURST_S * MILLI)
+    }
+}
+
+/// Use of a team over all pools.
+#[derive(Clone, Debug)]
+pub(super) struct TeamUse {
+    pub(super) in_flight: u32,
+    pub(super) rate: Option<RateLimit>,
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) key: RequestKey,
+    pub(super) start_tag: u64,
+    pub(super) service_time: Millis,
+    pub(super) deadline: Millis,
+}
+
+impl Waiting {
+    /// Returns the time after which the request could not finish in time.
+    pub(super) fn latest_start(&self) -> Millis {
+        self.deadline - self.service_time
+    }
+}
+
+/// State of a team in one pool.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TeamQueue {
+    pub(super) weight: u64,
+    pub(super) running: u32,
+    pub(super) waiting: VecDeque<Waiting>,
+    pub(super) finish_tag: u64,
+    peak: u32,
+    peak_at: Millis,
+}
+
+impl TeamQueue {
+    /// Notes the team's present use.
+    pub(super) fn note_use(&mut self, now: Millis) {
+        let in_use = self.running + self.waiting.len() as u32;
+        let peak = self.peak(now);
+        if in_use >= peak {
+            self.peak = in_use;
+            self.peak_at = now;
+        }
+    }
+
+    /// Returns the decaying peak of requests in flight.
+    pub(super) fn peak(&self, now: Millis) -> u32 {
+        let halvings = now.since(self.peak_at).0 / PEAK_HALF_LIFE.0;
+        self.peak >> halvings.min(31)
+    }
+
+    /// Returns whether the team is of no more interest.
+    pub(super) fn is_idle(&self, now: Millis) -> bool {
+        self.running == 0 && self.waiting.is_empty() && self.peak(now) == 0
+    }
+}
+
+/// Returns the weight with the priority counted in.
+pub(super) fn effective_weight(terms: TeamTerms) -> u64 {
+    let factor = match terms.priority {
+        Priority::Batch => 1,
+        Priority::Normal => 4,
+        Priority::Urgent => 16,
+    };
+    u64::from(terms.weight.max(1)) * factor
+}
--- /dev/null
+++ b/crates/core/src/admit/tests.rs
@@ -0,0 +1,215 @@
+//! Tests of admission.
+
+use super::Action;
+use super::Actions;
+use super::Admit;
+use super::AdmitSettings;
+use super::Arrival;
+use super::Event;
+use super::Pool;
+use super::RequestKey;
+use super::TeamTerms;
+use crate::clock::Millis;
+use crate::config::Priority;
+use crate::name::TeamName;
+use crate::reason::RefusalReason;
+
+const SERVICE: Millis = Millis(100);
+const FAR: Millis = Millis(1_000_000);
+
+fn pool() -> Pool {
+    Pool::Model("m".into())
+}
+
+fn terms() -> TeamTerms {
+    TeamTerms { weight: 1, priority: Priority::Normal, requests_per_s: None, in_flight: None }
+}
+
+fn arrival(key: u64, team: &str) -> Arrival {
+    Arrival {
+        key: RequestKey(key),
+        pool: pool(),
+        team: TeamName::new(team),
+        terms: terms(),
+        service_time: SERVICE,
+        deadline: FAR,
+    }
+}
+
+fn admit(limit: u32) -> Admit {
+    let mut admit = Admit::new(AdmitSettings { queue: 16, reserve_percent: 0 });
+    admit.on_event(Millis::ZERO, Event::Limit(pool(), limit));
+    admit
+}
+
+fn arrive(admit: &mut Admit, now: Millis, arrival: Arrival) -> Actions {
+    admit.on_event(now, Event::Arrive(arrival))
+}
+
+fn admitted(actions: &Actions) -> Vec<u64> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Admit(key) => Some(key.0),
+        Action::Refuse(..) => None,
+    });
+    keys.collect()
+}
+
+fn refused(actions: &Actions) -> Vec<(u64, RefusalReason)> {
+    let keys = actions.iter().filter_map(|action| match action {
+        Action::Refuse(key, denial) => Some((key.0, denial.reason)),
+        Action::Admit(_) => None,
+    });
+    keys.collect()
+}
+
+/// Ends the admitted requests one by one and returns the order of admission.
+fn drain(admit: &mut Admit, mut running: Vec<u64>) -> Vec<u64> {
+    let mut order = Vec::new();
+    let mut now = Millis(10);
+    while !running.is_empty() {
+        let key = running.remove(0);
+        now = now + Millis(10);
+        let next = admitted(&admit.on_event(now, Event::Finish(RequestKey(key))));
+        order.extend(&next);
+        running.extend(next);
+    }
+    order
+}
+
+#[test]
+fn requests_beyond_the_limit_wait_for_a_place() {
+    let mut admit = admit(1);
+    assert_eq!(admitted(&arrive(&mut admit, Millis(1), arrival(1, "a"))), [1]);
+    assert!(arrive(&mut admit, Millis(1), arrival(2, "a")).is_empty());
+    assert_eq!(admitted(&admit.on_event(Millis(50), Event::Finish(RequestKey(1)))), [2]);
+}
+
+#[test]
+fn a_flood_does_not_delay_another_team() {
+    let mut admit = admit(1);
+    for key in 0..10 {
+        arrive(&mut admit, Millis(1), arrival(key, "flood"));
+    }
+    arrive(&mut admit, Millis(2), arrival(100, "quiet"));
+    let order = drain(&mut admit, vec![0]);
+    assert!(order.iter().position(|key| *key == 100) <= Some(1), "{order:?}");
+}
+
+#[test]
+fn places_follow_the_weights() {
+    let mut admit = admit(1);
+    let mut key = 0;
+    for _ in 0..8 {
+        for (team, weight) in [("heavy", 3), ("light", 1)] {
+            let terms = TeamTerms { weight, ..terms() };
+            arrive(&mut admit, Millis(1), Arrival { terms, ..arrival(key, team) });
+            key += 1;
+        }
+    }
+    let order = drain(&mut admit, vec![0]);
+    let heavy = order.iter().take(7).filter(|key| *key % 2 == 0).count();
+    assert!((5..=6).contains(&heavy), "{order:?}");
+}
+
+#[test]
+fn urgent_work_goes_before_batch_work_without_starving_it() {
+    let mut admit = Admit::new(AdmitSettings { queue: 64, reserve_percent: 0 });
+    admit.on_event(Millis::ZERO, Event::Limit(pool(), 1));
+    for key in 0..40 {
+        let (team, priority) =
+            if key % 2 == 0 { ("batch", Priority::Batch) } else { ("urgent", Priority::Urgent) };
+        let terms = TeamTerms { priority, ..terms() };
+        arrive(&mut admit, Millis(1), Arrival { terms, ..arrival(key, team) });
+    }
+    let order = drain(&mut admit, vec![0]);
+    let urgent = order.iter().take(18).filter(|key| *key % 2 == 1).count();
+    assert!((16..18).contains(&urgent), "{order:?}");
+}
+
+#[test]
+fn request_that_cannot_finish_in_time_is_refused_at_once() {
+    let mut admit = admit(1);
+    arrive(&mut admit, Millis(1), arrival(1, "a"));
+    let late = Arrival { deadline: Millis(150), ..arrival(2, "a") };
+    let actions = arrive(&mut admit, Millis(1), late);
+    assert_eq!(refused(&actions), [(2, RefusalReason::DeadlineUnmeetable)]);
+    let Action::Refuse(_, denial) = actions[0] else { panic!("{actions:?}") };
+    assert!(denial.retry_after.is_some());
+}
+
+#[test]
+fn waiting_request_is_given_up_when_it_would_be_late() {
+    let mut admit = admit(1);
+    arrive(&mut admit, Millis(1), arrival(1, "a"));
+    arrive(&mut admit, Millis(1), Arrival { deadline: Millis(400), ..arrival(2, "a") });
+    let wake_at = admit.wake_at().expect("a request waits");
+    assert_eq!(wake_at, Millis(301));
+    let actions = admit.on_event(wake_at, Event::Tick);
+    assert_eq!(refused(&actions), [(2, RefusalReason::DeadlineUnmeetable)]);
+    assert_eq!(admit.wake_at(), None);
+}
+
+#[test]
+fn full_queue_drops_from_the_team_with_most_waiting() {
+    let mut admit = admit(1);
+    for key in 0..17 {
+        arrive(&mut admit, Millis(1), arrival(key, "flood"));
+    }
+    let own = arrive(&mut admit, Millis(1), arrival(50, "flood"));
+    assert_eq!(refused(&own), [(50, RefusalReason::QueueFull)]);
+    let other = arrive(&mut admit, Millis(1), arrival(60, "quiet"));
+    assert_eq!(refused(&other), [(16, RefusalReason::QueueFull)]);
+    assert_eq!(admit.queued(&pool()), 16);
+}
+
+#[test]
+fn team_limits_hold_and_say_when_to_try_again() {
+    let mut admit = admit(10);
+    let limited = |key| {
+        let terms = TeamTerms { requests_per_s: Some(2), ..terms() };
+        Arrival { terms, ..arrival(key, "a") }
+    };
+    assert_eq!(admitted(&arrive(&mut admit, Millis(1), limited(1))), [1]);
+    assert_eq!(admitted(&arrive(&mut admit, Millis(1), limited(2))), [2]);
+    let actions = arrive(&mut admit, Millis(1), limited(3));
+    let Action::Refuse(_, denial) = actions[0] else { panic!("{actions:?}") };
+    assert_eq!(denial.reason, RefusalReason::TeamLimit);
+    let retry_at = Millis(1) + denial.retry_after.expect("a time");
+    assert_eq!(admitted(&arrive(&mut admit, retry_at, limited(4))), [4]);
+    let single = |key| {
+        let terms = TeamTerms { in_flight: Some(1), ..terms() };
+        Arrival { terms, ..arrival(key, "b") }
+    };
+    assert_eq!(admitted(&arrive(&mut admit, retry_at, single(5))), [5]);
+    let actions = arrive(&mut admit, retry_at, single(6));
+    assert_eq!(refused(&actions), [(6, RefusalReason::TeamLimit)]);
+}
+
+#[test]
+fn state_is_kept_of_active_teams_only() {
+    let mut admit = admit(100);
+    for key in 0..50 {
+        arrive(&mut admit, Millis(1), arrival(key, &format!("team-{key}")));
+    }
+    assert_eq!(admit.team_count(), 50);
+    for key in 0..50 {
+        admit.on_event(Millis(20), Event::Finish(RequestKey(key)));
+    }
+    admit.on_event(Millis(60_000), Event::Tick);
+    assert_eq!(admit.team_count(), 0);
+}
+
+#[test]
+fn places_used_lately_by_others_are_left_free_by_a_flood() {
+    let mut admit = Admit::new(AdmitSettings { queue: 64, reserve_percent: 20 });
+    admit.on_event(Millis::ZERO, Event::Limit(pool(), 10));
+    arrive(&mut admit, Millis(1), arrival(900, "quiet"));
+    arrive(&mut admit, Millis(1), arrival(901, "quiet"));
+    admit.on_event(Millis(5), Event::Finish(RequestKey(900)));
+    admit.on_event(Millis(5), Event::Finish(RequestKey(901)));
+    for key in 0..20 {
+        arrive(&mut admit, Millis(10), arrival(key, "flood"));
+    }
+    assert_eq!(admit.running(&pool()), 8);
+    assert_eq!(admitted(&arrive(&mut admit, Millis(11), arrival(902, "quiet"))), [902]);
+}
--- a/crates/core/src/route/messages.rs
+++ b/crates/core/src/route/messages.rs
@@ -93,6 +93,15 @@
     pub step_us: u32,
 }
 
+/// Places of the narrowest stage of a model version.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Places {
+    /// Runs that its servers hold at a time.
+    pub slots: u32,
+    /// Runs that they have, waiting ones included.
+    pub load: u32,
+}
+
 /// How an attempt on a chain went, as far as its servers are concerned.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict<'a> {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -18,6 +18,7 @@
 mod tests;
 
 pub use messages::Choice;
+pub use messages::Places;
 pub use messages::Policy;
 pub use messages::Query;
 pub use messages::ServerInput;
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -17,6 +17,7 @@
 use super::fixed;
 use super::fixed::Stages;
 use super::messages::Choice;
+use super::messages::Places;
 use super::messages::Policy;
 use super::messages::Query;
 use super::messages::ServerInput;
@@ -78,6 +79,7 @@
 struct ModelStats {
     answer_tokens: u64,
     hold_ms: u64,
+    has_answers: bool,
     step_percent: u64,
     first_percent: u64,
     turn: usize,
@@ -88,6 +90,7 @@
         Self {
             answer_tokens: INITIAL_ANSWER_TOKENS,
             hold_ms: INITIAL_HOLD_MS,
+            has_answers: false,
             step_percent: NEUTRAL_PERCENT,
             first_percent: NEUTRAL_PERCENT,
             turn: 0,
@@ -414,6 +417,7 @@
         let stats = self.stats.entry(model.clone()).or_default();
         stats.answer_tokens = blend(stats.answer_tokens, u64::from(tokens)).max(1);
         stats.hold_ms = blend(stats.hold_ms, hold.0).max(1);
+        stats.has_answers = true;
     }
 
     /// Learns from the time to the first token of an attempt.
@@ -440,27 +444,35 @@
         self.outliers.observe(now, &indices, observed_us, expected_us);
     }
 
-    /// Returns the runs that the usable servers can hold at a time for a model version: the least
-    /// sum of slots over all layers.
-    pub fn capacity(&self, model: &ModelName, version: &ModelVersion, layers: u16) -> u32 {
+    /// Returns the places of a model version: the least sum over all layers.
+    pub fn places(&self, model: &ModelName, version: &ModelVersion, layers: u16) -> Places {
         let Some(groups) = self.table.groups(model, version) else {
-            return 0;
+            return Places::default();
         };
-        let at_layer = |layer: u16| -> u32 {
+        let at_layer = |layer: u16| {
             let holding =
                 groups.iter().filter(|(range, _)| range.first <= layer && layer < range.end);
             let servers = holding.flat_map(|(_, group)| group.servers.iter());
-            servers.filter_map(|index| self.server(*index)).map(|server| server.slots).sum()
+            let servers = servers.filter_map(|index| self.server(*index));
+            servers.fold(Places::default(), |sum, server| Places {
+                slots: sum.slots + server.slots,
+                load: sum.load + server.load(),
+            })
         };
         let borders = groups.keys().map(|range| range.first).filter(|first| *first < layers);
-        borders.chain([0]).map(at_layer).min().unwrap_or(0)
+        let narrowest = borders.chain([0]).map(at_layer).min_by_key(|places| places.slots);
+        narrowest.unwrap_or_default()
     }
 
-    /// Returns the expected time to serve a request of `tokens` tokens without a queue.
+    /// Returns the mean time to serve a request of at most `tokens` tokens without a queue; zero
+    /// before an answer was seen.
     pub fn service_time(&self, model: &ModelName, tokens: u32) -> Millis {
         let stats = self.stats_of(model);
+        if !stats.has_answers {
+            return Millis::ZERO;
+        }
         let share = u64::from(tokens).min(stats.answer_tokens);
-        Millis(stats.hold_ms * share / stats.answer_tokens.max(1))
+        Millis(stats.hold_ms * share / stats.answer_tokens)
     }
 
     /// Returns the policy.
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -241,13 +241,13 @@
 }
 
 #[test]
-fn capacity_is_the_narrowest_stage() {
+fn places_are_those_of_the_narrowest_stage() {
     let mut fleet = fleet();
     fleet[2].leaving = true;
     let router = router(Policy::Adaptive, &fleet);
     let (model, version) = (ModelName::new("m"), ModelVersion::new("v1"));
-    assert_eq!(router.capacity(&model, &version, LAYERS), 8);
-    assert_eq!(router.capacity(&model, &ModelVersion::new("v2"), LAYERS), 0);
+    assert_eq!(router.places(&model, &version, LAYERS).slots, 8);
+    assert_eq!(router.places(&model, &ModelVersion::new("v2"), LAYERS).slots, 0);
 }
 
 #[test]
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -1,63 +1,243 @@
-//! Admission of requests by team.
+//! Admission of requests by team; drives [`yuccanotch_core::admit`].
+//!
+//! Each waiting request blocks the thread that serves it until it is told to run or is refused.
 
 use std::collections::HashMap;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
+use yuccanotch_core::admit::Action;
+use yuccanotch_core::admit::Actions;
+use yuccanotch_core::admit::Admit;
+use yuccanotch_core::admit::AdmitSettings;
+use yuccanotch_core::admit::Arrival;
+use yuccanotch_core::admit::Denial;
+use yuccanotch_core::admit::Event;
+use yuccanotch_core::admit::Pool;
+use yuccanotch_core::admit::RequestKey;
+use yuccanotch_core::admit::TeamTerms;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::config::Team;
 use yuccanotch_core::name::TeamName;
 use yuccanotch_core::reason::RefusalReason;
+use yuccanotch_core::route::Places;
 
 use crate::problem::Refusal;
 
-const RETRY_AFTER: Millis = Millis(500);
+/// Longest wait between two looks at the caller's connection.
+const CALLER_POLL: Millis = Millis(200);
 
-/// Admits requests within their teams' limits.
+/// Fewest places of a pool, so that requests reach the router also when it knows no server.
+const MIN_LIMIT: u32 = 2;
+
+/// Requests in flight for each one that may wait.
+const IN_FLIGHT_PER_WAITING: usize = 4;
+
+/// Part of the requests in flight that one pool may run, as a divisor.
+const IN_FLIGHT_PER_RUNNING: usize = 2;
+
+/// Admits requests within their teams' shares and limits.
 #[derive(Debug)]
 pub struct Admission {
-    in_flight: Arc<Mutex<HashMap<TeamName, u32>>>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    max_running: u32,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    admit: Admit,
+    waiting: HashMap<RequestKey, SyncSender<Verdict>>,
+    next_key: u64,
+}
+
+type Verdict = Result<(), Denial>;
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// What the request competes for.
+    pub pool: Pool,
+    /// Shortest time in which it is likely to be served.
+    pub service_time: Millis,
+    /// Time by which it has to be served.
+    pub deadline: Millis,
+    /// Places of the pool on all hosts; `None` for no limit.
+    pub places: Option<Places>,
+    /// Hosts that share the places, this one included.
+    pub hosts: u32,
 }
 
 /// An admitted request; dropping it frees its place.
 #[derive(Debug)]
 pub struct Ticket {
-    team: TeamName,
-    in_flight: Arc<Mutex<HashMap<TeamName, u32>>>,
+    key: RequestKey,
+    shared: Arc<Shared>,
 }
 
 impl Admission {
-    /// Creates an admission without requests.
-    pub fn new(_clock: Clock) -> Self {
-        Self { in_flight: Arc::default() }
+    /// Creates an admission for a host with `in_flight` requests in flight at most.
+    pub fn new(clock: Clock, in_flight: usize) -> Self {
+        let queue = (in_flight / IN_FLIGHT_PER_WAITING).max(1);
+        let settings = AdmitSettings { queue, ..AdmitSettings::default() };
+        let state = State { admit: Admit::new(settings), waiting: HashMap::new(), next_key: 0 };
+        let max_running = u32::try_from(in_flight / IN_FLIGHT_PER_RUNNING).unwrap_or(u32::MAX);
+        let shared = Shared { clock, max_running, state: Mutex::new(state) };
+        Self { shared: Arc::new(shared) }
     }
 
-    /// Admits a request of `team`.
+    /// Admits a request of a team, waiting for a place if need be.
     ///
     /// # Errors
     ///
-    /// Refuses a request beyond the team's limit.
-    pub fn admit(&self, name: &TeamName, team: &Team) -> Result<Ticket, Refusal> {
-        let mut in_flight = self.in_flight.lock().expect("no panic while admitting");
-        let running = in_flight.get(name).copied().unwrap_or_default();
-        if team.in_flight.is_some_and(|limit| running >= limit) {
-            let text = "the team has too many requests in flight";
-            return Err(Refusal::not_run(RefusalReason::TeamLimit, text).retry_after(RETRY_AFTER));
+    /// Refuses a request beyond the team's limits, beyond the queue, or that could not be served by
+    /// its deadline; also when `is_gone` tells that the caller went away.
+    pub fn admit(
+        &self,
+        name: &TeamName,
+        team: &Team,
+        work: Work,
+        is_gone: &dyn Fn() -> bool,
+    ) -> Result<Ticket, Refusal> {
+        let (key, rx) = self.shared.arrive(name, TeamTerms::from(team), work);
+        // Dropping the ticket takes a request that still waits out of the queue as well.
+        let ticket = Ticket { key, shared: self.shared.clone() };
+        match self.shared.wait(key, &rx, is_gone) {
+            Ok(()) => Ok(ticket),
+            Err(denial) => Err(refusal(denial)),
         }
-        in_flight.insert(name.clone(), running + 1);
-        Ok(Ticket { team: name.clone(), in_flight: self.in_flight.clone() })
+    }
+
+    /// Returns the requests of a pool that run and that wait.
+    pub fn load(&self, pool: &Pool) -> (u32, usize) {
+        let state = self.shared.lock();
+        (state.admit.running(pool), state.admit.queued(pool))
     }
 }
 
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let mut in_flight = self.in_flight.lock().expect("no panic while admitting");
-        match in_flight.get_mut(&self.team) {
-            Some(running) if *running > 1 => *running -= 1,
-            _ => {
-                in_flight.remove(&self.team);
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn arrive(
+        &self,
+        name: &TeamName,
+        terms: TeamTerms,
+        work: Work,
+    ) -> (RequestKey, Receiver<Verdict>) {
+        let now = self.clock.now();
+        let state = &mut *self.lock();
+        if let Some(places) = work.places {
+            let running = state.admit.running(&work.pool);
+            let limit = limit(places, running, work.hosts).min(self.max_running);
+            state.handle(now, Event::Limit(work.pool.clone(), limit));
+        }
+        state.next_key += 1;
+        let key = RequestKey(state.next_key);
+        let (tx, rx) = mpsc::sync_channel(1);
+        state.waiting.insert(key, tx);
+        let arrival = Arrival {
+            key,
+            pool: work.pool,
+            team: name.clone(),
+            terms,
+            service_time: work.service_time,
+            deadline: work.deadline,
+        };
+        state.handle(now, Event::Arrive(arrival));
+        (key, rx)
+    }
+
+    fn wait(&self, key: RequestKey, rx: &Receiver<Verdict>, is_gone: &dyn Fn() -> bool) -> Verdict {
+        loop {
+            match rx.recv_timeout(self.wait_span().to_duration()) {
+                Ok(verdict) => return verdict,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Err(caller_gone()),
             }
+            if is_gone() {
+                self.event(Event::Abandon(key));
+                return Err(caller_gone());
+            }
+            self.event(Event::Tick);
         }
     }
+
+    fn wait_span(&self) -> Millis {
+        let wake_at = self.lock().admit.wake_at();
+        let span = wake_at.map_or(CALLER_POLL, |at| at.since(self.clock.now()));
+        span.clamp(Millis(1), CALLER_POLL)
+    }
+
+    fn event(&self, event: Event) {
+        let now = self.clock.now();
+        self.lock().handle(now, event);
+    }
+}
+
+impl State {
+    fn handle(&mut self, now: Millis, event: Event) {
+        let actions = self.admit.on_event(now, event);
+        self.tell(actions);
+    }
+
+    fn tell(&mut self, actions: Actions) {
+        for action in actions {
+            let (key, verdict) = match action {
+                Action::Admit(key) => (key, Ok(())),
+                Action::Refuse(key, denial) => (key, Err(denial)),
+            };
+            if let Some(tx) = self.waiting.remove(&key) {
+                let _ = tx.try_send(verdict);
+            }
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        let state = &mut *self.shared.lock();
+        state.waiting.remove(&self.key);
+        state.handle(now, Event::Finish(self.key));
+    }
+}
+
+/// Returns the places of this host: its own runs and what is free, but not less than its even part.
+fn limit(places: Places, running: u32, hosts: u32) -> u32 {
+    let even = places.slots.div_ceil(hosts.max(1));
+    let free = i64::from(places.slots) - i64::from(places.load);
+    let own = u32::try_from(i64::from(running) + free).unwrap_or(0);
+    own.max(even).max(MIN_LIMIT)
+}
+
+fn caller_gone() -> Denial {
+    Denial { reason: RefusalReason::CallerGone, retry_after: None }
+}
+
+fn refusal(denial: Denial) -> Refusal {
+    let detail = match denial.reason {
+        RefusalReason::TeamLimit => "the team is at its limit",
+        RefusalReason::QueueFull => "too many requests wait",
+        RefusalReason::DeadlineUnmeetable => "the request could not finish before its deadline",
+        _ => "the caller went away while the request waited",
+    };
+    let refusal = Refusal::not_run(denial.reason, detail);
+    match denial.retry_after {
+        Some(span) => refusal.retry_after(span),
+        None => refusal,
+    }
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -4,6 +4,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::json;
+use yuccanotch_core::admit::Pool;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::engine::Finish;
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event;
@@ -11,6 +13,8 @@
 use yuccanotch_core::name::ModelName;
 use yuccanotch_core::reason::RefusalReason;
 
+use crate::admission::Ticket;
+use crate::admission::Work;
 use crate::answer::CallerGone;
 use crate::answer::ChunkWriter;
 use crate::answer::Responder;
@@ -22,6 +26,10 @@
 use crate::pipelines::TokenSink;
 use crate::problem::Refusal;
 
+/// Factor between the mean time to serve a request and the shortest one that is counted on when
+/// requests are refused for their deadline.
+const SERVICE_TIME_SPREAD: u64 = 2;
+
 #[derive(Debug, Deserialize)]
 struct ChatRequest {
     model: String,
@@ -40,8 +48,8 @@
 
 /// Serves `POST /v1/chat/completions`.
 pub fn serve(host: &Host, req: &CallerRequest, responder: Responder) {
-    let prepared = prepare(host, req);
-    let (job, stream, ticket) = match prepared {
+    let is_gone = || responder.is_gone();
+    let (job, stream, ticket) = match prepare(host, req, &is_gone) {
         Ok(prepared) => prepared,
         Err(refusal) => return host.refuse(responder, &refusal),
     };
@@ -56,7 +64,8 @@
 fn prepare(
     host: &Host,
     req: &CallerRequest,
-) -> Result<(ChatJob, bool, crate::admission::Ticket), Refusal> {
+    is_gone: &dyn Fn() -> bool,
+) -> Result<(ChatJob, bool, Ticket), Refusal> {
     let caller = host.authenticate(req)?;
     if req.method != http::Method::POST {
         let text = "this path takes POST only";
@@ -69,10 +78,9 @@
         return Err(Refusal::not_run(RefusalReason::UnknownModel, text));
     };
     let deadline = host.deadline(req, declared.deadline_ms)?;
-    let ticket = host.admission.admit(&caller.name, &caller.team)?;
     let job = ChatJob {
         request: req.id,
-        team: caller.name,
+        team: caller.name.clone(),
         model,
         version: declared.version.clone(),
         layers: declared.layers,
@@ -81,9 +89,24 @@
         priority: caller.team.priority.engine_level(),
         deadline,
     };
+    let ticket = host.admission.admit(&caller.name, &caller.team, work(host, &job), is_gone)?;
     Ok((job, chat.stream, ticket))
 }
 
+fn work(host: &Host, job: &ChatJob) -> Work {
+    let now = host.clock.now();
+    let view = host.fleet.view();
+    let routing = &host.routing;
+    let mean = routing.service_time(&job.model, job.max_tokens);
+    Work {
+        pool: Pool::Model(job.model.clone()),
+        service_time: Millis(mean.0 / SERVICE_TIME_SPREAD),
+        deadline: job.deadline,
+        places: Some(routing.places(now, view, &job.model, &job.version, job.layers)),
+        hosts: host.peers.known().len() as u32 + 1,
+    }
+}
+
 fn parse(body: &[u8]) -> Result<ChatRequest, Refusal> {
     let text = std::str::from_utf8(body)
         .map_err(|e| Refusal::not_run(RefusalReason::InvalidUtf8, e.to_string()))?;
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -124,7 +124,7 @@
             routing: Routing::new(settings.routing, rng.random()),
             configuration: Configuration::new(),
             claims: Claims::new(store.clone(), clock.clone(), settings.host.clone(), incarnation),
-            admission: Admission::new(clock.clone()),
+            admission: Admission::new(clock.clone(), settings.limits.in_flight),
             fleet: Fleet::new(),
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -3,6 +3,7 @@
 use http::header;
 use http::HeaderMap;
 use http::HeaderValue;
+use yuccanotch_core::admit::Pool;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::config::Route;
 use yuccanotch_core::config::ServerUse;
@@ -14,6 +15,7 @@
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::reason::RetryReason;
 
+use crate::admission::Work;
 use crate::answer::Responder;
 use crate::callers::CallerRequest;
 use crate::claims::Begin;
@@ -52,7 +54,15 @@
         Err(refusal) => return host.refuse(responder, &refusal),
     };
     let result = prepare(host, req, &caller).and_then(|job| {
-        let ticket = host.admission.admit(&caller.name, &caller.team)?;
+        let work = Work {
+            pool: Pool::Service(job.service.clone()),
+            service_time: Millis::ZERO,
+            deadline: job.deadline,
+            places: None,
+            hosts: 1,
+        };
+        let is_gone = || responder.is_gone();
+        let ticket = host.admission.admit(&caller.name, &caller.team, work, &is_gone)?;
         let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
         drop(ticket);
         answer
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -18,6 +18,7 @@
 use yuccanotch_core::retry::RetryPolicy;
 use yuccanotch_core::retry::RetrySettings;
 use yuccanotch_core::route::Choice;
+use yuccanotch_core::route::Places;
 use yuccanotch_core::route::Policy;
 use yuccanotch_core::route::Query;
 use yuccanotch_core::route::Router;
@@ -136,18 +137,18 @@
         }
     }
 
-    /// Returns the runs that the servers of a model version can hold at a time.
-    pub fn capacity(
+    /// Returns the places of the narrowest stage of a model version.
+    pub fn places(
         &self,
         now: Millis,
         view: Arc<FleetView>,
         model: &ModelName,
         version: &ModelVersion,
         layers: u16,
-    ) -> u32 {
+    ) -> Places {
         let state = &mut *self.lock();
         state.update(now, view);
-        state.router.capacity(model, version, layers)
+        state.router.places(model, version, layers)
     }
 
     /// Returns the expected time to serve a request without a queue.
