Serve stand-ins by hyper, tighten the bound, compare policies

Cause: the stand-ins read HTTP by hand; the bound ignored that slots are held while runs are at other stages; the side-by-side figures of the policies had no command.

--- a/crates/load/src/cmd_run.rs
+++ b/crates/load/src/cmd_run.rs
@@ -50,13 +50,15 @@
 pub fn run(parser: &mut lexopt::Parser) -> CliResult<bool> {
     let Some(args) = parse_args(parser)? else { return Ok(true) };
     let scenario = Scenario::read(&args.scenario)?;
+    let mut policy = "given";
     let target = if args.addresses.is_empty() {
         let plan = plan(&scenario.deployment, args.seed);
+        policy = plan.routing.as_str();
         Target::Embedded(Box::new(Mutex::new(Deployment::start(plan)?)))
     } else {
         Target::Given { entries: args.addresses.clone(), standin: args.standin }
     };
-    let report = carry_out(target, &scenario, args.seed, "default")?;
+    let report = carry_out(target, &scenario, args.seed, policy)?;
     print!("{}", report.text());
     if let Some(path) = &args.json {
         let text = serde_json::to_string_pretty(&report).unwrap_or_default();
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,6 +1,8 @@
 //! `yuccanotch-load`: load and experiment tool.
 
 mod cmd_compare;
+mod cmd_engines;
+mod cmd_policies;
 mod cmd_run;
 
 use std::process::ExitCode;
@@ -17,6 +19,8 @@
 Commands:
     run         carry out one scenario
     compare     show two reports side by side
+    policies    carry out one scenario under each routing policy
+    engines     show how much the stand-in engines can carry
 
 Each command takes --help.
 ";
@@ -40,6 +44,8 @@
     match parser.next()? {
         Some(Value(command)) => match command.string()?.as_str() {
             "run" => cmd_run::run(&mut parser),
+            "policies" => cmd_policies::run(&mut parser),
+            "engines" => cmd_engines::run(&mut parser),
             "compare" => cmd_compare::run(&mut parser),
             other => Err(lexopt::Error::from(format!("no command {other:?}\n\n{USAGE}")).into()),
         },
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -57,7 +57,8 @@
     for (i, engine) in plan.standin.engines[before..].iter_mut().enumerate() {
         let behavior = &mut engine.behavior;
         behavior.step_base_us = spec.step_base_us[i % replicas];
-        behavior.step_sequence_us = spec.step_sequence_us;
+        let sequence_us = &spec.step_sequence_us;
+        behavior.step_sequence_us = sequence_us[i % replicas % sequence_us.len()];
         behavior.prefill_word_us = spec.prefill_word_us;
         behavior.slots = spec.slots;
         behavior.queue = spec.slots;
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -108,9 +108,10 @@
     /// Time of one step for an empty batch, in microseconds, of each replica of a stage; its
     /// length is the number of replicas.
     pub step_base_us: Vec<u32>,
-    /// Additional time of a step per sequence, in microseconds.
+    /// Additional time of a step per sequence, in microseconds, of each replica; a shorter list
+    /// is repeated.
     #[serde(default = "default_step_sequence_us")]
-    pub step_sequence_us: u32,
+    pub step_sequence_us: Vec<u32>,
     /// Time of prefill per word, in microseconds.
     #[serde(default = "default_prefill_word_us")]
     pub prefill_word_us: u32,
@@ -122,8 +123,8 @@
     pub restart_ms: u64,
 }
 
-fn default_step_sequence_us() -> u32 {
-    100
+fn default_step_sequence_us() -> Vec<u32> {
+    vec![100]
 }
 
 fn default_prefill_word_us() -> u32 {
--- a/crates/standin/src/bound.rs
+++ b/crates/standin/src/bound.rs
@@ -1,7 +1,9 @@
 //! Upper bound of the tokens per second that the engines of some settings can give.
 //!
-//! Each model is a flow from its first layer to its last one. A server lets through at most one
-//! token per sequence and step, and at most its slots per shortest cycle through the model.
+//! Each model is a flow from its first layer to its last one. A server that is always busy gives
+//! one token per sequence of its batch and step. The runs that hold its slots spend the rest of
+//! each cycle at the other stages, at least the shortest time through them, so its mean batch is
+//! smaller than its slots.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,6 +17,7 @@
 /// Flow is counted in thousandths of a token per second.
 const MILLI: f64 = 1000.0;
 const US_PER_S: f64 = 1e6;
+const BISECTIONS: usize = 60;
 
 /// Work beside the decode steps that each token of an answer costs on average.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -43,11 +46,16 @@
         .chain([0, layers])
         .collect();
     let borders: Vec<u16> = borders.into_iter().collect();
-    let Some(cycle_us) = shortest_cycle_us(settings, &engines, &borders) else { return 0.0 };
+    let forward = shortest_us(&engines, &borders);
+    let backward = shortest_back_us(&engines, &borders);
+    let link_us = shortest_link_us(settings);
     let mut flow = Flow::new(borders.len() + 2 * engines.len());
     for (i, engine) in engines.iter().enumerate() {
         let (input, output) = (borders.len() + 2 * i, borders.len() + 2 * i + 1);
-        let capacity = capacity_per_s(engine, mix, cycle_us) * MILLI;
+        let at = |layer| borders.iter().position(|border| *border == layer).unwrap_or(0);
+        let others_us = forward[at(engine.layers.first)] + backward[at(engine.layers.end)];
+        let others_us = if others_us > 0.0 { others_us + 2.0 * link_us } else { 0.0 };
+        let capacity = capacity_per_s(engine, mix, others_us) * MILLI;
         flow.add(input, output, capacity as u64);
         for (node, border) in borders.iter().enumerate() {
             if engine.layers.first <= *border && *border < engine.layers.end {
@@ -61,47 +69,84 @@
     flow.max(0, borders.len() - 1) as f64 / MILLI
 }
 
-fn capacity_per_s(engine: &EngineSettings, mix: WorkMix, cycle_us: f64) -> f64 {
+/// Returns the most tokens per second of a server whose runs spend `others_us` of each cycle at
+/// other stages.
+fn capacity_per_s(engine: &EngineSettings, mix: WorkMix, others_us: f64) -> f64 {
+    if others_us.is_infinite() {
+        return 0.0;
+    }
     let behavior = &engine.behavior;
-    let slots = f64::from(behavior.slots.max(1));
-    let base_us = f64::from(behavior.step_base_us) / slots;
     let prefill_us = f64::from(behavior.prefill_word_us) * mix.prefill_words_per_token;
-    let token_us = base_us + f64::from(behavior.step_sequence_us) + prefill_us;
-    let by_step = US_PER_S / token_us.max(f64::MIN_POSITIVE);
-    let by_slots = slots * US_PER_S / cycle_us.max(f64::MIN_POSITIVE);
-    by_step.min(by_slots)
+    let sequence_us = f64::from(behavior.step_sequence_us) + prefill_us;
+    let step_us = |batch: f64| (f64::from(behavior.step_base_us) + sequence_us * batch).max(1.0);
+    let slots = f64::from(behavior.slots.max(1));
+    let mut low = 0.0;
+    let mut high = slots;
+    for _ in 0..BISECTIONS {
+        let batch = (low + high) / 2.0;
+        if batch + batch * others_us / step_us(batch) < slots {
+            low = batch;
+        } else {
+            high = batch;
+        }
+    }
+    // A batch has at least one sequence.
+    let by_cycle = slots * US_PER_S / (step_us(1.0) + others_us);
+    by_cycle.min(high * US_PER_S / step_us(high))
 }
 
-/// Returns the least time of one token through all layers and back to the first server.
-fn shortest_cycle_us(
-    settings: &StandinSettings,
-    engines: &[&EngineSettings],
-    borders: &[u16],
-) -> Option<f64> {
-    let mut best = vec![(f64::INFINITY, 0u32); borders.len()];
-    best[0] = (0.0, 0);
+/// Returns the least one-way delay between two engines.
+fn shortest_link_us(settings: &StandinSettings) -> f64 {
+    let links = &settings.links;
+    let pairs = links.pairs.iter().map(|pair| pair.us);
+    let least = pairs.chain([links.same_domain_us, links.cross_domain_us]).min();
+    f64::from(least.unwrap_or(0))
+}
+
+/// Returns the least time from the first layer to each border, with batches of one.
+fn shortest_us(engines: &[&EngineSettings], borders: &[u16]) -> Vec<f64> {
+    let mut best = vec![f64::INFINITY; borders.len()];
+    best[0] = 0.0;
     for at in 0..borders.len() {
-        let (so_far, hops) = best[at];
-        if so_far.is_infinite() {
-            continue;
+        for engine in engines {
+            let layers = engine.layers;
+            if !(layers.first <= borders[at] && borders[at] < layers.end) {
+                continue;
+            }
+            let reached = best[at] + single_step_us(engine);
+            for next in at + 1..borders.len() {
+                if borders[next] <= layers.end {
+                    best[next] = best[next].min(reached);
+                }
+            }
         }
+    }
+    best
+}
+
+/// Returns the least time from each border to the last layer, with batches of one.
+fn shortest_back_us(engines: &[&EngineSettings], borders: &[u16]) -> Vec<f64> {
+    let mut best = vec![f64::INFINITY; borders.len()];
+    best[borders.len() - 1] = 0.0;
+    for at in (0..borders.len()).rev() {
         for engine in engines {
-            if !(engine.layers.first <= borders[at] && borders[at] < engine.layers.end) {
+            let layers = engine.layers;
+            if !(layers.first < borders[at] && borders[at] <= layers.end) {
                 continue;
             }
-            let behavior = &engine.behavior;
-            let step_us = f64::from(behavior.step_base_us) + f64::from(behavior.step_sequence_us);
-            let ends = borders.iter().position(|border| *border == engine.layers.end)?;
-            if so_far + step_us < best[ends].0 {
-                best[ends] = (so_far + step_us, hops + 1);
+            let reached = best[at] + single_step_us(engine);
+            for before in 0..at {
+                if layers.first <= borders[before] {
+                    best[before] = best[before].min(reached);
+                }
             }
         }
     }
-    let (steps_us, hops) = *best.last()?;
-    let links = &settings.links;
-    let link_us = f64::from(links.same_domain_us.min(links.cross_domain_us));
-    let links_us = if hops > 1 { f64::from(hops) * link_us } else { 0.0 };
-    steps_us.is_finite().then_some(steps_us + links_us)
+    best
+}
+
+fn single_step_us(engine: &EngineSettings) -> f64 {
+    f64::from(engine.behavior.step_base_us) + f64::from(engine.behavior.step_sequence_us)
 }
 
 /// Residual graph for a maximum flow by shortest augmenting paths.
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -2,26 +2,49 @@
 //!
 //! The stand-ins have to refuse connections, cut answers short and notice callers that went away,
 //! on a port per backend server. A server library with threads of its own per port allows none of
-//! these, so this module keeps to the few parts of HTTP/1.1 that the stand-ins' callers use: a
-//! request head, a body with a content length, plain answers and chunked answers.
+//! these, so the connections are served by hyper on a shared runtime.
 
+use std::future::poll_fn;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Response;
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-const MAX_HEAD_BYTES: usize = 16 << 10;
 const MAX_BODY_BYTES: usize = 4 << 20;
-const READ_BYTES: usize = 8 << 10;
 const LISTEN_BACKLOG: u32 = 1024;
 
+quick_error! {
+    /// Why a connection is closed without a whole answer.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum Cut {
+        /// The stand-in was told to give no whole answer.
+        Wanted {
+            display("cut on purpose")
+        }
+        /// The request did not arrive whole, or its body is too large.
+        BadRequest {
+            display("the request is not whole or too large")
+        }
+    }
+}
+
 /// A request that was read whole.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HttpRequest {
@@ -52,10 +75,6 @@
             format!("{}?{}", self.path, self.query)
         }
     }
-
-    fn wants_close(&self) -> bool {
-        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 /// One part of a streamed answer.
@@ -197,147 +216,97 @@
 }
 
 async fn connection<H: Handler>(
-    mut stream: TcpStream,
+    stream: TcpStream,
     handler: Arc<H>,
     mut rx: watch::Receiver<PortState>,
 ) {
     let _ = stream.set_nodelay(true);
     let epoch = rx.borrow().epoch;
+    let service = service_fn(|req| answer(handler.clone(), req));
+    let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         _ = rx.wait_for(|state| state.epoch != epoch) => {}
-        _ = requests(&mut stream, &*handler) => {}
+        _ = served => {}
     }
 }
 
-async fn requests<H: Handler>(stream: &mut TcpStream, handler: &H) -> io::Result<()> {
-    let mut buf = Vec::new();
-    while let Some(req) = read_request(stream, &mut buf).await? {
-        let close = req.wants_close();
-        let head = req.method == "HEAD";
-        match handler.handle(req).await {
-            Reply::Full { status, headers, body } => {
-                write_full(stream, status, &headers, if head { &[] } else { &body }).await?;
+async fn answer<H: Handler>(
+    handler: Arc<H>,
+    req: hyper::Request<Incoming>,
+) -> Result<Response<ReplyBody>, Cut> {
+    let (parts, body) = req.into_parts();
+    let header = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+        (name.as_str().to_owned(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+    };
+    let req = HttpRequest {
+        method: parts.method.as_str().to_owned(),
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers.iter().map(header).collect(),
+        body: read_body(body).await?,
+    };
+    match handler.handle(req).await {
+        Reply::Full { status, headers, body } => {
+            let mut builder = Response::builder().status(status);
+            for (name, value) in headers {
+                builder = builder.header(name, value);
             }
-            Reply::Stream(parts) => write_stream(stream, parts).await?,
-            Reply::Cut => return Ok(()),
+            builder.body(ReplyBody::Full(Some(body.into()))).map_err(|_| Cut::Wanted)
         }
-        if close {
-            return Ok(());
+        Reply::Stream(parts) => {
+            let builder = Response::builder().header("content-type", "application/x-ndjson");
+            builder.body(ReplyBody::Stream(parts)).map_err(|_| Cut::Wanted)
         }
+        Reply::Cut => Err(Cut::Wanted),
     }
-    Ok(())
 }
 
-async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut Vec<u8>,
-) -> io::Result<Option<HttpRequest>> {
-    let head_len = loop {
-        if let Some(at) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
-            break at + 4;
-        }
-        if buf.len() > MAX_HEAD_BYTES {
-            return Err(io::ErrorKind::InvalidData.into());
-        }
-        if read_more(stream, buf).await? == 0 {
-            return Ok(None);
+async fn read_body(mut body: Incoming) -> Result<Vec<u8>, Cut> {
+    let mut buf = Vec::new();
+    while let Some(frame) = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await {
+        let frame = frame.map_err(|_| Cut::BadRequest)?;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
         }
-    };
-    let mut req = parse_head(&buf[..head_len]).ok_or(io::ErrorKind::InvalidData)?;
-    let body_len = req.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    if body_len > MAX_BODY_BYTES || req.header("transfer-encoding").is_some() {
-        write_full(stream, 413, &[], b"a content length of at most 4 MiB is needed").await?;
-        return Ok(None);
-    }
-    while buf.len() < head_len + body_len {
-        if read_more(stream, buf).await? == 0 {
-            return Ok(None);
+        if buf.len() > MAX_BODY_BYTES {
+            return Err(Cut::BadRequest);
         }
     }
-    let rest = buf.split_off(head_len + body_len);
-    req.body = buf.split_off(head_len);
-    *buf = rest;
-    Ok(Some(req))
+    Ok(buf)
 }
 
-async fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<usize> {
-    buf.reserve(READ_BYTES);
-    stream.read_buf(buf).await
-}
-
-fn parse_head(head: &[u8]) -> Option<HttpRequest> {
-    let text = std::str::from_utf8(head).ok()?;
-    let mut lines = text.split("\r\n");
-    let mut words = lines.next()?.split(' ');
-    let method = words.next()?.to_owned();
-    let target = words.next()?;
-    let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    let headers = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(key, value)| (key.to_ascii_lowercase(), value.trim().to_owned()))
-        .collect();
-    Some(HttpRequest {
-        method,
-        path: path.to_owned(),
-        query: query.to_owned(),
-        headers,
-        body: Vec::new(),
-    })
+/// Body of an answer.
+enum ReplyBody {
+    /// A whole body, until it has been taken.
+    Full(Option<Bytes>),
+    /// Parts as they come.
+    Stream(mpsc::UnboundedReceiver<Part>),
 }
 
-fn status_text(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        409 => "Conflict",
-        410 => "Gone",
-        412 => "Precondition Failed",
-        413 => "Content Too Large",
-        429 => "Too Many Requests",
-        503 => "Service Unavailable",
-        _ => "Error",
-    }
-}
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Cut;
 
-async fn write_full(
-    stream: &mut TcpStream,
-    status: u16,
-    headers: &[(&'static str, String)],
-    body: &[u8],
-) -> io::Result<()> {
-    let mut buf = format!("HTTP/1.1 {status} {}\r\n", status_text(status)).into_bytes();
-    for (key, value) in headers {
-        buf.extend_from_slice(format!("{key}: {value}\r\n").as_bytes());
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Self::Full(body) => Poll::Ready(body.take().map(|body| Ok(Frame::data(body)))),
+            Self::Stream(parts) => parts.poll_recv(cx).map(|part| match part {
+                Some(Part::Chunk(chunk)) => Some(Ok(Frame::data(chunk.into()))),
+                Some(Part::End) => None,
+                None => Some(Err(Cut::Wanted)),
+            }),
+        }
     }
-    buf.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
-    buf.extend_from_slice(body);
-    stream.write_all(&buf).await
-}
 
-async fn write_stream(
-    stream: &mut TcpStream,
-    mut parts: mpsc::UnboundedReceiver<Part>,
-) -> io::Result<()> {
-    let head = "HTTP/1.1 200 OK\r\ncontent-type: application/x-ndjson\r\n\
-                transfer-encoding: chunked\r\n\r\n";
-    stream.write_all(head.as_bytes()).await?;
-    let mut probe = [0; 1];
-    loop {
-        let part = tokio::select! {
-            part = parts.recv() => part,
-            // A caller sends nothing while it reads an answer, so this resolves when it went away.
-            _ = stream.read(&mut probe) => return Err(io::ErrorKind::ConnectionAborted.into()),
-        };
-        match part {
-            Some(Part::Chunk(chunk)) => {
-                let mut buf = format!("{:x}\r\n", chunk.len()).into_bytes();
-                buf.extend_from_slice(&chunk);
-                buf.extend_from_slice(b"\r\n");
-                stream.write_all(&buf).await?;
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        match self {
+            Self::Full(body) => {
+                hyper::body::SizeHint::with_exact(body.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Some(Part::End) => return stream.write_all(b"0\r\n\r\n").await,
-            None => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Self::Stream(_) => hyper::body::SizeHint::default(),
         }
     }
 }
--- a/crates/standin/src/tests/bound.rs
+++ b/crates/standin/src/tests/bound.rs
@@ -52,3 +52,13 @@
     let bound = bound_of(engines);
     assert!((bound - 1_000_000.0 / 2100.0).abs() < 1.0, "{bound}");
 }
+
+#[test]
+fn counts_the_smaller_batch_of_slots_that_are_held_for_other_stages() {
+    let mut engines = vec![engine("a", 0, 5, 1000), engine("b", 5, 10, 1000)];
+    engines[0].behavior.step_base_us = 10_000;
+    engines[0].behavior.slots = 10;
+    // A batch of b takes 10 + b ms and comes back after 1.1 ms, so b + 1.1 b / (10 + b) = 10.
+    let bound = bound_of(engines);
+    assert!((bound - 486.3).abs() < 1.0, "{bound}");
+}
