Drive claims through their slot's home

Cause: each keyed call swapped a value of its own, a resend on another host was refused while the call ran, and a refusal decided before the claim was looked at said not_run although an earlier send of the same key may have run. A repeatable plain call whose bytes had left was told not_run.

Change: claims go to the slot's home over the peer links, are committed in groups, and resends wait for the running call at its holder. The ends of calls are recorded later when the store is away; a drain waits for them. POST /v1/keys hands out keys bound to this process for store outages. Plain calls draw their retries from the host's budget. Refusals of keyed calls without a look at the claim say unknown and ask for the same key; so does a repeatable call after a byte left.

Conclusion: not_run is said for a keyed call only with a tombstone or another body on record.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -75,6 +75,10 @@
     CallerConnection = 1501, Debug, "caller connection failed";
     /// The outcome of a claimed call is not known.
     OutcomeUnknown = 1601, Warn, "outcome of a claimed call is unknown";
+    /// The store shows an older copy of a slot of claims; what is known is written back.
+    ClaimsRestored = 1602, Error, "store shows an older copy of claims";
+    /// A value of the claims cannot be read; its slot answers nothing until it is mended.
+    ClaimsDamaged = 1603, Error, "claims cannot be read";
 }
 
 /// Logs `event` with its number and `details`.
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -178,15 +178,18 @@
             .await
             .map_err(|_| {
                 Refusal::not_run(RefusalReason::ReadTimeout, "the body did not arrive in time")
-            })?
-            .map_err(|e| {
-                if e.is::<LengthLimitError>() {
-                    let text = format!("the body exceeds {} bytes", limits.body_bytes);
-                    Refusal::not_run(RefusalReason::BodyTooLarge, text)
-                } else {
-                    Refusal::not_run(RefusalReason::Malformed, "the body is not whole")
-                }
-            })?
+            })
+            .and_then(|read| {
+                read.map_err(|e| {
+                    if e.is::<LengthLimitError>() {
+                        let text = format!("the body exceeds {} bytes", limits.body_bytes);
+                        Refusal::not_run(RefusalReason::BodyTooLarge, text)
+                    } else {
+                        Refusal::not_run(RefusalReason::Malformed, "the body is not whole")
+                    }
+                })
+            })
+            .map_err(|refusal| early(&head.headers, refusal))?
             .to_bytes();
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     Ok(CallerRequest { id, method: head.method, target, headers: head.headers, body })
@@ -196,7 +199,7 @@
     let Some(slot) = InFlight::enter(&host) else {
         let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests in flight")
             .retry_after(host.load_retry_after());
-        host.refuse(responder, &refusal);
+        host.refuse(responder, &early(&req.headers, refusal));
         return;
     };
     tokio::task::spawn_blocking(move || {
@@ -205,6 +208,14 @@
     });
 }
 
+/// Returns a refusal that was decided before the claim of a keyed request was looked at.
+fn early(headers: &HeaderMap, refusal: Refusal) -> Refusal {
+    if headers.contains_key(plain::KEY_HEADER) {
+        return plain::without_claim(refusal);
+    }
+    refusal
+}
+
 /// Holds one place among the requests in flight.
 struct InFlight {
     host: Arc<Host>,
@@ -234,11 +245,13 @@
     if host.is_draining() {
         let refusal = Refusal::not_run(RefusalReason::Draining, "this host is stopping")
             .retry_after(yuccanotch_core::clock::Millis(1));
-        host.refuse(responder, &refusal);
+        host.refuse(responder, &early(&req.headers, refusal));
         return;
     }
     if path == "/v1/chat/completions" {
         chat::serve(host, &req, responder);
+    } else if path == plain::KEYS_PATH {
+        plain::serve_keys(host, &req, responder);
     } else {
         plain::serve(host, &req, responder);
     }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -1,24 +1,91 @@
 //! Claims of calls that may not be repeated, kept in the platform's store.
+//!
+//! Drives `yuccanotch_core::claim`: each call steps through its claim on the thread of its
+//! request; operations go to the slot's home over the peer links, or to the own [`Committer`]
+//! when this host is the home or the home does not answer.
 
+mod committer;
+mod layout;
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::claim::decode_segment;
+use yuccanotch_core::claim::home_order;
+use yuccanotch_core::claim::segment_key;
+use yuccanotch_core::claim::BoundKey;
+use yuccanotch_core::claim::BoundTable;
+use yuccanotch_core::claim::CallClaim;
+use yuccanotch_core::claim::ClaimKey;
+use yuccanotch_core::claim::ClaimMessage;
+use yuccanotch_core::claim::ClaimReply;
+use yuccanotch_core::claim::ClaimState;
+use yuccanotch_core::claim::Holder;
+use yuccanotch_core::claim::HolderStatus;
+use yuccanotch_core::claim::Input;
+use yuccanotch_core::claim::Nonce;
+use yuccanotch_core::claim::Op;
+use yuccanotch_core::claim::OpKind;
+use yuccanotch_core::claim::OpReply;
+use yuccanotch_core::claim::Purpose;
+use yuccanotch_core::claim::Registry;
+use yuccanotch_core::claim::RequestDigest;
+use yuccanotch_core::claim::SegmentRead;
+use yuccanotch_core::claim::Settlement;
+use yuccanotch_core::claim::SlotCounts;
+use yuccanotch_core::claim::SlotId;
+use yuccanotch_core::claim::SlotSettings;
+use yuccanotch_core::claim::Step;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::digest::Digest;
+use yuccanotch_core::event::emit;
+use yuccanotch_core::event::Event;
 use yuccanotch_core::ids::Incarnation;
-use yuccanotch_core::ids::KeyVersion;
 use yuccanotch_core::name::HostName;
 use yuccanotch_core::name::ServiceName;
 use yuccanotch_core::name::TeamName;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::store::Store;
-use yuccanotch_core::store::StoreError;
 
+use crate::host::Host;
 use crate::problem::Refusal;
 
+use self::committer::Committer;
+use self::layout::LayoutCell;
+
+pub use yuccanotch_core::claim::StoredAnswer;
+
+/// Threads that make the committer's calls to the store.
+pub const WORKERS: usize = 4;
+
 const RETRY_AFTER: Millis = Millis(1_000);
+/// Longest wait for a commit by this host or by another one.
+const COMMIT_TIMEOUT: Millis = Millis(900);
+/// Added to the wait that a holder is asked for.
+const ASK_MARGIN: Millis = Millis(300);
+/// How long a home that did not answer is asked last.
+const SUSPECT_SPAN: Millis = Millis(2_000);
+const REMEMBERED_CALLS: usize = 16_384;
+const BOUND_KEYS: usize = 65_536;
+const MAX_BACKLOG: usize = 16_384;
+const MINTED_KEYS: usize = 16;
+const TEND_INTERVAL: Duration = Duration::from_millis(250);
+/// Writes a second of the store that the claims of all entry hosts share.
+const CLAIM_WRITES_PER_S: usize = 150;
 
 /// A call that may not be repeated.
 #[derive(Clone, Debug)]
@@ -35,23 +102,11 @@
     pub deadline: Millis,
 }
 
-/// An answer kept with its claim.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StoredAnswer {
-    /// HTTP status.
-    pub status: u16,
-    /// Media type of the body.
-    pub content_type: String,
-    /// Body.
-    pub body: Vec<u8>,
-}
-
 /// Permission to dispatch one call once.
 #[derive(Debug)]
 pub struct Permit {
-    key: String,
-    version: KeyVersion,
-    claim: StoredClaim,
+    call: CallClaim,
+    place: Place,
 }
 
 /// How a call goes on after its claim was asked for.
@@ -76,100 +131,411 @@
     NotRun(RefusalReason),
 }
 
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct StoredClaim {
-    digest: Digest,
-    host: HostName,
-    incarnation: Incarnation,
-    state: ClaimState,
-}
-
-#[derive(Clone, Debug, Deserialize, Serialize)]
-enum ClaimState {
-    Claimed,
-    Done(StoredAnswer),
-    Unknown,
-    Tombstone,
+/// Where the record of a key is kept.
+#[derive(Clone, Debug)]
+enum Place {
+    Slot(SlotId),
+    Bound(Holder),
 }
 
 /// Claims of one entry host.
 pub struct Claims {
+    clock: Clock,
     store: Arc<dyn Store>,
-    host: HostName,
-    incarnation: Incarnation,
+    holder: Holder,
+    layout: LayoutCell,
+    committer: Committer,
+    local: Mutex<Local>,
+    ended: Condvar,
+}
+
+struct Local {
+    registry: Registry,
+    bound: BoundTable,
+    rng: Pcg64Mcg,
+    seen: HashMap<SlotId, u64>,
+    suspects: HashMap<HostName, Millis>,
+    backlog: VecDeque<(Op, Place)>,
+    told: SlotCounts,
+}
+
+impl fmt::Debug for Claims {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Claims").field("holder", &self.holder).finish_non_exhaustive()
+    }
 }
 
 impl Claims {
     /// Creates the claims of one incarnation of a host.
     pub fn new(
         store: Arc<dyn Store>,
-        _clock: Clock,
+        clock: Clock,
         host: HostName,
         incarnation: Incarnation,
     ) -> Self {
-        Self { store, host, incarnation }
+        let holder = Holder { host, incarnation };
+        // Nonces come from the machine even when a test seeds the host, because two hosts with
+        // one seed must not draw the same.
+        let local = Local {
+            registry: Registry::new(holder.clone(), REMEMBERED_CALLS),
+            bound: BoundTable::new(incarnation, BOUND_KEYS),
+            rng: Pcg64Mcg::from_os_rng(),
+            seen: HashMap::new(),
+            suspects: HashMap::new(),
+            backlog: VecDeque::new(),
+            told: SlotCounts::default(),
+        };
+        Self {
+            committer: Committer::new(store.clone(), clock.clone(), SlotSettings::default()),
+            layout: LayoutCell::default(),
+            local: Mutex::new(local),
+            ended: Condvar::new(),
+            clock,
+            store,
+            holder,
+        }
     }
 
     /// Claims a call for this host.
-    pub fn begin(&self, req: &ClaimRequest) -> Begin {
-        let name = format!("{}/{}/{}", req.team, req.service, req.key);
-        let key = format!("claims/{}", Digest::of(name.as_bytes()));
-        let claim = StoredClaim {
-            digest: req.digest,
-            host: self.host.clone(),
-            incarnation: self.incarnation,
-            state: ClaimState::Claimed,
+    pub fn begin(&self, host: &Host, req: &ClaimRequest) -> Begin {
+        self.settle(host, req, Purpose::Run)
+    }
+
+    /// Refuses a call for good before it was claimed, or returns what its key stands for already.
+    pub fn refuse(&self, host: &Host, req: &ClaimRequest, reason: RefusalReason) -> Begin {
+        self.settle(host, req, Purpose::Refuse(reason))
+    }
+
+    /// Records how a dispatched call ended; returns whether the record is kept.
+    ///
+    /// The end of a call that was run is recorded later when it cannot be now.
+    pub fn finish(&self, host: &Host, permit: Permit, finished: Finished) -> bool {
+        let nonce = permit.call.nonce();
+        let kind = match finished {
+            Finished::Answer(answer) => self.end(nonce, ClaimState::answered(answer)),
+            Finished::Unknown => self.end(nonce, ClaimState::Unknown),
+            Finished::NotRun(reason) => {
+                self.lock().registry.withdraw(nonce);
+                self.ended.notify_all();
+                OpKind::Refuse { reason }
+            }
         };
-        let value = serde_json::to_vec(&claim).expect("a claim has only texts and numbers");
-        match self.store.swap(&key, KeyVersion(0), &value, None) {
-            Ok(version) => Begin::Run(Permit { key, version, claim }),
-            Err(StoreError::Conflict(_)) => self.resume(&key, req),
-            Err(e) => Begin::Refuse(
-                Refusal::unknown(RefusalReason::StoreUnavailable, e.to_string())
-                    .retry_after(RETRY_AFTER),
-            ),
-        }
-    }
-
-    fn resume(&self, key: &str, req: &ClaimRequest) -> Begin {
-        let found = self.store.get(key).ok().flatten();
-        let claim = found.and_then(|found| serde_json::from_slice(&found.value).ok());
-        let Some(claim): Option<StoredClaim> = claim else {
-            let text = "the claim cannot be read now; ask again with the same key";
-            return Begin::Refuse(
-                Refusal::unknown(RefusalReason::StoreUnavailable, text).retry_after(RETRY_AFTER),
-            );
+        let op = permit.call.ending(kind);
+        let reply = self.commit(host, &permit.place, op.clone());
+        let recorded = is_recorded(&op, reply.as_ref());
+        if !recorded && matches!(op.kind, OpKind::Finish { .. }) {
+            self.postpone(op, permit.place);
+        }
+        recorded
+    }
+
+    /// Returns keys that are bound to this incarnation, for use while the store is away.
+    pub fn mint(&self) -> Vec<String> {
+        let rng = &mut self.lock().rng;
+        let key = |serial| BoundKey { arbiter: self.holder.clone(), serial }.to_string();
+        (0..MINTED_KEYS).map(|_| key(rng.random())).collect()
+    }
+
+    /// Returns the number of ends of calls that still have to be recorded.
+    pub fn pending(&self) -> usize {
+        self.lock().backlog.len()
+    }
+
+    /// Answers another entry host.
+    pub fn on_peer(&self, message: ClaimMessage) -> ClaimReply {
+        match message {
+            ClaimMessage::Commit { slot, seen, op } => {
+                let reply = self.committer.commit(slot, seen, op, COMMIT_TIMEOUT);
+                ClaimReply::Op(reply.unwrap_or(OpReply::Unavailable))
+            }
+            ClaimMessage::CommitBound { incarnation, op } => {
+                let now = self.clock.unix_now();
+                ClaimReply::Op(self.lock().bound.commit(incarnation, &op, now))
+            }
+            ClaimMessage::Ask { holder, nonce, wait } => {
+                ClaimReply::Status(self.status(&holder, nonce, wait))
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Local> {
+        self.local.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn end(&self, nonce: Nonce, state: ClaimState) -> OpKind {
+        self.lock().registry.end(nonce, state.clone());
+        self.ended.notify_all();
+        OpKind::Finish { state }
+    }
+
+    fn place(&self, req: &ClaimRequest, key: ClaimKey) -> Option<Place> {
+        if let Ok(bound) = req.key.parse::<BoundKey>() {
+            return Some(Place::Bound(bound.arbiter));
+        }
+        let layout = self.layout.get(self.store.as_ref())?;
+        Some(Place::Slot(key.slot(layout.slots)))
+    }
+
+    fn settle(&self, host: &Host, req: &ClaimRequest, purpose: Purpose) -> Begin {
+        let key = ClaimKey::new(&req.team, &req.service, &req.key);
+        let Some(place) = self.place(req, key) else {
+            return Begin::Refuse(unavailable());
         };
-        if claim.digest != req.digest {
-            let text = "the idempotency key was used with another request";
-            return Begin::Refuse(Refusal::not_run(RefusalReason::KeyReused, text));
-        }
-        match claim.state {
-            ClaimState::Done(answer) => Begin::Answer(answer),
-            ClaimState::Tombstone => Begin::Refuse(Refusal::not_run(
-                RefusalReason::Tombstoned,
-                "the call was refused before under this key and was not run",
-            )),
-            ClaimState::Claimed => Begin::Refuse(
-                Refusal::unknown(RefusalReason::OutcomeUnknown, "the call may be running")
-                    .retry_after(RETRY_AFTER),
-            ),
-            ClaimState::Unknown => Begin::Refuse(Refusal::unknown(
-                RefusalReason::OutcomeUnknown,
-                "the call was sent and its answer was lost; it is not repeated",
-            )),
-        }
-    }
-
-    /// Records how a dispatched call ended; returns whether the record is in the store.
-    pub fn finish(&self, permit: Permit, finished: Finished) -> bool {
-        let state = match finished {
-            Finished::Answer(answer) => ClaimState::Done(answer),
-            Finished::Unknown => ClaimState::Unknown,
-            Finished::NotRun(_) => ClaimState::Tombstone,
+        let nonce = Nonce(self.lock().rng.random());
+        let digest = RequestDigest::from(req.digest);
+        let mut call =
+            CallClaim::new(key, digest, self.holder.clone(), nonce, purpose, req.deadline);
+        let mut input = Input::Start;
+        loop {
+            let step = call.step(self.clock.now(), input, &mut self.lock().registry);
+            input = match step {
+                Step::Commit(op) => self.commit(host, &place, op).map_or(Input::Lost, Input::Reply),
+                Step::Ask { holder, nonce, wait } => self.ask(host, holder, nonce, wait),
+                Step::ReadSegment(id) => Input::Segment(self.read_segment(&place, key, id)),
+                Step::Pause(span) => {
+                    thread::sleep(span.to_duration());
+                    Input::Resume
+                }
+                Step::Run => return Begin::Run(Permit { call, place }),
+                Step::Settle(settlement) => return settled(settlement),
+            };
+        }
+    }
+
+    /// Commits an operation where its key is kept; `None` when no answer came.
+    fn commit(&self, host: &Host, place: &Place, op: Op) -> Option<OpReply> {
+        match place {
+            Place::Slot(slot) => self.commit_slot(host, *slot, op),
+            Place::Bound(arbiter) => self.commit_bound(host, arbiter, op),
+        }
+    }
+
+    fn commit_slot(&self, host: &Host, slot: SlotId, op: Op) -> Option<OpReply> {
+        let home = self.home(host, slot);
+        let seen = self.lock().seen.get(&slot).copied().unwrap_or(0);
+        let reply = if home == self.holder.host {
+            self.committer.commit(slot, seen, op, COMMIT_TIMEOUT)
+        } else {
+            let message = ClaimMessage::Commit { slot, seen, op };
+            match self.call_peer(host, &home, message, COMMIT_TIMEOUT + ASK_MARGIN) {
+                Some(ClaimReply::Op(reply)) => Some(reply),
+                _ => None,
+            }
         };
-        let claim = StoredClaim { state, ..permit.claim };
-        let value = serde_json::to_vec(&claim).expect("a claim has only texts and numbers");
-        self.store.swap(&permit.key, permit.version, &value, None).is_ok()
+        let local = &mut *self.lock();
+        match &reply {
+            Some(OpReply::Recorded { sequence, .. }) => {
+                let seen = local.seen.entry(slot).or_default();
+                *seen = (*seen).max(*sequence);
+            }
+            None => {
+                local.suspects.insert(home, self.clock.now() + SUSPECT_SPAN);
+            }
+            Some(_) => {}
+        }
+        reply
+    }
+
+    fn commit_bound(&self, host: &Host, arbiter: &Holder, op: Op) -> Option<OpReply> {
+        let incarnation = arbiter.incarnation;
+        if arbiter.host == self.holder.host {
+            let now = self.clock.unix_now();
+            return Some(self.lock().bound.commit(incarnation, &op, now));
+        }
+        let message = ClaimMessage::CommitBound { incarnation, op };
+        match self.call_peer(host, &arbiter.host, message, COMMIT_TIMEOUT) {
+            Some(ClaimReply::Op(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    /// Returns the host to ask for a slot: its home, or the next one when that did not answer.
+    fn home(&self, host: &Host, slot: SlotId) -> HostName {
+        let mut members: Vec<HostName> =
+            host.fleet.members().usable().map(|(name, _)| name.clone()).collect();
+        if !members.contains(&self.holder.host) && !host.is_draining() {
+            members.push(self.holder.host.clone());
+        }
+        let now = self.clock.now();
+        let suspects = &mut self.lock().suspects;
+        suspects.retain(|_, until| *until > now);
+        let order = home_order(slot, &members);
+        let trusted = order.iter().find(|name| !suspects.contains_key(*name));
+        trusted.unwrap_or(&self.holder.host).clone()
+    }
+
+    fn call_peer(
+        &self,
+        host: &Host,
+        to: &HostName,
+        message: ClaimMessage,
+        timeout: Millis,
+    ) -> Option<ClaimReply> {
+        match host.peers.call(to, PeerRequest::Claim(message), timeout) {
+            Ok(PeerReply::Claim(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    fn ask(&self, host: &Host, holder: Holder, nonce: Nonce, wait: Millis) -> Input {
+        if holder.host == self.holder.host {
+            return Input::Status(self.status(&holder, nonce, wait));
+        }
+        let to = holder.host.clone();
+        let message = ClaimMessage::Ask { holder, nonce, wait };
+        match self.call_peer(host, &to, message, wait + ASK_MARGIN) {
+            Some(ClaimReply::Status(status)) => Input::Status(status),
+            _ => Input::Silent,
+        }
+    }
+
+    /// Returns the state of a claim, after waiting up to `wait` for the end of its call.
+    fn status(&self, holder: &Holder, nonce: Nonce, wait: Millis) -> HolderStatus {
+        let until = self.clock.now() + wait;
+        let mut local = self.lock();
+        loop {
+            let status = local.registry.status(holder, nonce);
+            let left = until.since(self.clock.now());
+            if status != HolderStatus::Running || left == Millis::ZERO {
+                return status;
+            }
+            let waited = self.ended.wait_timeout(local, left.to_duration());
+            local = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    fn read_segment(&self, place: &Place, key: ClaimKey, id: u64) -> SegmentRead {
+        let Place::Slot(slot) = place else {
+            return SegmentRead::Missing;
+        };
+        match self.store.get(&segment_key(*slot, id)) {
+            Ok(Some(found)) => {
+                let records = decode_segment(&found.value).unwrap_or_default();
+                let found = records.into_iter().find(|record| record.key == key);
+                found.map_or(SegmentRead::Missing, SegmentRead::Found)
+            }
+            Ok(None) => SegmentRead::Missing,
+            Err(_) => SegmentRead::Unavailable,
+        }
+    }
+
+    /// Keeps the end of a call to record it later; the oldest ones are dropped beyond the bound
+    /// and become unknown when this host goes.
+    fn postpone(&self, op: Op, place: Place) {
+        let backlog = &mut self.lock().backlog;
+        if backlog.len() >= MAX_BACKLOG {
+            backlog.pop_front();
+        }
+        backlog.push_back((op, place));
+    }
+
+    fn work_off_backlog(&self, host: &Host) {
+        for _ in 0..self.pending() {
+            let Some((op, place)) = self.lock().backlog.pop_front() else {
+                return;
+            };
+            let reply = self.commit(host, &place, op.clone());
+            match reply {
+                Some(OpReply::Unavailable) | None => {
+                    self.lock().backlog.push_front((op, place));
+                    return;
+                }
+                // Any other reply is final for this operation.
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn tend(&self, host: &Host) {
+        let members = host.fleet.members().usable().count().max(1);
+        let share = (CLAIM_WRITES_PER_S / members).max(1) as u32;
+        let counts = self.committer.tend(share, |slot| self.home(host, slot) == self.holder.host);
+        let told = std::mem::replace(&mut self.lock().told, counts);
+        publish(host, told, counts);
+        host.telemetry.gauge("yuccanotch_claim_records", self.committer.records() as f64);
+        host.telemetry.gauge("yuccanotch_claim_backlog", self.pending() as f64);
+    }
+}
+
+/// Makes the committer's calls to the store until the host stops.
+pub fn run_worker(host: &Arc<Host>) {
+    host.claims.committer.work(|| host.is_stopped());
+}
+
+/// Reads the layout, records late ends of calls and publishes counters until the host stops.
+pub fn run(host: &Arc<Host>) {
+    while !host.is_stopped() {
+        host.claims.layout.get(host.store.as_ref());
+        host.claims.work_off_backlog(host);
+        host.claims.tend(host);
+        thread::sleep(TEND_INTERVAL);
+    }
+}
+
+fn is_recorded(op: &Op, reply: Option<&OpReply>) -> bool {
+    let Some(OpReply::Recorded { record, .. }) = reply else {
+        return false;
+    };
+    let own = record.nonce == op.nonce && record.holder == op.holder;
+    match &op.kind {
+        OpKind::Refuse { .. } => own && matches!(record.state, ClaimState::Tombstone(_)),
+        _ => own && record.state != ClaimState::Claimed,
+    }
+}
+
+fn settled(settlement: Settlement) -> Begin {
+    match settlement {
+        Settlement::Answer(answer) => Begin::Answer(answer),
+        Settlement::Refuse { outcome, reason, ask_again } => {
+            let detail = detail(reason).to_owned();
+            let retry_after = ask_again.then_some(RETRY_AFTER);
+            Begin::Refuse(Refusal { reason, outcome, retry_after, detail })
+        }
+    }
+}
+
+fn detail(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::KeyReused => "the idempotency key was used with another request",
+        RefusalReason::AnswerNotKept => "the call ran; its answer was too long to be kept",
+        RefusalReason::StoreRestored => {
+            "the store holds an older copy of the claims; ask again with the same key"
+        }
+        RefusalReason::StoreUnavailable => "the store is away; ask again with the same key",
+        RefusalReason::OutcomeUnknown => {
+            "the call was or may have been sent and is not repeated; ask again with the same key"
+        }
+        RefusalReason::DeadlineExceeded => {
+            "the call was still running at the deadline; ask again with the same key"
+        }
+        _ => "the call was refused under this key, was not run and will not be run",
+    }
+}
+
+fn unavailable() -> Refusal {
+    let reason = RefusalReason::StoreUnavailable;
+    Refusal::unknown(reason, detail(reason)).retry_after(RETRY_AFTER)
+}
+
+fn publish(host: &Host, told: SlotCounts, counts: SlotCounts) {
+    let changes = [
+        ("swap", counts.swaps - told.swaps),
+        ("conflict", counts.conflicts - told.conflicts),
+        ("lost_answer", counts.lost_answers - told.lost_answers),
+        ("seal", counts.seals - told.seals),
+        ("read", counts.reads - told.reads),
+        ("restored", counts.restores - told.restores),
+        ("damaged", counts.damaged - told.damaged),
+    ];
+    for (label, change) in changes.into_iter().filter(|(_, change)| *change > 0) {
+        host.telemetry.counter_by("yuccanotch_claim_store_total", label, change);
+    }
+    let written = counts.written_bytes - told.written_bytes;
+    host.telemetry.counter_by("yuccanotch_claim_written_bytes_total", "", written);
+    if counts.restores > told.restores {
+        emit(Event::ClaimsRestored, format_args!("host={}", host.settings.host));
+    }
+    if counts.damaged > told.damaged {
+        emit(Event::ClaimsDamaged, format_args!("host={}", host.settings.host));
     }
 }
--- /dev/null
+++ b/crates/entry/src/claims/committer.rs
@@ -0,0 +1,173 @@
+//! Commits operations on the slots that this host writes.
+//!
+//! A few worker threads make the calls to the store; the slots' state is behind one lock, which
+//! is never held during a call.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::mpsc;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::claim::Op;
+use yuccanotch_core::claim::OpReply;
+use yuccanotch_core::claim::Replies;
+use yuccanotch_core::claim::SlotCall;
+use yuccanotch_core::claim::SlotCounts;
+use yuccanotch_core::claim::SlotId;
+use yuccanotch_core::claim::SlotSettings;
+use yuccanotch_core::claim::StoreAnswer;
+use yuccanotch_core::claim::StoreCall;
+use yuccanotch_core::claim::Ticket;
+use yuccanotch_core::claim::WriteBudget;
+use yuccanotch_core::claim::Writers;
+use yuccanotch_core::clock::Clock;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::store::Store;
+
+const BUSY_WAIT: Duration = Duration::from_millis(10);
+const IDLE_WAIT: Duration = Duration::from_millis(500);
+const INITIAL_WRITES_PER_S: u32 = 20;
+const BURST_WRITES: u32 = 16;
+const EVICT_IDLE: Millis = Millis(60_000);
+
+/// The slots written by this host.
+pub struct Committer {
+    store: Arc<dyn Store>,
+    clock: Clock,
+    state: Mutex<State>,
+    work: Condvar,
+}
+
+struct State {
+    writers: Writers,
+    rng: Pcg64Mcg,
+    calls: VecDeque<SlotCall>,
+    waiting: HashMap<Ticket, SyncSender<OpReply>>,
+}
+
+impl fmt::Debug for Committer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Committer").finish_non_exhaustive()
+    }
+}
+
+impl Committer {
+    /// Creates a committer that writes no slot yet.
+    pub fn new(store: Arc<dyn Store>, clock: Clock, settings: SlotSettings) -> Self {
+        let budget = WriteBudget::new(INITIAL_WRITES_PER_S, BURST_WRITES);
+        let state = State {
+            writers: Writers::new(settings, budget),
+            rng: Pcg64Mcg::from_os_rng(),
+            calls: VecDeque::new(),
+            waiting: HashMap::new(),
+        };
+        Self { store, clock, state: Mutex::new(state), work: Condvar::new() }
+    }
+
+    /// Commits an operation and waits up to `timeout` for its reply.
+    pub fn commit(&self, slot: SlotId, seen: u64, op: Op, timeout: Millis) -> Option<OpReply> {
+        let (tx, rx) = mpsc::sync_channel(1);
+        let now = self.clock.now();
+        let ticket = {
+            let state = &mut *self.lock();
+            let Ok(ticket) = state.writers.submit(now, slot, seen, op) else {
+                return Some(OpReply::Unavailable);
+            };
+            state.waiting.insert(ticket, tx);
+            ticket
+        };
+        self.work.notify_one();
+        let reply = rx.recv_timeout(timeout.to_duration()).ok();
+        if reply.is_none() {
+            self.lock().waiting.remove(&ticket);
+        }
+        reply
+    }
+
+    /// Makes calls to the store until `is_stopped`; runs on each worker thread.
+    pub fn work(&self, is_stopped: impl Fn() -> bool) {
+        let mut state = self.lock();
+        while !is_stopped() {
+            self.poll(&mut state);
+            let Some(call) = state.calls.pop_front() else {
+                state = self.wait(state);
+                continue;
+            };
+            drop(state);
+            let answer = self.make(call.call);
+            state = self.lock();
+            let replies = state.writers.on_store(self.clock.now(), call.slot, answer);
+            state.deliver(replies);
+        }
+    }
+
+    /// Sets the share of the store's writes and forgets idle slots whose home is elsewhere.
+    pub fn tend(&self, writes_per_s: u32, is_home: impl Fn(SlotId) -> bool) -> SlotCounts {
+        let now = self.clock.now();
+        let writers = &mut self.lock().writers;
+        writers.set_write_rate(now, writes_per_s);
+        writers.evict(now, EVICT_IDLE, is_home);
+        writers.counts()
+    }
+
+    /// Returns the number of records in memory.
+    pub fn records(&self) -> usize {
+        self.lock().writers.records()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn poll(&self, state: &mut State) {
+        let now = self.clock.now();
+        let unix_now = self.clock.unix_now();
+        let (replies, calls) = state.writers.poll(now, unix_now, &mut state.rng);
+        state.deliver(replies);
+        if calls.len() > 1 {
+            self.work.notify_all();
+        }
+        state.calls.extend(calls);
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+        let span = if state.waiting.is_empty() { IDLE_WAIT } else { BUSY_WAIT };
+        let (state, _) =
+            self.work.wait_timeout(state, span).unwrap_or_else(PoisonError::into_inner);
+        state
+    }
+
+    fn make(&self, call: StoreCall) -> StoreAnswer {
+        match call {
+            StoreCall::Get { key } => StoreAnswer::Got(self.store.get(&key)),
+            StoreCall::Swap { key, expect, value } => {
+                StoreAnswer::Swapped(self.store.swap(&key, expect, &value, None))
+            }
+            StoreCall::Delete { key } => {
+                // Sealed segments are written once, so their version is 1.
+                let _ = self.store.delete(&key, KeyVersion(1));
+                StoreAnswer::Deleted
+            }
+        }
+    }
+}
+
+impl State {
+    fn deliver(&mut self, replies: Replies) {
+        for (ticket, reply) in replies {
+            if let Some(tx) = self.waiting.remove(&ticket) {
+                let _ = tx.send(reply);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/claims/layout.rs
@@ -0,0 +1,56 @@
+//! The layout of the claims, which all entry hosts have to share.
+
+use std::sync::OnceLock;
+
+use serde::Deserialize;
+use serde::Serialize;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::store::Store;
+use yuccanotch_core::store::StoreError;
+
+const KEY: &str = "claims/layout";
+const DEFAULT_SLOTS: u16 = 64;
+const DEFAULT_RETENTION: Millis = Millis(6 * 3_600_000);
+
+/// Slots and retention, kept in the store from the first start of a deployment.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Layout {
+    /// Number of slots; it never changes, because a key belongs to one slot.
+    pub slots: u16,
+    /// How long a claim is kept after its last change.
+    pub retention_ms: Millis,
+}
+
+/// Reads the layout once, and writes the default one into an empty store.
+#[derive(Debug, Default)]
+pub struct LayoutCell(OnceLock<Layout>);
+
+impl LayoutCell {
+    /// Returns the layout, or `None` while the store cannot be asked or holds a wrong one.
+    pub fn get(&self, store: &dyn Store) -> Option<Layout> {
+        if let Some(layout) = self.0.get() {
+            return Some(*layout);
+        }
+        let layout = load(store).ok().flatten()?;
+        Some(*self.0.get_or_init(|| layout))
+    }
+}
+
+fn load(store: &dyn Store) -> Result<Option<Layout>, StoreError> {
+    if let Some(found) = store.get(KEY)? {
+        return Ok(parse(&found.value));
+    }
+    let layout = Layout { slots: DEFAULT_SLOTS, retention_ms: DEFAULT_RETENTION };
+    let value = serde_json::to_vec(&layout).expect("a layout has only numbers");
+    match store.swap(KEY, KeyVersion(0), &value, None) {
+        Ok(_) => Ok(Some(layout)),
+        Err(StoreError::Conflict(_)) => Ok(store.get(KEY)?.and_then(|found| parse(&found.value))),
+        Err(e) => Err(e),
+    }
+}
+
+fn parse(value: &[u8]) -> Option<Layout> {
+    let layout: Layout = serde_json::from_slice(value).ok()?;
+    (layout.slots > 0 && layout.retention_ms > Millis::ZERO).then_some(layout)
+}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -316,6 +316,10 @@
         let mut threads = vec![admin.thread];
         threads.push(spawn(&host, "config", crate::configuration::run));
         threads.push(spawn(&host, "fleet", crate::fleet::run));
+        threads.push(spawn(&host, "claims", crate::claims::run));
+        for _ in 0..crate::claims::WORKERS {
+            threads.push(spawn(&host, "claims-store", crate::claims::run_worker));
+        }
         runtime.spawn(callers::serve(host.clone(), listener));
         emit(
             Event::HostStarted,
@@ -335,7 +339,8 @@
         host.draining.store(true, Ordering::SeqCst);
         thread::sleep(limits.drain_grace.to_duration());
         let end = host.clock.now() + limits.drain_timeout;
-        while host.in_flight.load(Ordering::SeqCst) > 0 && host.clock.now() < end {
+        let busy = || host.in_flight.load(Ordering::SeqCst) > 0 || host.claims.pending() > 0;
+        while busy() && host.clock.now() < end {
             thread::sleep(DRAIN_POLL);
         }
         let whole = host.in_flight.load(Ordering::SeqCst) == 0;
--- a/crates/entry/src/peer_handler.rs
+++ b/crates/entry/src/peer_handler.rs
@@ -15,9 +15,8 @@
                 PeerReply::Config(self.configuration.on_peer(&header.host, message))
             }
             PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(message)),
-            PeerRequest::Claim(_) | PeerRequest::Quarantine(_) | PeerRequest::Share(_) => {
-                PeerReply::Declined
-            }
+            PeerRequest::Claim(message) => PeerReply::Claim(self.claims.on_peer(message)),
+            PeerRequest::Quarantine(_) | PeerRequest::Share(_) => PeerReply::Declined,
         }
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,5 +1,7 @@
 //! Callers' requests to plain services.
 
+use std::thread;
+
 use http::header;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -10,10 +12,14 @@
 use yuccanotch_core::digest::Digest;
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::ids::Attempt;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
+use yuccanotch_core::reason::Outcome;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::reason::RetryReason;
+use yuccanotch_core::retry::Decision;
+use yuccanotch_core::retry::FailedAttempt;
 
 use crate::admission::Work;
 use crate::answer::Responder;
@@ -33,6 +39,9 @@
 /// Header that names a call that may not be repeated.
 pub const KEY_HEADER: &str = "idempotency-key";
 
+/// Path at which callers fetch keys for the time when the store is away.
+pub const KEYS_PATH: &str = "/v1/keys";
+
 const OUTCOME_HEADER: &str = "yuccanotch-outcome";
 const DIGEST_HEADER: &str = "yuccanotch-digest";
 const MAX_KEY_BYTES: usize = 128;
@@ -49,30 +58,56 @@
 
 /// Serves `/SERVICE/...`.
 pub fn serve(host: &Host, req: &CallerRequest, responder: Responder) {
-    let caller = match host.authenticate(req) {
-        Ok(caller) => caller,
-        Err(refusal) => return host.refuse(responder, &refusal),
-    };
-    let result = prepare(host, req, &caller).and_then(|job| {
-        let work = Work {
-            pool: Pool::Service(job.service.clone()),
-            service_time: Millis::ZERO,
-            deadline: job.deadline,
-            places: None,
-            hosts: 1,
-        };
-        let is_gone = || responder.is_gone();
-        let ticket = host.admission.admit(&caller.name, &caller.team, work, &is_gone)?;
-        let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
-        drop(ticket);
-        answer
-    });
-    match result {
+    match answer(host, req, &responder) {
         Ok(answer) => respond(host, req, responder, answer),
         Err(refusal) => host.refuse(responder, &refusal),
     }
 }
 
+fn answer(
+    host: &Host,
+    req: &CallerRequest,
+    responder: &Responder,
+) -> Result<StoredAnswer, Refusal> {
+    let keyed = req.headers.contains_key(KEY_HEADER);
+    let unclaimed = |refusal: Refusal| if keyed { without_claim(refusal) } else { refusal };
+    let caller = host.authenticate(req).map_err(unclaimed)?;
+    let job = prepare(host, req, &caller).map_err(unclaimed)?;
+    let work = Work {
+        pool: Pool::Service(job.service.clone()),
+        service_time: Millis::ZERO,
+        deadline: job.deadline,
+        places: None,
+        hosts: 1,
+    };
+    let is_gone = || responder.is_gone();
+    let ticket = host.admission.admit(&caller.name, &caller.team, work, &is_gone);
+    let ticket = ticket.map_err(|e| if job.repeatable { e } else { without_claim(e) })?;
+    let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
+    drop(ticket);
+    answer
+}
+
+/// Serves [`KEYS_PATH`]: keys that this process arbitrates without the store.
+pub fn serve_keys(host: &Host, req: &CallerRequest, responder: Responder) {
+    if req.method != http::Method::POST {
+        let text = "keys are fetched with POST";
+        return host.refuse(responder, &Refusal::not_run(RefusalReason::MethodNotAllowed, text));
+    }
+    if let Err(refusal) = host.authenticate(req) {
+        return host.refuse(responder, &refusal);
+    }
+    let body = serde_json::json!({ "keys": host.claims.mint() }).to_string();
+    responder.whole(200, "application/json", HeaderMap::new(), body);
+}
+
+/// Takes the word "not run" from a refusal that was decided without a look at the key's claim:
+/// the call may be the resend of one that ran.
+pub fn without_claim(refusal: Refusal) -> Refusal {
+    let detail = format!("{}; ask again with the same key", refusal.detail);
+    Refusal { outcome: Outcome::Unknown, detail, ..refusal }
+}
+
 fn prepare<'a>(
     host: &Host,
     req: &'a CallerRequest,
@@ -116,23 +151,53 @@
 
 /// Runs a call that may be repeated, on one server after the other.
 fn run_repeatable(host: &Host, job: &PlainJob<'_>) -> Result<StoredAnswer, Refusal> {
-    let mut refusal = no_server(job);
-    for (i, (server, address)) in candidates(host, job).iter().enumerate() {
-        if host.clock.now() >= job.deadline {
-            return Err(Refusal::not_run(RefusalReason::DeadlineExceeded, "the deadline passed"));
-        }
-        if i > 0 {
-            host.telemetry.retry(RetryReason::ConnectRefused);
-        }
-        match call(host, job, server, address) {
+    host.routing.on_request(host.clock.now());
+    let mut attempt = Attempt(1);
+    let mut byte_left = false;
+    for (server, address) in candidates(host, job) {
+        let e = match call(host, job, &server, &address) {
             Ok(reply) => return Ok(reply.into()),
-            Err(e) => {
-                refusal = Refusal::not_run(RefusalReason::ServerFailed, e.to_string())
-                    .retry_after(RETRY_AFTER);
+            Err(e) => e,
+        };
+        byte_left |= !matches!(e, CallError::NotSent);
+        let decision = host.routing.on_failed_attempt(
+            host.clock.now(),
+            FailedAttempt {
+                attempt,
+                reason: retry_reason(&e),
+                byte_left,
+                repeatable: true,
+                deadline: job.deadline,
+            },
+        );
+        match decision {
+            Decision::Retry { wait } => {
+                host.telemetry.retry(retry_reason(&e));
+                thread::sleep(wait.to_duration());
+                attempt = attempt.next();
             }
+            Decision::GiveUp(reason) => return Err(given_up(reason, byte_left, &e.to_string())),
         }
     }
-    Err(refusal)
+    if byte_left {
+        let text = "no backend server answered";
+        return Err(given_up(RefusalReason::ServerFailed, byte_left, text));
+    }
+    Err(no_server(job))
+}
+
+fn retry_reason(e: &CallError) -> RetryReason {
+    match e {
+        CallError::NotSent => RetryReason::ConnectRefused,
+        CallError::Refused(_) => RetryReason::ServerFull,
+        CallError::Lost(_) => RetryReason::Truncated,
+    }
+}
+
+fn given_up(reason: RefusalReason, byte_left: bool, text: &str) -> Refusal {
+    let refusal =
+        if byte_left { Refusal::unknown(reason, text) } else { Refusal::not_run(reason, text) };
+    refusal.retry_after(RETRY_AFTER)
 }
 
 /// Runs a call that may not be repeated, under a claim.
@@ -144,37 +209,72 @@
         digest: call_digest(job),
         deadline: job.deadline,
     };
-    let permit = match host.claims.begin(&claim) {
+    let permit = match host.claims.begin(host, &claim) {
         Begin::Run(permit) => permit,
         Begin::Answer(answer) => return Ok(answer),
         Begin::Refuse(refusal) => return Err(refusal),
     };
+    host.routing.on_request(host.clock.now());
+    let (result, finished) = dispatch(host, job);
+    let not_run = matches!(finished, Finished::NotRun(_));
+    let recorded = host.claims.finish(host, permit, finished);
+    if not_run && !recorded {
+        return Err(Refusal::unknown(
+            RefusalReason::StoreUnavailable,
+            "the refusal could not be recorded; ask again with the same key",
+        )
+        .retry_after(RETRY_AFTER));
+    }
+    result
+}
+
+/// Sends a claimed call to one server after the other until a byte leaves.
+fn dispatch(host: &Host, job: &PlainJob<'_>) -> (Result<StoredAnswer, Refusal>, Finished) {
+    let mut attempt = Attempt(1);
     for (server, address) in candidates(host, job) {
+        if host.clock.now() >= job.deadline {
+            return withdrawn(RefusalReason::DeadlineExceeded, "the deadline passed");
+        }
         match call(host, job, &server, &address) {
             Ok(reply) => {
                 let answer = StoredAnswer::from(reply);
-                host.claims.finish(permit, Finished::Answer(answer.clone()));
-                return Ok(answer);
+                return (Ok(answer.clone()), Finished::Answer(answer));
+            }
+            Err(CallError::NotSent) => {
+                let failed = FailedAttempt {
+                    attempt,
+                    reason: RetryReason::ConnectRefused,
+                    byte_left: false,
+                    repeatable: false,
+                    deadline: job.deadline,
+                };
+                match host.routing.on_failed_attempt(host.clock.now(), failed) {
+                    Decision::Retry { wait } => {
+                        host.telemetry.retry(RetryReason::ConnectRefused);
+                        thread::sleep(wait.to_duration());
+                        attempt = attempt.next();
+                    }
+                    Decision::GiveUp(reason) => {
+                        return withdrawn(reason, "no backend server could be reached");
+                    }
+                }
             }
-            Err(CallError::NotSent) => host.telemetry.retry(RetryReason::ConnectRefused),
             Err(e) => {
-                host.claims.finish(permit, Finished::Unknown);
                 emit(
                     Event::OutcomeUnknown,
                     format_args!("host={} request={}: {e}", host.settings.host, job.req.id),
                 );
-                return Err(Refusal::unknown(RefusalReason::ServerFailed, e.to_string()));
+                let refusal = Refusal::unknown(RefusalReason::ServerFailed, e.to_string());
+                return (Err(refusal), Finished::Unknown);
             }
         }
     }
-    if host.claims.finish(permit, Finished::NotRun(RefusalReason::NoServer)) {
-        return Err(no_server(job));
-    }
-    Err(Refusal::unknown(
-        RefusalReason::StoreUnavailable,
-        "the refusal could not be recorded; ask again with the same key",
-    )
-    .retry_after(RETRY_AFTER))
+    (Err(no_server(job)), Finished::NotRun(RefusalReason::NoServer))
+}
+
+fn withdrawn(reason: RefusalReason, text: &str) -> (Result<StoredAnswer, Refusal>, Finished) {
+    let refusal = Refusal::not_run(reason, text).retry_after(RETRY_AFTER);
+    (Err(refusal), Finished::NotRun(reason))
 }
 
 fn no_server(job: &PlainJob<'_>) -> Refusal {
