Run routing and admission under random faults

Cause: their invariants have to be shown to hold, and the checks to be able to fail. Change: the cases route and admit, and three planted defects.

--- /dev/null
+++ b/crates/check/src/admit_case.rs
@@ -0,0 +1,234 @@
+//! Randomised case: requests of teams that flood, leave, lapse and run long.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::admit::Action;
+use yuccanotch_core::admit::Actions;
+use yuccanotch_core::admit::Admit;
+use yuccanotch_core::admit::AdmitSettings;
+use yuccanotch_core::admit::Arrival;
+use yuccanotch_core::admit::Event;
+use yuccanotch_core::admit::Pool;
+use yuccanotch_core::admit::RequestKey;
+use yuccanotch_core::admit::TeamTerms;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::Priority;
+use yuccanotch_core::name::TeamName;
+use yuccanotch_core::reason::RefusalReason;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+const STEPS: u32 = 300;
+const TEAMS: u32 = 6;
+const QUEUE: usize = 12;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    Waiting,
+    Running,
+}
+
+struct Request {
+    team: TeamName,
+    state: State,
+    deadline: Millis,
+    service_time: Millis,
+}
+
+struct World {
+    rng: Pcg64Mcg,
+    now: Millis,
+    admit: Admit,
+    pool: Pool,
+    limit: u32,
+    terms: Vec<TeamTerms>,
+    requests: BTreeMap<RequestKey, Request>,
+    next_key: u64,
+}
+
+/// Checks limits, bounds, single verdicts, deadlines and that no place stays free for nothing.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let reserve_percent = if rng.random_bool(0.5) { 0 } else { 20 };
+    let terms = (0..TEAMS).map(|_| random_terms(&mut rng)).collect();
+    trace.add(format!("reserve {reserve_percent} %, {terms:?}"));
+    let settings = AdmitSettings { queue: QUEUE, reserve_percent };
+    let mut world = World {
+        rng,
+        now: Millis(1),
+        admit: Admit::new(settings),
+        pool: Pool::Model("m".into()),
+        limit: 0,
+        terms,
+        requests: BTreeMap::new(),
+        next_key: 0,
+    };
+    world.change_limit(trace)?;
+    for _ in 0..STEPS {
+        world.step(trace)?;
+        world.check(reserve_percent)?;
+    }
+    world.check_end(trace)
+}
+
+fn random_terms(rng: &mut Pcg64Mcg) -> TeamTerms {
+    TeamTerms {
+        weight: rng.random_range(1..5),
+        priority: Priority::ALL[rng.random_range(0..Priority::ALL.len())],
+        requests_per_s: rng.random_bool(0.3).then(|| rng.random_range(1..50)),
+        in_flight: rng.random_bool(0.3).then(|| rng.random_range(1..6)),
+    }
+}
+
+impl World {
+    fn step(&mut self, trace: &mut Trace) -> CaseResult {
+        self.now = self.now + Millis(self.rng.random_range(0..30));
+        match self.rng.random_range(0..20) {
+            0 => self.change_limit(trace),
+            1 => self.event(Event::Tick, trace),
+            2 => self.end_one(State::Waiting, trace),
+            3..=8 => self.end_one(State::Running, trace),
+            _ => self.arrive(trace),
+        }
+    }
+
+    fn change_limit(&mut self, trace: &mut Trace) -> CaseResult {
+        self.limit = self.rng.random_range(1..10);
+        self.event(Event::Limit(self.pool.clone(), self.limit), trace)
+    }
+
+    fn end_one(&mut self, state: State, trace: &mut Trace) -> CaseResult {
+        let keys: Vec<RequestKey> = self
+            .requests
+            .iter()
+            .filter(|(_, req)| req.state == state)
+            .map(|(key, _)| *key)
+            .collect();
+        if keys.is_empty() {
+            return Ok(());
+        }
+        let key = keys[self.rng.random_range(0..keys.len())];
+        self.requests.remove(&key);
+        let event = match state {
+            State::Waiting => Event::Abandon(key),
+            State::Running => Event::Finish(key),
+        };
+        self.event(event, trace)
+    }
+
+    fn arrive(&mut self, trace: &mut Trace) -> CaseResult {
+        // The first team floods.
+        let team = if self.rng.random_bool(0.5) { 0 } else { self.rng.random_range(0..TEAMS) };
+        let key = RequestKey(self.next_key);
+        self.next_key += 1;
+        let service_time = Millis(self.rng.random_range(0..60));
+        let deadline = self.now + Millis(self.rng.random_range(1..2_000));
+        let name = TeamName::new(&format!("team-{team}"));
+        let req = Request { team: name.clone(), state: State::Waiting, deadline, service_time };
+        self.requests.insert(key, req);
+        let arrival = Arrival {
+            key,
+            pool: self.pool.clone(),
+            team: name,
+            terms: self.terms[team as usize],
+            service_time,
+            deadline,
+        };
+        self.event(Event::Arrive(arrival), trace)
+    }
+
+    fn event(&mut self, event: Event, trace: &mut Trace) -> CaseResult {
+        trace.add(format!("{}: {event:?}", self.now));
+        let actions = self.admit.on_event(self.now, event);
+        self.apply(&actions, trace)
+    }
+
+    fn apply(&mut self, actions: &Actions, trace: &mut Trace) -> CaseResult {
+        for action in actions {
+            trace.add(format!("  {action:?}"));
+            match action {
+                Action::Admit(key) => self.on_admit(*key)?,
+                Action::Refuse(key, denial) => {
+                    let req = self.requests.remove(key).ok_or("a stranger was refused")?;
+                    if req.state == State::Running {
+                        return Err(format!("{key:?} was refused as not run while it ran"));
+                    }
+                    let waits = denial.reason != RefusalReason::DeadlineUnmeetable;
+                    if waits && denial.retry_after.is_none_or(|span| span == Millis::ZERO) {
+                        return Err(format!("{key:?} was not told when to come back"));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn on_admit(&mut self, key: RequestKey) -> CaseResult {
+        let now = self.now;
+        let req = self.requests.get_mut(&key).ok_or("a stranger was admitted")?;
+        if req.state == State::Running {
+            return Err(format!("{key:?} was admitted twice"));
+        }
+        if now + req.service_time > req.deadline {
+            return Err(format!("{key:?} was admitted too late"));
+        }
+        req.state = State::Running;
+        if self.count(State::Running) > self.limit as usize {
+            return Err(format!("more than {} requests run", self.limit));
+        }
+        Ok(())
+    }
+
+    fn count(&self, state: State) -> usize {
+        self.requests.values().filter(|req| req.state == state).count()
+    }
+
+    fn check(&self, reserve_percent: u32) -> CaseResult {
+        let (running, waiting) = (self.count(State::Running), self.count(State::Waiting));
+        let told = (self.admit.running(&self.pool) as usize, self.admit.queued(&self.pool));
+        if told != (running, waiting) {
+            return Err(format!("{told:?} are counted instead of {:?}", (running, waiting)));
+        }
+        if waiting > QUEUE {
+            return Err(format!("{waiting} requests wait"));
+        }
+        let reserve = self.limit as usize * reserve_percent as usize / 100;
+        if waiting > 0 && running + reserve < self.limit as usize {
+            return Err(format!("{waiting} wait although {running} of {} run", self.limit));
+        }
+        let limits = self.terms.iter().enumerate();
+        for (number, terms) in limits {
+            let name = format!("team-{number}");
+            let in_flight = self.requests.values().filter(|req| req.team.as_str() == name).count();
+            if terms.in_flight.is_some_and(|limit| in_flight > limit as usize) {
+                return Err(format!("{name} has {in_flight} requests in flight"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends everything; each request that waits has to get its verdict by its deadline.
+    fn check_end(&mut self, trace: &mut Trace) -> CaseResult {
+        while let Some(at) = self.admit.wake_at() {
+            self.now = self.now.max(at);
+            self.event(Event::Tick, trace)?;
+            let is_late = |req: &Request| req.state == State::Waiting && req.deadline < self.now;
+            if self.requests.values().any(is_late) {
+                return Err("a request still waits after its deadline".to_owned());
+            }
+        }
+        while self.count(State::Running) > 0 {
+            self.end_one(State::Running, trace)?;
+        }
+        self.now = self.now + Millis(120_000);
+        self.event(Event::Tick, trace)?;
+        if self.admit.team_count() > 0 || !self.requests.is_empty() {
+            return Err("state is left after the last request".to_owned());
+        }
+        Ok(())
+    }
+}
--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -45,6 +45,10 @@
     Claim => ("claim", crate::claim_case::run),
     /// Rendezvous hashing: a member's leaving moves only its own keys.
     Rendezvous => ("rendezvous", crate::rendezvous_case::run),
+    /// Admission: limits, bounds, single verdicts, deadlines.
+    Admit => ("admit", crate::admit_case::run),
+    /// Routing: chains tile the layers with usable servers of one version.
+    Route => ("route", crate::route_case::run),
     /// Streams: an answer over failing chains stays whole, unmixed and final.
     Stream => ("stream", crate::stream_case::run),
 }
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -7,12 +7,14 @@
 use crate::error::CliError;
 use crate::error::CliResult;
 
+mod admit_case;
 mod case;
 mod claim_case;
 mod cmd_defects;
 mod cmd_random;
 mod error;
 mod rendezvous_case;
+mod route_case;
 mod stream_case;
 mod trace;
 
--- /dev/null
+++ b/crates/check/src/route_case.rs
@@ -0,0 +1,292 @@
+//! Randomised case: chains over servers that come, go, move, fail and report late.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smallvec::smallvec;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::engine::Chain;
+use yuccanotch_core::engine::Holding;
+use yuccanotch_core::engine::LayerRange;
+use yuccanotch_core::engine::LoadReport;
+use yuccanotch_core::engine::Role;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::ModelName;
+use yuccanotch_core::name::ModelVersion;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::route::Policy;
+use yuccanotch_core::route::Query;
+use yuccanotch_core::route::Router;
+use yuccanotch_core::route::ServerInput;
+use yuccanotch_core::route::Verdict;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+const STEPS: u32 = 60;
+const LAYERS: u16 = 12;
+const RANGES: [(u16, u16); 8] = [(0, 4), (4, 8), (8, 12), (0, 6), (6, 12), (0, 3), (3, 8), (0, 12)];
+const DOMAINS: [&str; 3] = ["d1", "d2", "d3"];
+
+struct Server {
+    name: ServerName,
+    domain: DomainName,
+    report: LoadReport,
+    leaving: bool,
+    suspected: bool,
+}
+
+struct World {
+    rng: Pcg64Mcg,
+    now: Millis,
+    router: Router,
+    servers: Vec<Server>,
+    running: Vec<Chain>,
+    model: ModelName,
+    versions: [ModelVersion; 2],
+    domain: DomainName,
+}
+
+/// Checks that each chain tiles the layers with usable servers of one version, that a chain is
+/// found whenever one exists, and that own work is given back.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let policy = Policy::ALL[rng.random_range(0..Policy::ALL.len())];
+    let count = rng.random_range(1..24);
+    trace.add(format!("{policy:?}, {count} servers"));
+    let mut world = World {
+        rng,
+        now: Millis(1_000),
+        router: Router::new(policy),
+        servers: Vec::new(),
+        running: Vec::new(),
+        model: ModelName::new("m"),
+        versions: [ModelVersion::new("v1"), ModelVersion::new("v2")],
+        domain: DomainName::new(DOMAINS[0]),
+    };
+    for number in 0..count {
+        let server = world.random_server(number);
+        world.servers.push(server);
+    }
+    for _ in 0..STEPS {
+        world.step(trace)?;
+    }
+    world.check_idle()
+}
+
+impl World {
+    fn random_server(&mut self, number: u32) -> Server {
+        let name = ServerName::new(&format!("s{number}"));
+        let holding = self.random_holding();
+        let report = LoadReport {
+            server: name.clone(),
+            boot: 1,
+            age_ms: Millis(self.rng.random_range(0..300)),
+            running: 0,
+            waiting: 0,
+            slots: self.rng.random_range(1..16),
+            step_us: self.rng.random_range(500..20_000),
+            kv_percent: 0,
+            leaving: false,
+            holdings: smallvec![holding],
+            role: Role::Both,
+            fencing: None,
+            links_us: Vec::new(),
+        };
+        let domain = DomainName::new(DOMAINS[self.rng.random_range(0..DOMAINS.len())]);
+        Server { name, domain, report, leaving: false, suspected: false }
+    }
+
+    fn random_holding(&mut self) -> Holding {
+        let (first, end) = RANGES[self.rng.random_range(0..RANGES.len())];
+        let version = self.versions[usize::from(self.rng.random_bool(0.2))].clone();
+        Holding {
+            model: self.model.clone(),
+            version,
+            layers: LayerRange::new(first, end),
+            adapters: smallvec![],
+        }
+    }
+
+    fn step(&mut self, trace: &mut Trace) -> CaseResult {
+        self.now = self.now + Millis(self.rng.random_range(1..200));
+        match self.rng.random_range(0..10) {
+            0 => self.change_server(trace),
+            1 | 2 => self.update(),
+            3 | 4 => self.end_one(trace),
+            _ => self.choose(trace)?,
+        }
+        Ok(())
+    }
+
+    fn change_server(&mut self, trace: &mut Trace) {
+        if self.servers.is_empty() {
+            return;
+        }
+        let place = self.rng.random_range(0..self.servers.len());
+        let change = self.rng.random_range(0..6);
+        trace.add(format!("{}: change {change} of {}", self.now, self.servers[place].name));
+        let holding = self.random_holding();
+        let number = self.rng.random_range(0..40);
+        let other = self.servers[self.rng.random_range(0..self.servers.len())].name.clone();
+        let server = &mut self.servers[place];
+        match change {
+            0 => server.leaving = !server.leaving,
+            1 => server.suspected = !server.suspected,
+            2 => server.report.boot += 1,
+            3 => server.report.holdings = smallvec![holding],
+            4 => server.report.links_us = vec![(other, number * 1_000)],
+            _ => {
+                self.servers.swap_remove(place);
+            }
+        }
+        self.update();
+    }
+
+    /// Shows the router reports that count the runs as of now.
+    fn update(&mut self) {
+        for server in &mut self.servers {
+            let runs = |chain: &&Chain| chain.iter().any(|hop| hop.server == server.name);
+            server.report.running = self.running.iter().filter(runs).count() as u32;
+            server.report.age_ms = Millis::ZERO;
+        }
+        let now = self.now;
+        self.router.update(self.servers.iter().map(|server| ServerInput {
+            name: &server.name,
+            domain: &server.domain,
+            address: "127.0.0.1:1",
+            report: &server.report,
+            reported_at: now,
+            leaving: server.leaving,
+            suspected: server.suspected,
+        }));
+    }
+
+    fn end_one(&mut self, trace: &mut Trace) {
+        if self.running.is_empty() {
+            return;
+        }
+        let chain = self.running.swap_remove(self.rng.random_range(0..self.running.len()));
+        let failed = chain[self.rng.random_range(0..chain.len())].server.clone();
+        let verdict = match self.rng.random_range(0..4) {
+            0 => Verdict::Failed(&failed),
+            1 => Verdict::Silent,
+            2 => Verdict::Open,
+            _ => Verdict::Good,
+        };
+        trace.add(format!("{}: end with {verdict:?}", self.now));
+        self.router.on_end(self.now, &chain, verdict);
+        let pace_us = self.rng.random_range(1_000..200_000);
+        self.router.on_pace(self.now, &self.model, &chain, pace_us);
+    }
+
+    fn choose(&mut self, trace: &mut Trace) -> CaseResult {
+        self.update();
+        let version = self.versions[usize::from(self.rng.random_bool(0.2))].clone();
+        let prefixes: Vec<u64> = (1..self.rng.random_range(1..6)).collect();
+        let avoid: Vec<ServerName> = self.some_names();
+        let shun = self.some_names();
+        let warm = self.some_names();
+        let query = Query {
+            model: &self.model,
+            version: &version,
+            layers: LAYERS,
+            domain: &self.domain,
+            prefixes: &prefixes,
+            prompt_words: 40,
+            tokens: 32,
+            avoid: &avoid,
+            shun: &shun,
+            warm: &warm,
+        };
+        let choice = self.router.choose(self.now, &query, &mut self.rng);
+        let Some(choice) = choice else {
+            return self.check_none(&version, &avoid);
+        };
+        let names: Vec<&str> = choice.chain.iter().map(|hop| hop.server.as_str()).collect();
+        trace.add(format!("{}: {version} by {names:?}", self.now));
+        self.check_chain(&choice.chain, &version, &avoid)?;
+        self.router.on_start(self.now, &query, &choice.chain);
+        self.running.push(choice.chain);
+        Ok(())
+    }
+
+    fn some_names(&mut self) -> Vec<ServerName> {
+        let names: Vec<ServerName> = self.servers.iter().map(|s| s.name.clone()).collect();
+        names.into_iter().filter(|_| self.rng.random_bool(0.1)).collect()
+    }
+
+    fn is_usable(server: &Server, avoid: &[ServerName]) -> bool {
+        !server.leaving && !server.suspected && !avoid.contains(&server.name)
+    }
+
+    fn check_chain(
+        &self,
+        chain: &Chain,
+        version: &ModelVersion,
+        avoid: &[ServerName],
+    ) -> CaseResult {
+        let mut next = 0;
+        for hop in chain {
+            let server = self.servers.iter().find(|server| server.name == hop.server);
+            let server = server.ok_or_else(|| format!("{} is gone", hop.server))?;
+            if !Self::is_usable(server, avoid) {
+                return Err(format!("{} must not be used", hop.server));
+            }
+            let holds =
+                |holding: &Holding| holding.version == *version && holding.layers == hop.layers;
+            if !server.report.holdings.iter().any(holds) {
+                return Err(format!("{} does not hold {:?} of {version}", hop.server, hop.layers));
+            }
+            if hop.layers.first != next {
+                return Err(format!("layer {next} is followed by {:?}", hop.layers));
+            }
+            next = hop.layers.end;
+        }
+        if next != LAYERS {
+            return Err(format!("the chain ends at layer {next}"));
+        }
+        Ok(())
+    }
+
+    /// Checks that no chain exists; the simple policies may miss one over unequal ranges.
+    fn check_none(&self, version: &ModelVersion, avoid: &[ServerName]) -> CaseResult {
+        if self.router.policy() != Policy::Adaptive {
+            return Ok(());
+        }
+        let mut reached = vec![false; usize::from(LAYERS) + 1];
+        reached[0] = true;
+        for layer in 0..LAYERS {
+            let usable = self.servers.iter().filter(|server| Self::is_usable(server, avoid));
+            for holding in usable.flat_map(|server| &server.report.holdings) {
+                let begins = holding.version == *version && holding.layers.first == layer;
+                if begins && reached[usize::from(layer)] {
+                    reached[usize::from(holding.layers.end)] = true;
+                }
+            }
+        }
+        if reached[usize::from(LAYERS)] {
+            return Err("no chain was found although there is one".to_owned());
+        }
+        Ok(())
+    }
+
+    fn check_load(&self) -> CaseResult {
+        let places = self.router.places(&self.model, &self.versions[0], LAYERS);
+        if places.load == 0 {
+            return Ok(());
+        }
+        Err(format!("{} runs are counted although none runs", places.load))
+    }
+
+    /// Ends all runs and checks that the router counts none any more.
+    fn check_idle(&mut self) -> CaseResult {
+        for chain in std::mem::take(&mut self.running) {
+            self.router.on_end(self.now, &chain, Verdict::Open);
+        }
+        self.check_load()?;
+        self.now = self.now + Millis(1);
+        self.update();
+        self.check_load()
+    }
+}
--- a/crates/core/src/admit/pool.rs
+++ b/crates/core/src/admit/pool.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::defect::planted;
 use crate::name::TeamName;
 use crate::reason::RefusalReason;
 
@@ -251,7 +252,7 @@
     fn expire(&mut self, now: Millis) -> Actions {
         let mut actions = Actions::new();
         while let Some((at, key, name)) = self.expiries.first().cloned() {
-            if at >= now {
+            if at >= now || planted!(LateAdmission) {
                 break;
             }
             self.remove_waiting(&name, key);
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -56,6 +56,12 @@
         RetryAfterByteLeft => "retry-after-byte-left",
         /// Retries are granted beyond the budget.
         RetryWithoutBudget => "retry-without-budget",
+        /// A server that is leaving gets new work.
+        LeavingServerUsed => "leaving-server-used",
+        /// The end of an own run is not counted.
+        OwnEndForgotten => "own-end-forgotten",
+        /// A waiting request is admitted although it would be late.
+        LateAdmission => "late-admission",
         /// A frame of an earlier attempt is taken as one of the latest.
         OldAttemptAccepted => "old-attempt-accepted",
         /// Layer receipts are not checked.
--- a/crates/core/src/route/server.rs
+++ b/crates/core/src/route/server.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::clock::Millis;
+use crate::defect::planted;
 use crate::engine::Holding;
 use crate::engine::LoadReport;
 use crate::engine::Role;
@@ -108,8 +109,10 @@
         if report.boot != self.boot {
             *self = Self::new(input);
         }
-        let usable =
-            !input.leaving && !input.suspected && !report.leaving && report.role != Role::Prefill;
+        let usable = (!input.leaving || planted!(LeavingServerUsed))
+            && !input.suspected
+            && !report.leaving
+            && report.role != Role::Prefill;
         let moved = self.usable != usable
             || self.holdings != report.holdings
             || self.domain != *input.domain;
@@ -142,6 +145,9 @@
 
     /// Records the start (+1) or end (-1) of an own run.
     pub(super) fn on_own(&mut self, now: Millis, change: i32) {
+        if change < 0 && planted!(OwnEndForgotten) {
+            return;
+        }
         if self.own_events.len() == MAX_OWN_EVENTS {
             let (_, oldest) = self.own_events.pop_front().unwrap_or_default();
             self.own_balance -= oldest;
