--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -43,6 +43,8 @@
 cases! {
     /// Claims: no call runs twice, and what callers are told is true.
     Claim => ("claim", crate::claim_case::run),
+    /// Membership and observation.
+    Fleet => ("fleet", crate::fleet_case::run),
     /// Rendezvous hashing: a member's leaving moves only its own keys.
     Rendezvous => ("rendezvous", crate::rendezvous_case::run),
     /// Admission: limits, bounds, single verdicts, deadlines.
--- /dev/null
+++ b/crates/check/src/fleet_sim.rs
@@ -0,0 +1,318 @@
+//! Entry hosts that exchange membership messages over a faulty network in simulated time.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::engine::HostKind;
+use yuccanotch_core::engine::HostList;
+use yuccanotch_core::engine::ListedHost;
+use yuccanotch_core::engine::LoadReport;
+use yuccanotch_core::engine::Role;
+use yuccanotch_core::fleet::DeclaredServer;
+use yuccanotch_core::fleet::FleetAction;
+use yuccanotch_core::fleet::FleetEvent;
+use yuccanotch_core::fleet::FleetMessage;
+use yuccanotch_core::fleet::FleetNode;
+use yuccanotch_core::fleet::FleetReply;
+use yuccanotch_core::fleet::Identity;
+use yuccanotch_core::fleet::Timing;
+use yuccanotch_core::ids::Incarnation;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::name::ServerName;
+
+const TICK: Millis = Millis(100);
+const UNIX_START: Millis = Millis(1_000_000_000);
+const MAX_DELAY_MS: u64 = 3;
+
+/// A message under way.
+#[derive(Clone, Debug)]
+enum Letter {
+    Request { from: usize, message: FleetMessage },
+    Reply { from: usize, reply: FleetReply },
+}
+
+/// One host.
+#[derive(Debug)]
+pub struct SimHost {
+    /// Its node; `None` while it is down.
+    pub node: Option<FleetNode>,
+    /// Name.
+    pub name: HostName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Until when it is paused.
+    pub paused_until: Millis,
+    /// Counts its starts.
+    pub incarnation: u64,
+    delayed: Vec<Letter>,
+}
+
+/// The simulated hosts, network, backend servers and host list.
+#[derive(Debug)]
+pub struct FleetSim {
+    /// Present time.
+    pub now: Millis,
+    /// The hosts.
+    pub hosts: Vec<SimHost>,
+    /// Pairs of sender and receiver whose messages are dropped.
+    pub cut: HashSet<(usize, usize)>,
+    /// Share of the messages that are lost.
+    pub loss: f64,
+    /// Whether the platform answers.
+    pub platform_up: bool,
+    /// Host list entries shown as leaving.
+    pub listed_leaving: HashSet<String>,
+    /// Loads of the backend servers.
+    pub reports: BTreeMap<ServerName, LoadReport>,
+    /// Messages sent.
+    pub messages: u64,
+    declared: Vec<DeclaredServer>,
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    letters: BTreeMap<u64, (usize, Letter)>,
+    sequence: u64,
+    rng: Pcg64Mcg,
+}
+
+impl FleetSim {
+    /// Creates hosts and backend servers in each of some failure domains.
+    pub fn new(seed: u64, domains: usize, hosts_each: usize, servers_each: usize) -> Self {
+        let mut sim = Self {
+            now: Millis::ZERO,
+            hosts: Vec::new(),
+            cut: HashSet::new(),
+            loss: 0.0,
+            platform_up: true,
+            listed_leaving: HashSet::new(),
+            reports: BTreeMap::new(),
+            messages: 0,
+            declared: Vec::new(),
+            queue: BinaryHeap::new(),
+            letters: BTreeMap::new(),
+            sequence: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        for d in 0..domains {
+            let domain = DomainName::new(&format!("domain-{d}"));
+            for i in 0..servers_each {
+                sim.add_server(&domain, &format!("server-{d}-{i}"));
+            }
+            for i in 0..hosts_each {
+                sim.hosts.push(SimHost {
+                    node: None,
+                    name: HostName::new(&format!("host-{d}-{i}")),
+                    domain: domain.clone(),
+                    paused_until: Millis::ZERO,
+                    incarnation: 0,
+                    delayed: Vec::new(),
+                });
+            }
+        }
+        for host in 0..sim.hosts.len() {
+            sim.start(host);
+        }
+        sim
+    }
+
+    fn add_server(&mut self, domain: &DomainName, name: &str) {
+        let name = ServerName::new(name);
+        self.declared.push(DeclaredServer { name: name.clone(), domain: domain.clone() });
+        let report = LoadReport {
+            server: name.clone(),
+            boot: 1,
+            age_ms: Millis::ZERO,
+            running: 0,
+            waiting: 0,
+            slots: 32,
+            step_us: 1_000,
+            kv_percent: 0,
+            leaving: false,
+            holdings: SmallVec::new(),
+            role: Role::Both,
+            fencing: None,
+            links_us: Vec::new(),
+        };
+        self.reports.insert(name, report);
+    }
+
+    /// Starts a host that is down, under a new incarnation.
+    pub fn start(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        host.incarnation += 1;
+        host.paused_until = Millis::ZERO;
+        let identity = Identity {
+            host: host.name.clone(),
+            domain: host.domain.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
+            incarnation: Incarnation(host.incarnation),
+        };
+        let seed = self.rng.random();
+        let unix = UNIX_START + self.now;
+        host.node = Some(FleetNode::new(identity, Timing::default(), self.now, unix, seed));
+        self.event(index, FleetEvent::Declared(self.declared.clone()));
+    }
+
+    /// Crashes a host.
+    pub fn crash(&mut self, index: usize) {
+        self.hosts[index].node = None;
+        self.hosts[index].delayed.clear();
+    }
+
+    /// Pauses a host for `span`; messages wait for it.
+    pub fn pause(&mut self, index: usize, span: Millis) {
+        self.hosts[index].paused_until = self.now + span;
+    }
+
+    /// Drops all messages from the hosts that `from` selects to those that `to` selects.
+    pub fn cut_between(&mut self, from: impl Fn(&SimHost) -> bool, to: impl Fn(&SimHost) -> bool) {
+        for (i, sender) in self.hosts.iter().enumerate().filter(|(_, host)| from(host)) {
+            let receivers = self.hosts.iter().enumerate().filter(|(_, host)| to(host));
+            let receivers = receivers.filter(|(_, host)| host.name != sender.name);
+            self.cut.extend(receivers.map(|(j, _)| (i, j)));
+        }
+    }
+
+    /// Lets time pass; `after` sees the state after each tick.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of `after`.
+    pub fn run(
+        &mut self,
+        span: Millis,
+        mut after: impl FnMut(&Self) -> Result<(), String>,
+    ) -> Result<(), String> {
+        let end = self.now + span;
+        while self.now < end {
+            let next = self.now + TICK;
+            self.deliver_until(next);
+            self.now = next;
+            for index in 0..self.hosts.len() {
+                self.wake(index);
+                self.event(index, FleetEvent::Tick);
+            }
+            after(self)?;
+        }
+        Ok(())
+    }
+
+    fn deliver_until(&mut self, end: Millis) {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > end {
+                return;
+            }
+            self.queue.pop();
+            self.now = at.max(self.now);
+            let (to, letter) = self.letters.remove(&id).expect("each letter is queued once");
+            self.deliver(to, letter);
+        }
+    }
+
+    fn is_paused(&self, index: usize) -> bool {
+        self.now < self.hosts[index].paused_until
+    }
+
+    fn wake(&mut self, index: usize) {
+        if !self.is_paused(index) {
+            for letter in std::mem::take(&mut self.hosts[index].delayed) {
+                self.deliver(index, letter);
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, letter: Letter) {
+        if self.is_paused(to) {
+            self.hosts[to].delayed.push(letter);
+            return;
+        }
+        match letter {
+            Letter::Request { from, message } => {
+                let from_name = self.hosts[from].name.clone();
+                let request = FleetEvent::Request { from: from_name, message };
+                self.event_from(to, request, Some(from));
+            }
+            Letter::Reply { from, reply } => {
+                let from = self.hosts[from].name.clone();
+                self.event(to, FleetEvent::Reply { from, reply });
+            }
+        }
+    }
+
+    fn event(&mut self, index: usize, event: FleetEvent) {
+        self.event_from(index, event, None);
+    }
+
+    fn event_from(&mut self, index: usize, event: FleetEvent, requester: Option<usize>) {
+        if self.is_paused(index) {
+            return;
+        }
+        let now = self.now;
+        let Some(node) = self.hosts[index].node.as_mut() else {
+            return;
+        };
+        for action in node.on_event(now, event) {
+            self.act(index, action, requester);
+        }
+    }
+
+    fn act(&mut self, index: usize, action: FleetAction, requester: Option<usize>) {
+        match action {
+            FleetAction::Call { to, message } => {
+                if let Some(to) = self.hosts.iter().position(|host| host.name == to) {
+                    self.post(index, to, Letter::Request { from: index, message });
+                }
+            }
+            FleetAction::Reply(reply) => {
+                let to = requester.expect("a reply follows a request");
+                self.post(index, to, Letter::Reply { from: index, reply });
+            }
+            FleetAction::Observe(server) => {
+                let report = self.reports.get(&server).cloned();
+                self.event(index, FleetEvent::Observed { server, report });
+            }
+            FleetAction::ReadHostList => {
+                if self.platform_up {
+                    self.event(index, FleetEvent::Listed(self.host_list()));
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, letter: Letter) {
+        self.messages += 1;
+        let lost = self.cut.contains(&(from, to)) || self.rng.random_bool(self.loss);
+        if lost {
+            return;
+        }
+        let at = self.now + Millis(self.rng.random_range(1..=MAX_DELAY_MS));
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence)));
+        self.letters.insert(self.sequence, (to, letter));
+    }
+
+    fn host_list(&self) -> HostList {
+        let entries = self.hosts.iter().enumerate().map(|(i, host)| ListedHost {
+            name: host.name.as_str().to_owned(),
+            domain: host.domain.clone(),
+            address: format!("127.0.0.1:{}", 1_000 + i),
+            kind: HostKind::Entry,
+            leaving: self.listed_leaving.contains(host.name.as_str()),
+        });
+        let servers = self.declared.iter().map(|server| ListedHost {
+            name: server.name.as_str().to_owned(),
+            domain: server.domain.clone(),
+            address: "127.0.0.1:1".to_owned(),
+            kind: HostKind::Engine,
+            leaving: self.listed_leaving.contains(server.name.as_str()),
+        });
+        HostList { hosts: entries.chain(servers).collect() }
+    }
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -13,6 +13,8 @@
 mod cmd_defects;
 mod cmd_random;
 mod error;
+mod fleet_case;
+mod fleet_sim;
 mod rendezvous_case;
 mod route_case;
 mod stream_case;
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -30,6 +30,10 @@
     }
 
     defects! {
+        /// A member update is taken although a newer one is known.
+        AcceptStaleMember => "accept-stale-member",
+        /// What observers say of a leaving server is not taken.
+        IgnoreSpreadLeaving => "ignore-spread-leaving",
         /// A host adopts a configuration with a lower number.
         AdoptLowerNumber => "adopt-lower-number",
         /// A host takes a chunk without checking its digest.
--- /dev/null
+++ b/crates/core/src/fleet/duties.rs
@@ -0,0 +1,167 @@
+//! What a host does for its failure domain: observe servers, read the host list, link domains.
+
+use std::collections::BTreeMap;
+
+use rand::seq::IteratorRandom as _;
+use rand::Rng as _;
+
+use super::messages::FleetMessage;
+use super::messages::MemberState;
+use super::messages::MemberUpdate;
+use super::messages::ShortId;
+use super::node::FleetAction;
+use super::node::FleetNode;
+use super::servers::DeclaredServer;
+use crate::clock::Millis;
+use crate::digest::fast_hash;
+use crate::digest::rendezvous_weight;
+use crate::engine::HostKind;
+use crate::engine::HostList;
+use crate::engine::LoadReport;
+use crate::ids::Incarnation;
+use crate::name::HostName;
+use crate::name::ServerName;
+
+/// Observers of one backend server.
+const OBSERVERS: usize = 2;
+/// Hosts of a domain that keep the links to one other domain.
+const BRIDGES: usize = 2;
+/// Hosts of a domain that read the host list in one period.
+const LIST_READERS: usize = 2;
+
+impl FleetNode {
+    /// Returns whether this host is among the `count` chosen ones of its domain for `key`.
+    pub(super) fn is_chosen(&self, key: u64, count: usize) -> bool {
+        let own = rendezvous_weight(key, self.identity.host.as_str());
+        let peers = self.members.peers(&self.identity.domain, &self.identity.host);
+        let usable = peers.filter(|member| member.update.state == MemberState::Alive);
+        let ahead = usable
+            .filter(|member| rendezvous_weight(key, member.update.host.as_str()) > own)
+            .count();
+        ahead < count
+    }
+
+    pub(super) fn tick_observations(&mut self, now: Millis) {
+        if now < self.next_due {
+            return;
+        }
+        let own = &self.identity.domain;
+        let candidates: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(_, record)| record.domain == *own)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut chosen = BTreeMap::new();
+        for name in candidates {
+            if !self.is_chosen(fast_hash(name.as_str().as_bytes()), OBSERVERS) {
+                continue;
+            }
+            let period = self.timing.observe_period.0;
+            let first = || now + Millis(self.rng.random_range(0..=period / 4));
+            let mut at = self.observe_at.get(&name).copied().unwrap_or_else(first);
+            if now >= at {
+                self.actions.push(FleetAction::Observe(name.clone()));
+                at = now + self.timing.observe_period;
+            }
+            chosen.insert(name, at);
+        }
+        let idle = now + self.timing.observe_period;
+        self.next_due = chosen.values().copied().min().unwrap_or(idle).min(idle);
+        self.observe_at = chosen;
+    }
+
+    pub(super) fn tick_list(&mut self, now: Millis) {
+        let slot = (now + self.stamp_offset).0 / self.timing.list_period.0;
+        if slot == self.list_slot {
+            return;
+        }
+        self.list_slot = slot;
+        if self.is_chosen(fast_hash(&slot.to_le_bytes()), LIST_READERS) {
+            self.actions.push(FleetAction::ReadHostList);
+        }
+    }
+
+    /// Probes one host of each other domain, if this host keeps the link to it.
+    pub(super) fn tick_bridges(&mut self, now: Millis) {
+        if now < self.bridge_at {
+            return;
+        }
+        self.bridge_at = now + self.timing.bridge_period;
+        let mut domains: Vec<_> =
+            self.members.iter().map(|member| member.update.domain.clone()).collect();
+        domains.sort();
+        domains.dedup();
+        domains.retain(|domain| *domain != self.identity.domain);
+        for domain in domains {
+            if !self.is_chosen(fast_hash(domain.as_str().as_bytes()), BRIDGES) {
+                continue;
+            }
+            if !self.is_reachable(now, &domain) {
+                self.servers.renew_abroad(&domain);
+            }
+            let far = self.members.iter().filter(|member| member.update.domain == domain);
+            let names = far.map(|member| member.update.host.clone());
+            if let Some(host) = names.choose(&mut self.rng) {
+                let gossip = self.gossip_for(now, &host);
+                self.call(&host, FleetMessage::Probe(gossip));
+            }
+        }
+    }
+
+    /// Lets the next exchange with other domains come soon.
+    pub(super) fn hasten_bridges(&mut self, now: Millis) {
+        self.bridge_at = self.bridge_at.min(now + self.timing.bridge_delay);
+    }
+
+    pub(super) fn on_observed(
+        &mut self,
+        now: Millis,
+        server: &ServerName,
+        report: Option<LoadReport>,
+    ) {
+        let time = self.now(now);
+        let is_first = self.servers.get(server).is_some_and(|record| record.report.is_none());
+        if self.servers.observe(time, server, report, &self.timing) {
+            self.spread_urgently(now);
+        } else if is_first {
+            self.hasten_bridges(now);
+        }
+    }
+
+    /// Takes hosts that are not known yet from the host list, and who is leaving.
+    pub(super) fn on_listed(&mut self, now: Millis, list: &HostList) {
+        let stamp = self.now(now).stamp;
+        let mut urgent = false;
+        for listed in &list.hosts {
+            let id = ShortId::of(&listed.name);
+            urgent |= self.servers.apply_listed(id, listed.leaving, stamp);
+            let is_new = listed.kind == HostKind::Entry
+                && listed.name != self.identity.host.as_str()
+                && self.members.get(&listed.name).is_none();
+            let Some(address) = listed.address.parse().ok().filter(|_| is_new) else {
+                continue;
+            };
+            let update = MemberUpdate {
+                host: HostName::new(&listed.name),
+                domain: listed.domain.clone(),
+                address,
+                incarnation: Incarnation(0),
+                round: 0,
+                state: MemberState::Suspect,
+            };
+            self.members.apply(now, update);
+        }
+        if urgent {
+            self.spread_urgently(now);
+        }
+    }
+
+    pub(super) fn on_declared(&mut self, now: Millis, declared: &[DeclaredServer]) {
+        if self.servers.declare(declared) {
+            self.join_at = now;
+            self.join_delay = self.timing.sync_period;
+        }
+        self.next_due = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/members.rs
@@ -0,0 +1,114 @@
+//! Table of the entry hosts that are known.
+
+use std::collections::BTreeMap;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::messages::MemberState;
+use super::messages::MemberUpdate;
+use crate::clock::Millis;
+use crate::name::DomainName;
+use crate::name::HostName;
+
+/// Most entry hosts that are remembered.
+pub const MAX_MEMBERS: usize = 1_024;
+
+/// An entry host as it is known.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Last accepted update.
+    pub update: MemberUpdate,
+    /// When its state last changed.
+    pub since: Millis,
+    pub(super) sent: u32,
+}
+
+/// The entry hosts that are known.
+#[derive(Clone, Debug, Default)]
+pub(super) struct MemberTable {
+    members: BTreeMap<HostName, Member>,
+    digest: u64,
+}
+
+impl MemberTable {
+    pub(super) fn get(&self, host: &str) -> Option<&Member> {
+        self.members.get(host)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns a digest that does not depend on the order of the updates.
+    pub(super) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Takes an update unless something newer is known; returns whether it was taken.
+    pub(super) fn apply(&mut self, now: Millis, update: MemberUpdate) -> bool {
+        let newer = match self.members.get(&update.host) {
+            Some(held) => {
+                update.supersedes(&held.update) || crate::defect::planted!(AcceptStaleMember)
+            }
+            // The death of a host that was never seen is of no use.
+            None => update.state != MemberState::Dead && self.members.len() < MAX_MEMBERS,
+        };
+        if !newer {
+            return false;
+        }
+        self.digest ^= hash(&update);
+        let member = Member { since: now, sent: 0, update };
+        if let Some(old) = self.members.insert(member.update.host.clone(), member) {
+            self.digest ^= hash(&old.update);
+        }
+        true
+    }
+
+    /// Restarts the time in which suspicions can be refuted.
+    pub(super) fn extend_suspicions(&mut self, now: Millis) {
+        for member in self.members.values_mut() {
+            if member.update.state == MemberState::Suspect {
+                member.since = now;
+            }
+        }
+    }
+
+    pub(super) fn remove(&mut self, host: &HostName) {
+        if let Some(old) = self.members.remove(host) {
+            self.digest ^= hash(&old.update);
+        }
+    }
+
+    /// Returns hosts of `domain` that may answer, without `own`.
+    pub(super) fn peers<'a>(
+        &'a self,
+        domain: &'a DomainName,
+        own: &'a HostName,
+    ) -> impl Iterator<Item = &'a Member> {
+        self.members.values().filter(move |member| {
+            member.update.domain == *domain
+                && member.update.host != *own
+                && member.update.state != MemberState::Dead
+        })
+    }
+
+    /// Takes up to `max` changes that were sent less than `limit` times, least sent first.
+    pub(super) fn take_changes(&mut self, max: usize, limit: u32) -> Vec<MemberUpdate> {
+        let mut due: Vec<_> =
+            self.members.values_mut().filter(|member| member.sent < limit).collect();
+        due.sort_by_key(|member| member.sent);
+        let take = |member: &mut Member| {
+            member.sent += 1;
+            member.update.clone()
+        };
+        due.into_iter().take(max).map(take).collect()
+    }
+}
+
+fn hash(update: &MemberUpdate) -> u64 {
+    let mut hasher = Xxh3::new();
+    update.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/core/src/fleet/servers.rs
@@ -0,0 +1,472 @@
+//! Table of the backend servers: what was observed, and what is still to be spread.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::messages::Condition;
+use super::messages::DetailUpdate;
+use super::messages::ListedUpdate;
+use super::messages::LoadUpdate;
+use super::messages::ShortId;
+use super::timing::Stamp;
+use super::timing::Timing;
+use crate::clock::Millis;
+use crate::engine::LoadReport;
+use crate::name::DomainName;
+use crate::name::ServerName;
+
+/// Failed observations in a row after which a server counts as silent.
+const SILENT_AFTER: u32 = 2;
+/// Most links of one server that are spread.
+const MAX_LINKS: usize = 32;
+/// Most names whose host list entry is remembered.
+const MAX_LISTED: usize = 2_048;
+
+/// A backend server as declared.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DeclaredServer {
+    /// Name.
+    pub name: ServerName,
+    /// Failure domain.
+    pub domain: DomainName,
+}
+
+/// A backend server as it is known.
+#[derive(Clone, Debug)]
+pub struct ServerRecord {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Last load report; `None` before the first one.
+    pub report: Option<Arc<LoadReport>>,
+    /// When the load was observed, on this host's clock.
+    pub observed_at: Millis,
+    /// What its observers concluded.
+    pub condition: Condition,
+    id: ShortId,
+    load_at: Option<Stamp>,
+    detail_at: Option<Stamp>,
+    load_sent: u32,
+    detail_sent: u32,
+    failures: u32,
+    spread: Option<(LoadUpdate, Millis)>,
+}
+
+impl ServerRecord {
+    fn new(declared: &DeclaredServer) -> Self {
+        Self {
+            domain: declared.domain.clone(),
+            report: None,
+            observed_at: Millis::ZERO,
+            condition: Condition::Ready,
+            id: ShortId::of(declared.name.as_str()),
+            load_at: None,
+            detail_at: None,
+            load_sent: u32::MAX,
+            detail_sent: u32::MAX,
+            failures: 0,
+            spread: None,
+        }
+    }
+
+    fn load(&self, stamp: Stamp) -> Option<LoadUpdate> {
+        let report = self.report.as_ref()?;
+        Some(LoadUpdate {
+            server: self.id,
+            age: stamp.age_of(self.load_at?),
+            running: report.running,
+            waiting: report.waiting,
+            step_us: report.step_us,
+            kv_percent: report.kv_percent,
+            condition: self.condition,
+        })
+    }
+
+    fn detail(&self, stamp: Stamp) -> Option<DetailUpdate> {
+        let report = self.report.as_ref()?;
+        let links = report.links_us.iter().take(MAX_LINKS);
+        Some(DetailUpdate {
+            server: self.id,
+            age: stamp.age_of(self.detail_at?),
+            boot: report.boot,
+            slots: report.slots,
+            role: report.role,
+            holdings: report.holdings.clone(),
+            fencing: report.fencing,
+            links_us: links.map(|(name, us)| (ShortId::of(name.as_str()), *us)).collect(),
+        })
+    }
+}
+
+/// The present time on the host's own clock and as a stamp.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Now {
+    pub(super) time: Millis,
+    pub(super) stamp: Stamp,
+}
+
+/// Loads and holdings for one message.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    pub(super) loads: Vec<LoadUpdate>,
+    pub(super) details: Vec<DetailUpdate>,
+    pub(super) listed: Vec<ListedUpdate>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    leaving: bool,
+    at: Stamp,
+    sent: u32,
+}
+
+/// Kinds of updates to other domains.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Kind {
+    Detail,
+    Listed,
+    Load,
+}
+
+/// What was sent to one other domain, and when.
+#[derive(Clone, Debug, Default)]
+struct SentAbroad(HashMap<(Kind, ShortId), (Millis, Option<Stamp>)>);
+
+impl SentAbroad {
+    /// Returns whether an update is to be sent, and notes that it is.
+    fn is_due(
+        &mut self,
+        now: Now,
+        kind: Kind,
+        id: ShortId,
+        at: Option<Stamp>,
+        timing: &Timing,
+    ) -> bool {
+        let refresh = match kind {
+            Kind::Load => timing.abroad_refresh,
+            Kind::Detail | Kind::Listed => timing.abroad_detail_refresh,
+        };
+        let sent = self.0.get(&(kind, id));
+        let due = sent.is_none_or(|(time, stamp)| {
+            now.time.since(*time) >= refresh || (at.is_some() && at != *stamp)
+        });
+        if due {
+            self.0.insert((kind, id), (now.time, at));
+        }
+        due
+    }
+}
+
+/// The backend servers of the configuration.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServerTable {
+    servers: BTreeMap<ServerName, ServerRecord>,
+    names: HashMap<ShortId, ServerName>,
+    listed: HashMap<ShortId, Listed>,
+    abroad: BTreeMap<DomainName, SentAbroad>,
+    version: u64,
+}
+
+impl ServerTable {
+    /// Takes the declared servers; what is known of servers that stay is kept.
+    ///
+    /// Returns whether a server is new.
+    pub(super) fn declare(&mut self, declared: &[DeclaredServer]) -> bool {
+        let mut old = std::mem::take(&mut self.servers);
+        let mut grown = false;
+        self.names.clear();
+        self.abroad.clear();
+        for server in declared {
+            let kept = old.remove(&server.name).filter(|old| old.domain == server.domain);
+            grown |= kept.is_none();
+            let record = kept.unwrap_or_else(|| ServerRecord::new(server));
+            self.names.insert(record.id, server.name.clone());
+            self.servers.insert(server.name.clone(), record);
+        }
+        self.version += 1;
+        grown
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&ServerName, &ServerRecord)> {
+        self.servers.iter()
+    }
+
+    /// Returns whether nothing is known yet of some server.
+    pub(super) fn is_incomplete(&self) -> bool {
+        self.servers.values().any(|record| record.report.is_none())
+    }
+
+    pub(super) fn get(&self, name: &ServerName) -> Option<&ServerRecord> {
+        self.servers.get(name)
+    }
+
+    /// Returns a number that grows with each change.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(super) fn is_listed_leaving(&self, name: &str) -> bool {
+        self.listed.get(&ShortId::of(name)).is_some_and(|listed| listed.leaving)
+    }
+
+    /// Takes an own observation; returns whether it is urgent to spread it.
+    pub(super) fn observe(
+        &mut self,
+        now: Now,
+        name: &ServerName,
+        report: Option<LoadReport>,
+        timing: &Timing,
+    ) -> bool {
+        let Some(record) = self.servers.get_mut(name) else {
+            return false;
+        };
+        let old = record.condition;
+        match report {
+            Some(report) => take_report(now, record, report),
+            None => {
+                record.failures += 1;
+                if record.failures < SILENT_AFTER {
+                    return false;
+                }
+                record.condition = Condition::Silent;
+                record.observed_at = now.time;
+            }
+        }
+        record.load_at = Some(following(record.load_at, now.stamp));
+        self.version += 1;
+        let Some(load) = record.load(now.stamp) else {
+            return false;
+        };
+        let spread = record.spread.as_ref();
+        if spread.is_none_or(|(last, at)| {
+            now.time.since(*at) >= timing.refresh || differs(last, &load, slots(record))
+        }) {
+            record.spread = Some((load, now.time));
+            record.load_sent = 0;
+        }
+        record.condition != old
+    }
+
+    /// Takes a load from another host; returns whether it is urgent to pass it on.
+    pub(super) fn apply_load(&mut self, now: Now, sent: Stamp, load: &LoadUpdate) -> bool {
+        let Some(record) = self.record_mut(load.server) else {
+            return false;
+        };
+        let at = sent.before(load.age);
+        if record.load_at.is_some_and(|held| !at.is_after(held)) {
+            return false;
+        }
+        let Some(report) = record.report.as_mut().map(Arc::make_mut) else {
+            return false;
+        };
+        report.running = load.running;
+        report.waiting = load.waiting;
+        report.step_us = load.step_us;
+        report.kv_percent = load.kv_percent;
+        let old = record.condition;
+        if !crate::defect::planted!(IgnoreSpreadLeaving) {
+            record.condition = load.condition;
+            report.leaving = load.condition == Condition::Leaving;
+        }
+        record.load_at = Some(at);
+        record.observed_at = now.time - now.stamp.age_of(at).span();
+        record.load_sent = 0;
+        record.spread = Some((*load, now.time));
+        let urgent = record.condition != old;
+        self.version += 1;
+        urgent
+    }
+
+    /// Takes what a server holds from another host.
+    pub(super) fn apply_detail(&mut self, sent: Stamp, detail: &DetailUpdate) {
+        let names = &self.names;
+        let links = detail.links_us.iter().take(MAX_LINKS);
+        let links_us = links.filter_map(|(id, us)| Some((names.get(id)?.clone(), *us))).collect();
+        let Some(name) = self.names.get(&detail.server).cloned() else {
+            return;
+        };
+        let Some(record) = self.servers.get_mut(&name) else {
+            return;
+        };
+        let at = sent.before(detail.age);
+        if record.detail_at.is_some_and(|held| !at.is_after(held)) {
+            return;
+        }
+        let old = record.report.take();
+        let load = old.as_ref();
+        record.report = Some(Arc::new(LoadReport {
+            server: name,
+            boot: detail.boot,
+            age_ms: Millis::ZERO,
+            running: load.map_or(0, |load| load.running),
+            waiting: load.map_or(0, |load| load.waiting),
+            slots: detail.slots,
+            step_us: load.map_or(0, |load| load.step_us),
+            kv_percent: load.map_or(0, |load| load.kv_percent),
+            leaving: record.condition == Condition::Leaving,
+            holdings: detail.holdings.clone(),
+            role: detail.role,
+            fencing: detail.fencing,
+            links_us,
+        }));
+        record.detail_at = Some(at);
+        record.detail_sent = 0;
+        self.version += 1;
+    }
+
+    /// Takes a reading of the host list; returns whether it is urgent to pass it on.
+    pub(super) fn apply_listed(&mut self, name: ShortId, leaving: bool, at: Stamp) -> bool {
+        let known = self.listed.get(&name);
+        let changed = known.map_or(leaving, |known| known.leaving != leaving);
+        if !changed || known.is_some_and(|known| !at.is_after(known.at)) {
+            return false;
+        }
+        if known.is_none() && self.listed.len() >= MAX_LISTED {
+            return false;
+        }
+        self.listed.insert(name, Listed { leaving, at, sent: 0 });
+        self.version += 1;
+        true
+    }
+
+    pub(super) fn apply_listed_update(&mut self, sent: Stamp, update: &ListedUpdate) -> bool {
+        self.apply_listed(update.name, update.leaving, sent.before(update.age))
+    }
+
+    /// Takes what is due for hosts of the own domain, least sent first.
+    pub(super) fn take_batch(&mut self, stamp: Stamp, limit: u32, timing: &Timing) -> Batch {
+        let mut batch = Batch::default();
+        let mut due: Vec<_> = self
+            .servers
+            .values_mut()
+            .filter(|record| record.load_sent < timing.load_sends)
+            .collect();
+        due.sort_by_key(|record| record.load_sent);
+        for record in due.into_iter().take(timing.max_loads) {
+            record.load_sent += 1;
+            batch.loads.extend(record.load(stamp));
+        }
+        let mut due: Vec<_> =
+            self.servers.values_mut().filter(|record| record.detail_sent < limit).collect();
+        due.sort_by_key(|record| record.detail_sent);
+        for record in due.into_iter().take(timing.max_details) {
+            record.detail_sent += 1;
+            batch.details.extend(record.detail(stamp));
+        }
+        for (name, listed) in self.listed.iter_mut().filter(|(_, listed)| listed.sent < limit) {
+            listed.sent += 1;
+            let age = stamp.age_of(listed.at);
+            batch.listed.push(ListedUpdate { name: *name, age, leaving: listed.leaving });
+        }
+        batch
+    }
+
+    /// Takes what is due for another domain: changes of the servers of `own`.
+    pub(super) fn take_batch_abroad(
+        &mut self,
+        now: Now,
+        own: &DomainName,
+        far: &DomainName,
+        timing: &Timing,
+    ) -> Batch {
+        let sent = self.abroad.entry(far.clone()).or_default();
+        let mut batch = Batch::default();
+        let own_servers = self.servers.values().filter(|record| record.domain == *own);
+        for record in own_servers.filter(|record| record.report.is_some()) {
+            if batch.details.len() < timing.max_details
+                && sent.is_due(now, Kind::Detail, record.id, record.detail_at, timing)
+            {
+                batch.details.extend(record.detail(now.stamp));
+            }
+            let at = record.load_at.filter(|_| record.condition != Condition::Ready);
+            if batch.loads.len() < timing.max_loads
+                && sent.is_due(now, Kind::Load, record.id, at, timing)
+            {
+                batch.loads.extend(record.load(now.stamp));
+            }
+        }
+        for (name, listed) in &self.listed {
+            if sent.is_due(now, Kind::Listed, *name, Some(listed.at), timing) {
+                let age = now.stamp.age_of(listed.at);
+                batch.listed.push(ListedUpdate { name: *name, age, leaving: listed.leaving });
+            }
+        }
+        batch
+    }
+
+    /// Marks everything as due for another domain again.
+    pub(super) fn renew_abroad(&mut self, far: &DomainName) {
+        self.abroad.remove(far);
+    }
+
+    /// Returns everything, for a host that has just joined.
+    pub(super) fn whole(&self, stamp: Stamp) -> Batch {
+        let listed = self.listed.iter().map(|(name, listed)| ListedUpdate {
+            name: *name,
+            age: stamp.age_of(listed.at),
+            leaving: listed.leaving,
+        });
+        Batch {
+            loads: self.servers.values().filter_map(|record| record.load(stamp)).collect(),
+            details: self.servers.values().filter_map(|record| record.detail(stamp)).collect(),
+            listed: listed.collect(),
+        }
+    }
+
+    fn record_mut(&mut self, id: ShortId) -> Option<&mut ServerRecord> {
+        let name = self.names.get(&id)?;
+        self.servers.get_mut(name)
+    }
+}
+
+fn slots(record: &ServerRecord) -> u32 {
+    record.report.as_ref().map_or(0, |report| report.slots)
+}
+
+/// Returns the stamp of an own observation, which prevails over what is held.
+fn following(held: Option<Stamp>, now: Stamp) -> Stamp {
+    match held {
+        Some(held) if !now.is_after(held) => held.next(),
+        _ => now,
+    }
+}
+
+fn take_report(now: Now, record: &mut ServerRecord, report: LoadReport) {
+    record.failures = 0;
+    record.condition = if report.leaving { Condition::Leaving } else { Condition::Ready };
+    let changed = record.report.as_ref().is_none_or(|old| detail_differs(old, &report));
+    if changed {
+        record.detail_at = Some(following(record.detail_at, now.stamp));
+        record.detail_sent = 0;
+    }
+    record.observed_at = now.time - report.age_ms;
+    record.report = Some(Arc::new(LoadReport { age_ms: Millis::ZERO, ..report }));
+}
+
+fn detail_differs(old: &LoadReport, new: &LoadReport) -> bool {
+    let links_differ = || {
+        old.links_us.len() != new.links_us.len()
+            || old.links_us.iter().zip(&new.links_us).any(|((old_name, old_us), (name, us))| {
+                old_name != name || differs_by_quarter(*old_us, *us)
+            })
+    };
+    old.boot != new.boot
+        || old.slots != new.slots
+        || old.role != new.role
+        || old.holdings != new.holdings
+        || old.fencing != new.fencing
+        || links_differ()
+}
+
+fn differs_by_quarter(old: u32, new: u32) -> bool {
+    old.abs_diff(new) > old.min(new) / 4
+}
+
+/// Returns whether a load differs noticeably from the one that was spread last.
+fn differs(old: &LoadUpdate, new: &LoadUpdate, slots: u32) -> bool {
+    let runs = |load: &LoadUpdate| load.running + load.waiting;
+    old.condition != new.condition
+        || runs(old).abs_diff(runs(new)) > slots / 8
+        || differs_by_quarter(old.step_us, new.step_us)
+        || old.kv_percent.abs_diff(new.kv_percent) > 10
+}
--- /dev/null
+++ b/crates/core/src/fleet/tests.rs
@@ -0,0 +1,213 @@
+//! Tests of the member table, the server table and single nodes.
+
+use smallvec::smallvec;
+
+use super::messages::Condition;
+use super::messages::MemberState;
+use super::messages::MemberUpdate;
+use super::node::FleetAction;
+use super::node::FleetEvent;
+use super::node::FleetNode;
+use super::node::Identity;
+use super::servers::DeclaredServer;
+use super::timing::Stamp;
+use super::timing::Timing;
+use super::FleetMessage;
+use super::FleetReply;
+use crate::clock::Millis;
+use crate::engine::LoadReport;
+use crate::engine::Role;
+use crate::ids::Incarnation;
+use crate::name::ServerName;
+
+const UNIX: Millis = Millis(1_000_000);
+const TICK: Millis = Millis(100);
+
+fn update(host: &str, incarnation: u64, round: u32, state: MemberState) -> MemberUpdate {
+    MemberUpdate {
+        host: host.into(),
+        domain: "sahab".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        round,
+        state,
+    }
+}
+
+fn node(host: &str) -> FleetNode {
+    let identity = Identity {
+        host: host.into(),
+        domain: "sahab".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        incarnation: Incarnation(5),
+    };
+    let mut node = FleetNode::new(identity, Timing::default(), Millis::ZERO, UNIX, 1);
+    node.on_event(Millis::ZERO, FleetEvent::Tick);
+    node
+}
+
+fn report(leaving: bool) -> LoadReport {
+    LoadReport {
+        server: "engine-1".into(),
+        boot: 1,
+        age_ms: Millis::ZERO,
+        running: 3,
+        waiting: 0,
+        slots: 8,
+        step_us: 900,
+        kv_percent: 10,
+        leaving,
+        holdings: smallvec![],
+        role: Role::Both,
+        fencing: None,
+        links_us: vec![("engine-1".into(), 250)],
+    }
+}
+
+fn declared() -> FleetEvent {
+    let name = ServerName::from("engine-1");
+    FleetEvent::Declared(vec![DeclaredServer { name, domain: "sahab".into() }])
+}
+
+fn sync(node: &mut FleetNode, now: Millis, members: Vec<MemberUpdate>) {
+    let reply = FleetReply::Tables { members, servers: super::Gossip::default() };
+    node.on_event(now, FleetEvent::Reply { from: "host-2".into(), reply });
+}
+
+fn state_of(node: &FleetNode, host: &str) -> Option<MemberState> {
+    let mut members = node.members();
+    members.find(|member| member.update.host.as_str() == host).map(|m| m.update.state)
+}
+
+#[yare::parameterized(
+    newer_incarnation = { (2, 0, MemberState::Alive), (1, 9, MemberState::Dead), true },
+    newer_round = { (1, 1, MemberState::Alive), (1, 0, MemberState::Dead), true },
+    suspicion = { (1, 0, MemberState::Suspect), (1, 0, MemberState::Alive), true },
+    death = { (1, 0, MemberState::Dead), (1, 0, MemberState::Suspect), true },
+    same = { (1, 0, MemberState::Alive), (1, 0, MemberState::Alive), false },
+    old_suspicion = { (1, 0, MemberState::Suspect), (1, 1, MemberState::Alive), false },
+    old_process = { (1, 9, MemberState::Alive), (2, 0, MemberState::Suspect), false },
+)]
+fn updates_are_ordered_by_incarnation_round_and_state(
+    new: (u64, u32, MemberState),
+    held: (u64, u32, MemberState),
+    supersedes: bool,
+) {
+    let new = update("a", new.0, new.1, new.2);
+    let held = update("a", held.0, held.1, held.2);
+    assert_eq!(new.supersedes(&held), supersedes);
+}
+
+#[test]
+fn a_host_refutes_its_own_suspicion() {
+    let mut node = node("host-1");
+    sync(&mut node, TICK, vec![update("host-1", 5, 3, MemberState::Suspect)]);
+    let own = node.members().find(|member| member.update.host.as_str() == "host-1").unwrap();
+    assert_eq!((own.update.round, own.update.state), (4, MemberState::Alive));
+}
+
+#[test]
+fn a_silent_host_is_suspected_then_dead_and_forgotten() {
+    let mut node = node("host-1");
+    sync(&mut node, TICK, vec![update("host-2", 1, 0, MemberState::Alive)]);
+    let mut seen = Vec::new();
+    let mut now = TICK;
+    while now < Millis(70_000) {
+        now = now + TICK;
+        node.on_event(now, FleetEvent::Tick);
+        let state = state_of(&node, "host-2");
+        if seen.last() != Some(&state) {
+            seen.push(state);
+        }
+    }
+    let expected = [MemberState::Alive, MemberState::Suspect, MemberState::Dead].map(Some);
+    assert_eq!(seen[..3], expected);
+    assert_eq!(seen[3..], [None]);
+}
+
+#[test]
+fn a_host_that_was_paused_does_not_suspect_the_others() {
+    let mut node = node("host-1");
+    sync(&mut node, TICK, vec![update("host-2", 1, 0, MemberState::Alive)]);
+    node.on_event(Millis(600), FleetEvent::Tick);
+    node.on_event(Millis(9_000), FleetEvent::Tick);
+    assert_eq!(state_of(&node, "host-2"), Some(MemberState::Alive));
+}
+
+#[test]
+fn a_probe_is_repeated_through_others_before_a_suspicion() {
+    let mut node = node("host-1");
+    let others = ["host-2", "host-3", "host-4"].map(|h| update(h, 1, 0, MemberState::Alive));
+    sync(&mut node, TICK, others.to_vec());
+    let mut calls = Vec::new();
+    for tick in 2..8 {
+        let actions = node.on_event(Millis(tick * TICK.0), FleetEvent::Tick);
+        calls.extend(actions.into_iter().filter_map(|action| match action {
+            FleetAction::Call { to, message: FleetMessage::ProbeFor(target) } => Some((to, target)),
+            _ => None,
+        }));
+    }
+    assert_eq!(calls.len(), 2, "{calls:?}");
+    let target = calls[0].1.clone();
+    assert!(calls.iter().all(|(to, t)| *t == target && *to != target));
+}
+
+#[test]
+fn an_observed_server_that_leaves_is_told_to_others_at_once() {
+    let mut node = node("host-1");
+    sync(&mut node, TICK, vec![update("host-2", 1, 0, MemberState::Alive)]);
+    node.on_event(TICK, declared());
+    let observed =
+        |leaving| FleetEvent::Observed { server: "engine-1".into(), report: Some(report(leaving)) };
+    node.on_event(Millis(200), observed(false));
+    let actions = node.on_event(Millis(300), observed(true));
+    let told = actions.iter().any(|action| match action {
+        FleetAction::Call { to, message: FleetMessage::Rumor(gossip) } => {
+            let leaving = |load: &super::LoadUpdate| load.condition == Condition::Leaving;
+            to.as_str() == "host-2" && gossip.loads.iter().any(leaving)
+        }
+        _ => false,
+    });
+    assert!(told, "{actions:?}");
+}
+
+#[test]
+fn an_observation_reaches_another_host_whole_and_only_once() {
+    let mut observer = node("host-1");
+    let mut other = node("host-2");
+    observer.on_event(TICK, declared());
+    other.on_event(TICK, declared());
+    let server = ServerName::from("engine-1");
+    let report = report(false);
+    let observed = FleetEvent::Observed { server: server.clone(), report: Some(report.clone()) };
+    observer.on_event(TICK, observed);
+    let request = |servers| FleetEvent::Request {
+        from: "host-2".into(),
+        message: FleetMessage::Sync { members: Vec::new(), servers },
+    };
+    let mut tables = || {
+        let mut actions = observer.on_event(TICK, request(true));
+        match actions.pop() {
+            Some(FleetAction::Reply(reply)) => reply,
+            action => panic!("{action:?}"),
+        }
+    };
+    let reply = tables();
+    other.on_event(Millis(150), FleetEvent::Reply { from: "host-1".into(), reply });
+    let record = other.server(&server).unwrap();
+    assert_eq!(record.report.as_deref(), Some(&report));
+    let version = other.servers_version();
+    let again = tables();
+    other.on_event(Millis(900), FleetEvent::Reply { from: "host-1".into(), reply: again });
+    assert_eq!(other.servers_version(), version, "the same observation is not taken twice");
+}
+
+#[test]
+fn stamps_survive_the_wrap_and_clocks_that_are_ahead() {
+    let late = Stamp(3);
+    let early = Stamp(u32::MAX - 2);
+    assert!(late.is_after(early));
+    assert_eq!(late.before(late.age_of(early)), early);
+    assert_eq!(early.before(early.age_of(late)), late);
+    assert_eq!(early.age_of(late).span(), Millis::ZERO);
+}
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -1,29 +1,39 @@
-//! Backend servers as this host sees them.
+//! Entry hosts and backend servers as this host sees them.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::RwLock;
-use std::thread;
-use std::time::Duration;
 
+use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
-use yuccanotch_core::config::Server;
-use yuccanotch_core::config::ServerUse;
-use yuccanotch_core::engine::HostKind;
-use yuccanotch_core::engine::HostList;
 use yuccanotch_core::engine::LoadReport;
+use yuccanotch_core::fleet::FleetAction;
+use yuccanotch_core::fleet::FleetEvent;
 use yuccanotch_core::fleet::FleetMessage;
+use yuccanotch_core::fleet::FleetNode;
 use yuccanotch_core::fleet::FleetReply;
+use yuccanotch_core::fleet::Identity;
+use yuccanotch_core::fleet::Timing;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::HostName;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peer::PeerHeader;
 
-use crate::host::Host;
-use crate::store_client::StoreClient;
+mod driver;
+mod view;
 
-const POLL: Duration = Duration::from_millis(200);
+pub use driver::run;
+
+/// Time for which a failed call makes a server suspected, unless it is observed meanwhile.
+const SUSPICION: Millis = Millis(2_000);
 
 /// One backend server.
 #[derive(Clone, Debug)]
@@ -35,8 +45,8 @@
     /// Address.
     pub address: String,
     /// Last load report; `None` for plain services and servers never heard of.
-    pub report: Option<LoadReport>,
-    /// When the report was received.
+    pub report: Option<Arc<LoadReport>>,
+    /// When the report was observed.
     pub reported_at: Millis,
     /// Whether the server takes no new work.
     pub leaving: bool,
@@ -52,7 +62,7 @@
 }
 
 /// One entry host.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberView {
     /// Failure domain.
     pub domain: DomainName,
@@ -65,7 +75,7 @@
 }
 
 /// Entry hosts, this one included.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Members {
     /// The hosts by name.
     pub hosts: BTreeMap<HostName, MemberView>,
@@ -95,104 +105,103 @@
     Failed,
 }
 
-/// Keeps the view of the backend servers.
-#[derive(Debug, Default)]
-pub struct Fleet {
+/// State that the facade, the driver and the callbacks of the peer links share.
+struct Inner {
+    clock: Clock,
+    node: Mutex<FleetNode>,
+    actions: Sender<FleetAction>,
+    suspects: Mutex<HashMap<ServerName, Millis>>,
     view: RwLock<Arc<FleetView>>,
     members: RwLock<Arc<Members>>,
 }
 
-impl Fleet {
-    /// Creates a fleet without servers.
-    pub fn new() -> Self {
-        Self::default()
+impl Inner {
+    fn node(&self) -> MutexGuard<'_, FleetNode> {
+        self.node.lock().expect("no panic while handling an event")
     }
 
-    /// Returns the present view.
-    pub fn view(&self) -> Arc<FleetView> {
-        self.view.read().expect("no panic while replacing the view").clone()
-    }
-
-    /// Reports how a server dealt with a call.
-    pub fn report(&self, server: &ServerName, health: Health) {
-        let mut view = self.view.write().expect("no panic while replacing the view");
-        if let Some(server) = Arc::make_mut(&mut view).servers.get_mut(server) {
-            server.suspected = health == Health::Failed;
+    /// Passes an event to the node; actions go to the driver, a reply is returned.
+    fn handle(&self, event: FleetEvent) -> Option<FleetReply> {
+        let actions = self.node().on_event(self.clock.now(), event);
+        let mut answer = None;
+        for action in actions {
+            match action {
+                FleetAction::Reply(reply) => answer = Some(reply),
+                // The driver is gone only when the host has stopped.
+                action => drop(self.actions.send(action)),
+            }
         }
+        answer
     }
+}
 
-    /// Returns the entry hosts as this host sees them.
-    pub fn members(&self) -> Arc<Members> {
-        self.members.read().expect("no panic while replacing the members").clone()
+/// Keeps the view of the entry hosts and backend servers.
+pub struct Fleet {
+    inner: Arc<Inner>,
+    pending: Mutex<Option<Receiver<FleetAction>>>,
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Fleet").finish_non_exhaustive()
     }
+}
 
-    /// Answers another entry host.
-    pub fn on_peer(&self, message: FleetMessage) -> FleetReply {
-        match message {
-            FleetMessage::Probe { number } => FleetReply::Ack { number },
-        }
+impl Fleet {
+    /// Creates the view of a host that knows only itself.
+    pub fn new(identity: Identity, clock: Clock, seed: u64) -> Self {
+        let (actions, pending) = mpsc::channel();
+        let now = clock.now();
+        let node = FleetNode::new(identity, Timing::default(), now, clock.unix_now(), seed);
+        let inner = Inner {
+            clock,
+            node: Mutex::new(node),
+            actions,
+            suspects: Mutex::default(),
+            view: RwLock::default(),
+            members: RwLock::default(),
+        };
+        Self { inner: Arc::new(inner), pending: Mutex::new(Some(pending)) }
     }
 
-    fn replace_members(&self, members: Members) {
-        *self.members.write().expect("no panic while replacing the members") = Arc::new(members);
+    /// Returns the present view of the backend servers.
+    pub fn view(&self) -> Arc<FleetView> {
+        self.inner.view.read().expect("no panic while replacing the view").clone()
     }
 
-    fn replace(&self, servers: HashMap<ServerName, ServerView>) {
-        *self.view.write().expect("no panic while replacing the view") =
-            Arc::new(FleetView { servers });
+    /// Returns the entry hosts as this host sees them.
+    pub fn members(&self) -> Arc<Members> {
+        self.inner.members.read().expect("no panic while replacing the members").clone()
     }
-}
 
-/// Polls the backend servers until the host stops.
-pub fn run(host: &Arc<Host>) {
-    let list = StoreClient::new(host.settings.store);
-    while !host.is_stopped() {
-        if let Ok(list) = list.hosts() {
-            host.fleet.replace_members(learn(host, list));
+    /// Reports how a server dealt with a call.
+    pub fn report(&self, server: &ServerName, health: Health) {
+        let failed = health == Health::Failed;
+        let now = self.inner.clock.now();
+        let mut suspects = self.inner.suspects.lock().expect("no panic while reporting");
+        let changed = if failed {
+            suspects.insert(server.clone(), now).is_none()
+        } else {
+            suspects.remove(server).is_some()
+        };
+        drop(suspects);
+        if !changed {
+            return;
         }
-        if let Some(active) = host.configuration.current() {
-            let servers = active.declaration.servers.iter();
-            let servers = servers.map(|(name, server)| (name.clone(), observe(host, name, server)));
-            host.fleet.replace(servers.collect());
+        let mut view = self.inner.view.write().expect("no panic while replacing the view");
+        if let Some(server) = Arc::make_mut(&mut view).servers.get_mut(server) {
+            server.suspected = failed;
         }
-        thread::sleep(POLL);
     }
-}
 
-fn learn(host: &Host, list: HostList) -> Members {
-    let mut members = Members::default();
-    for listed in list.hosts.into_iter().filter(|listed| listed.kind == HostKind::Entry) {
-        let Ok(address) = listed.address.parse() else {
-            continue;
-        };
-        let name = HostName::new(&listed.name);
-        if name != host.settings.host {
-            host.peers.set_address(&name, &listed.domain, address);
-        }
-        let leaving = listed.leaving;
-        let member = MemberView { domain: listed.domain, address, alive: true, leaving };
-        members.hosts.insert(name, member);
+    /// Answers another entry host.
+    pub fn on_peer(&self, header: &PeerHeader, message: FleetMessage) -> FleetReply {
+        let from = header.host.clone();
+        self.inner.handle(FleetEvent::Request { from, message }).unwrap_or(FleetReply::Noted)
     }
-    let own = MemberView {
-        domain: host.settings.domain.clone(),
-        address: host.peers.address(),
-        alive: true,
-        leaving: host.is_draining(),
-    };
-    members.hosts.insert(host.settings.host.clone(), own);
-    members
-}
 
-fn observe(host: &Host, name: &ServerName, server: &Server) -> ServerView {
-    let is_engine = matches!(server.used_for, ServerUse::Engine(_));
-    let report = if is_engine { host.engines.load(&server.address).ok() } else { None };
-    ServerView {
-        name: name.clone(),
-        domain: server.domain.clone(),
-        address: server.address.clone(),
-        reported_at: host.clock.now(),
-        leaving: server.drain || report.as_ref().is_some_and(|report| report.leaving),
-        suspected: is_engine && report.is_none(),
-        report,
+    /// Tells other entry hosts that this one is stopping.
+    pub fn leave(&self) {
+        self.inner.handle(FleetEvent::Leave);
     }
 }
--- /dev/null
+++ b/crates/entry/src/fleet/driver.rs
@@ -0,0 +1,227 @@
+//! Carries out what the node asks for: calls, observations, readings of the host list.
+
+use std::collections::BTreeSet;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::thread::JoinHandle;
+
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::Active;
+use yuccanotch_core::config::ServerUse;
+use yuccanotch_core::fleet::DeclaredServer;
+use yuccanotch_core::fleet::FleetAction;
+use yuccanotch_core::fleet::FleetEvent;
+use yuccanotch_core::fleet::FleetMessage;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+
+use crate::fleet::Inner;
+use crate::host::Host;
+use crate::store_client::StoreClient;
+
+const TICK: Millis = Millis(100);
+const VIEW_PERIOD: Millis = Millis(200);
+const CALL_TIMEOUT: Millis = Millis(1_000);
+const WORKERS: usize = 4;
+const MAX_JOBS: usize = 1_024;
+
+/// A call that may take a while.
+enum Job {
+    Observe { server: ServerName, address: String },
+    ReadHostList,
+}
+
+struct Driver<'a> {
+    host: &'a Arc<Host>,
+    inner: Arc<Inner>,
+    jobs: SyncSender<Job>,
+    declared: Option<ConfigNumber>,
+    view_at: Millis,
+    view_version: Option<(ConfigNumber, u64)>,
+    /// Members whose addresses the links were given.
+    linked: BTreeSet<HostName>,
+}
+
+/// Takes part in membership and observation until the host stops.
+pub fn run(host: &Arc<Host>) {
+    let pending = host.fleet.pending.lock().expect("no panic while starting").take();
+    let Some(pending) = pending else {
+        return;
+    };
+    let (jobs, queue) = mpsc::sync_channel(MAX_JOBS);
+    let queue = Arc::new(Mutex::new(queue));
+    let workers: Vec<_> = (0..WORKERS).map(|_| spawn_worker(host, &queue)).collect();
+    let mut driver = Driver {
+        host,
+        inner: Arc::clone(&host.fleet.inner),
+        jobs,
+        declared: None,
+        view_at: Millis::ZERO,
+        view_version: None,
+        linked: BTreeSet::new(),
+    };
+    driver.run(&pending);
+    drop(driver);
+    for worker in workers {
+        let _ = worker.join();
+    }
+}
+
+impl Driver<'_> {
+    fn run(&mut self, pending: &Receiver<FleetAction>) {
+        let clock = &self.host.clock;
+        let mut tick_at = clock.now();
+        while !self.host.is_stopped() {
+            let wait = tick_at.since(clock.now()).to_duration();
+            match pending.recv_timeout(wait) {
+                Ok(action) => self.act(action),
+                Err(RecvTimeoutError::Timeout) => {
+                    tick_at = clock.now() + TICK;
+                    self.tick();
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let active = self.host.configuration.current();
+        if let Some(active) = &active {
+            self.declare(active);
+        }
+        self.inner.handle(FleetEvent::Tick);
+        let now = self.host.clock.now();
+        if now < self.view_at {
+            return;
+        }
+        self.view_at = now + VIEW_PERIOD;
+        if self.inner.refresh_members() {
+            self.set_addresses();
+        }
+        if let Some(active) = &active {
+            self.refresh_view(active);
+        }
+    }
+
+    fn refresh_view(&mut self, active: &Active) {
+        let version = (active.number, self.inner.node().servers_version());
+        let has_suspects =
+            !self.inner.suspects.lock().expect("no panic while reporting").is_empty();
+        if has_suspects || self.view_version != Some(version) {
+            self.view_version = Some(version);
+            self.inner.refresh_view(active);
+        }
+    }
+
+    fn declare(&mut self, active: &Active) {
+        if self.declared == Some(active.number) {
+            return;
+        }
+        self.declared = Some(active.number);
+        let servers = active.declaration.servers.iter();
+        let engines = servers.filter(|(_, server)| matches!(server.used_for, ServerUse::Engine(_)));
+        let declared = engines
+            .map(|(name, server)| DeclaredServer {
+                name: name.clone(),
+                domain: server.domain.clone(),
+            })
+            .collect();
+        self.inner.handle(FleetEvent::Declared(declared));
+    }
+
+    /// Gives the links the members' addresses; forgets members that are gone.
+    fn set_addresses(&mut self) {
+        let members = self.host.fleet.members();
+        let others = members.hosts.iter().filter(|(name, _)| **name != self.host.settings.host);
+        let mut linked = BTreeSet::new();
+        for (name, member) in others {
+            self.host.peers.set_address(name, &member.domain, member.address);
+            linked.insert(name.clone());
+        }
+        for gone in self.linked.difference(&linked) {
+            self.host.peers.forget(gone);
+        }
+        self.linked = linked;
+    }
+
+    fn act(&mut self, action: FleetAction) {
+        match action {
+            FleetAction::Call { to, message } => self.call(to, message),
+            FleetAction::Observe(server) => {
+                let active = self.host.configuration.current();
+                let declared =
+                    active.as_ref().and_then(|active| active.declaration.servers.get(&server));
+                if let Some(address) = declared.map(|declared| declared.address.clone()) {
+                    self.start(Job::Observe { server, address });
+                }
+            }
+            FleetAction::ReadHostList => self.start(Job::ReadHostList),
+            FleetAction::Reply(_) => {}
+        }
+    }
+
+    /// Queues a job; one that finds the queue full is asked for again later.
+    fn start(&self, job: Job) {
+        if self.jobs.try_send(job).is_err() {
+            self.host.telemetry.counter("yuccanotch_observations_dropped_total", "");
+        }
+    }
+
+    fn call(&mut self, to: HostName, message: FleetMessage) {
+        if !self.host.peers.knows(&to) && self.inner.refresh_members() {
+            self.set_addresses();
+        }
+        let inner = Arc::clone(&self.inner);
+        let from = to.clone();
+        let request = PeerRequest::Fleet(message);
+        self.host.peers.call_with(&to, request, CALL_TIMEOUT, move |result| {
+            if let Ok(PeerReply::Fleet(reply)) = result {
+                inner.handle(FleetEvent::Reply { from, reply });
+            }
+        });
+    }
+}
+
+fn spawn_worker(host: &Arc<Host>, queue: &Arc<Mutex<Receiver<Job>>>) -> JoinHandle<()> {
+    let host = Arc::clone(host);
+    let queue = Arc::clone(queue);
+    let work = move || {
+        let list = StoreClient::new(host.settings.store);
+        loop {
+            let job = queue.lock().expect("no panic while waiting for a job").recv();
+            let Ok(job) = job else {
+                return;
+            };
+            serve(&host, &list, job);
+        }
+    };
+    thread::Builder::new()
+        .name("observer".to_owned())
+        .spawn(work)
+        .expect("the operating system grants a thread")
+}
+
+fn serve(host: &Host, list: &StoreClient, job: Job) {
+    if host.is_stopped() {
+        return;
+    }
+    match job {
+        Job::Observe { server, address } => {
+            let report = host.engines.load(&address).ok().filter(|report| report.server == server);
+            host.fleet.inner.handle(FleetEvent::Observed { server, report });
+        }
+        Job::ReadHostList => {
+            if let Ok(list) = list.hosts() {
+                host.fleet.inner.handle(FleetEvent::Listed(list));
+            }
+        }
+    }
+}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -25,6 +25,7 @@
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::finding::Finding;
+use yuccanotch_core::fleet::Identity;
 use yuccanotch_core::ids::Incarnation;
 use yuccanotch_core::ids::RequestId;
 use yuccanotch_core::name::TeamName;
@@ -117,6 +118,13 @@
         let incarnation = Incarnation(clock.unix_now().0 << 16 | u64::from(rng.random::<u16>()));
         let peers = Peers::bind(peer_settings(&settings, incarnation)?)
             .map_err(|e| EntryError::Listen(settings.peer.to_string(), e))?;
+        let identity = Identity {
+            host: settings.host.clone(),
+            domain: settings.domain.clone(),
+            address: peers.address(),
+            incarnation,
+        };
+        let fleet = Fleet::new(identity, clock.clone(), rng.random());
         Ok(Self {
             incarnation,
             peers,
@@ -125,7 +133,7 @@
             configuration: Configuration::new(),
             claims: Claims::new(store.clone(), clock.clone(), settings.host.clone(), incarnation),
             admission: Admission::new(clock.clone(), settings.limits.in_flight),
-            fleet: Fleet::new(),
+            fleet,
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
@@ -337,6 +345,7 @@
         let limits = &host.settings.limits;
         emit(Event::HostDraining, format_args!("host={}", host.settings.host));
         host.draining.store(true, Ordering::SeqCst);
+        host.fleet.leave();
         thread::sleep(limits.drain_grace.to_duration());
         let end = host.clock.now() + limits.drain_timeout;
         let busy = || host.in_flight.load(Ordering::SeqCst) > 0 || host.claims.pending() > 0;
--- a/crates/entry/src/peer_handler.rs
+++ b/crates/entry/src/peer_handler.rs
@@ -14,7 +14,7 @@
             PeerRequest::Config(message) => {
                 PeerReply::Config(self.configuration.on_peer(&header.host, message))
             }
-            PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(message)),
+            PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(&header, message)),
             PeerRequest::Claim(message) => PeerReply::Claim(self.claims.on_peer(message)),
             PeerRequest::Quarantine(_) | PeerRequest::Share(_) => PeerReply::Declined,
         }
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -222,6 +222,11 @@
         self.links.lock().expect("lock is not poisoned").remove(host);
     }
 
+    /// Returns whether a peer's address is known.
+    pub fn knows(&self, host: &HostName) -> bool {
+        self.links.lock().expect("lock is not poisoned").contains_key(host)
+    }
+
     /// Returns the peers whose address is known.
     pub fn known(&self) -> Vec<HostName> {
         self.links.lock().expect("lock is not poisoned").keys().cloned().collect()
--- a/crates/entry/src/peers/tests.rs
+++ b/crates/entry/src/peers/tests.rs
@@ -12,6 +12,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::fleet::FleetMessage;
 use yuccanotch_core::fleet::FleetReply;
+use yuccanotch_core::fleet::Gossip;
 use yuccanotch_core::ids::ConfigNumber;
 use yuccanotch_core::ids::Incarnation;
 use yuccanotch_core::name::DomainName;
@@ -49,8 +50,8 @@
     fn on_request(&self, header: PeerHeader, request: PeerRequest) -> PeerReply {
         self.requests.lock().unwrap().push(header);
         match request {
-            PeerRequest::Fleet(FleetMessage::Probe { number }) => {
-                PeerReply::Fleet(FleetReply::Ack { number })
+            PeerRequest::Fleet(FleetMessage::Probe(gossip)) => {
+                PeerReply::Fleet(FleetReply::Ack(gossip))
             }
             _ => PeerReply::Declined,
         }
@@ -96,12 +97,16 @@
     }
 }
 
+fn numbered(digest: u64) -> Gossip {
+    Gossip { digest, ..Gossip::default() }
+}
+
 fn probe(number: u64) -> PeerRequest {
-    PeerRequest::Fleet(FleetMessage::Probe { number })
+    PeerRequest::Fleet(FleetMessage::Probe(numbered(number)))
 }
 
 fn ack(number: u64) -> Result<PeerReply, PeerError> {
-    Ok(PeerReply::Fleet(FleetReply::Ack { number }))
+    Ok(PeerReply::Fleet(FleetReply::Ack(numbered(number))))
 }
 
 fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
