--- a/crates/load/src/html.rs
+++ b/crates/load/src/html.rs
@@ -12,6 +12,7 @@
 use crate::report::STEP_MS;
 
 const PLOT_SIZE: (u32, u32) = (860, 300);
+const MAX_BOUND_RATIO: f64 = 3.0;
 const LINE: RGBColor = RGBColor(31, 99, 168);
 const LIMIT: RGBColor = RGBColor(180, 60, 40);
 const STYLE: &str = "body{font:15px/1.5 system-ui,sans-serif;max-width:900px;margin:2em auto;\
@@ -54,7 +55,12 @@
     write_verdict(out, report)?;
     write_summary(out, report)?;
     write!(out, "<h2>Throughput against the bound</h2>{}", throughput_plot(report)?)?;
-    write!(out, "<p>The red line is the bound; grey lines are faults.</p>")?;
+    let bound = report.chat.bound_tokens_per_s;
+    if bound <= throughput_top(report) {
+        write!(out, "<p>The red line is the bound, {bound:.0}; grey lines are faults.</p>")?;
+    } else {
+        write!(out, "<p>The bound, {bound:.0}, is above the plot; grey lines are faults.</p>")?;
+    }
     let first = histogram_plot("first token", &report.first_token)?;
     write!(out, "<h2>Time to the first token</h2>{first}")?;
     let inter = histogram_plot("between tokens", &report.inter_token)?;
@@ -167,6 +173,14 @@
     Ok(())
 }
 
+/// Returns the top of the throughput plot, which leaves out a bound that is far above the rest.
+fn throughput_top(report: &Report) -> f64 {
+    let received = report.series.iter().copied().fold(1.0, f64::max);
+    let bound = report.chat.bound_tokens_per_s;
+    let top = if bound <= received * MAX_BOUND_RATIO { received.max(bound) } else { received };
+    top * 1.1
+}
+
 fn throughput_plot(report: &Report) -> Result<String, Box<dyn std::error::Error>> {
     let mut svg = String::new();
     {
@@ -174,7 +188,7 @@
         area.fill(&WHITE)?;
         let end_s = (report.series.len() as f64 * STEP_MS as f64 / 1000.0).max(1.0);
         let bound = report.chat.bound_tokens_per_s;
-        let top = report.series.iter().copied().fold(bound, f64::max).max(1.0) * 1.1;
+        let top = throughput_top(report);
         let mut chart = ChartBuilder::on(&area)
             .margin(10)
             .x_label_area_size(40)
@@ -186,7 +200,9 @@
             let line = [(at, 0.0), (at, top)];
             chart.draw_series(LineSeries::new(line, BLACK.mix(0.35)))?;
         }
-        chart.draw_series(LineSeries::new([(0.0, bound), (end_s, bound)], LIMIT))?;
+        if bound <= top {
+            chart.draw_series(LineSeries::new([(0.0, bound), (end_s, bound)], LIMIT))?;
+        }
         let points = report.series.iter().enumerate();
         let points = points.map(|(i, rate)| (i as f64 * STEP_MS as f64 / 1000.0, *rate));
         chart.draw_series(LineSeries::new(points, LINE.stroke_width(2)))?;
