--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -344,7 +344,7 @@
         let host = self.host.clone();
         let limits = &host.settings.limits;
         emit(Event::HostDraining, format_args!("host={}", host.settings.host));
-        host.draining.store(true, Ordering::SeqCst);
+        host.start_draining();
         host.fleet.leave();
         thread::sleep(limits.drain_grace.to_duration());
         let end = host.clock.now() + limits.drain_timeout;
--- /dev/null
+++ b/crates/entry/tests/process.rs
@@ -0,0 +1,72 @@
+//! An entry host as a process: start, streaming, graceful stop, kill.
+
+mod support;
+
+use std::process::Command;
+use std::thread;
+
+use serde_json::json;
+
+use crate::support::Work;
+
+const STEP_US: u32 = 20_000;
+
+#[test]
+fn tokens_leave_one_by_one() {
+    let work = Work::start("stream", STEP_US);
+    let entry = work.entry("entry-1", json!({}));
+    let lines = entry.stream("one by one", 8);
+    let (first, _) = lines.first().expect("the stream has lines");
+    let (last, end) = lines.last().expect("the stream has lines");
+    assert_eq!(end, "data: [DONE]");
+    // Seven more tokens over two stages of one step each lie between the first and the last.
+    assert!(last.as_micros() - first.as_micros() >= u128::from(STEP_US) * 7, "{lines:?}");
+    entry.kill();
+}
+
+#[test]
+fn sigterm_cuts_no_stream_and_exits_with_success() {
+    let work = Work::start("drain", STEP_US);
+    let entry = work.entry("entry-1", json!({"drain_grace_ms": 0}));
+    let lines = thread::scope(|scope| {
+        let stream = scope.spawn(|| entry.stream("drain", 30));
+        let chats_before = 1;
+        while work.standin.record().runs.len() <= chats_before {
+            thread::yield_now();
+        }
+        entry.terminate();
+        stream.join().expect("the caller gets its stream")
+    });
+    let (_, end) = lines.last().expect("the stream has lines");
+    assert_eq!(end, "data: [DONE]");
+    assert!(entry.wait().success());
+}
+
+#[test]
+fn a_kill_and_a_restart_run_a_keyed_call_once() {
+    let work = Work::start("kill", 1_000);
+    let entry = work.entry("entry-1", json!({}));
+    let first = entry.confirm("key-1").expect("the call is answered");
+    entry.kill();
+    let entry = work.entry("entry-1", json!({}));
+    let second = entry.confirm("key-1").expect("the resend is answered");
+    assert_eq!(first, second);
+    assert_eq!(work.standin.record().calls.len(), 1);
+    entry.kill();
+}
+
+#[test]
+fn wrong_settings_list_all_findings_and_exit_with_2() {
+    let work = Work::start("check", 1_000);
+    let path = work.file("bad.json", r#"{"host": "", "domain": "d", "callers": "x", "more": 1}"#);
+    let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-entry"))
+        .args(["--check", "--settings"])
+        .arg(path)
+        .output()
+        .expect("the binary starts");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    for place in ["/callers", "/admin", "/peer", "/store", "/peer_keys", "/more"] {
+        assert!(text.contains(&format!("\n{place}: ")), "{place} is missing in {text}");
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,203 @@
+//! Work-dir helper: an entry host as a process of its own before stand-ins in the test's process.
+
+use std::fs;
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use serde_json::Value;
+use yuccanotch_core::config::write_first;
+use yuccanotch_core::config::Declaration;
+use yuccanotch_core::digest::Digest;
+use yuccanotch_core::engine::LayerRange;
+use yuccanotch_entry::store_client::StoreClient;
+use yuccanotch_standin::EngineSettings;
+use yuccanotch_standin::ModelSettings;
+use yuccanotch_standin::ServiceSettings;
+use yuccanotch_standin::Standin;
+use yuccanotch_standin::StandinSettings;
+
+const READY: Duration = Duration::from_secs(20);
+
+/// Bearer key of the only team.
+pub const TEAM_KEY: &str = "team-key";
+
+/// A directory, stand-ins and a configuration for one test.
+pub struct Work {
+    dir: PathBuf,
+    /// The platform and the backend servers.
+    pub standin: Standin,
+}
+
+impl Work {
+    /// Starts stand-ins with a model `m` over two stages and a service `svc`, and configures them.
+    pub fn start(name: &str, step_us: u32) -> Self {
+        let dir = std::env::temp_dir().join(format!("yuccanotch-{name}-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("the directory can be made");
+        let mut settings = StandinSettings::default();
+        settings.models.insert("m".into(), ModelSettings { layers: 4, weights_mb: 1 });
+        for (name, first, end) in [("e-0", 0, 2), ("e-1", 2, 4)] {
+            let mut engine =
+                EngineSettings::new(name, "sahab", "m", "v1", LayerRange::new(first, end));
+            engine.behavior.step_base_us = step_us;
+            settings.engines.push(engine);
+        }
+        settings.services.push(ServiceSettings::new("svc-0", "sahab", "svc"));
+        let standin = Standin::start(settings).expect("the stand-ins start");
+        let store = StoreClient::new(standin.store_address());
+        write_first(&store, &declaration(&standin)).expect("the store takes the configuration");
+        Self { dir, standin }
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.join(name);
+        fs::write(&path, text).expect("the file can be written");
+        path
+    }
+
+    /// Starts an entry host and waits until it is healthy.
+    pub fn entry(&self, name: &str, limits: Value) -> EntryProcess {
+        let callers = free_address();
+        let settings = json!({
+            "host": name, "domain": "sahab",
+            "callers": callers, "admin": free_address(), "peer": free_address(),
+            "store": self.standin.store_address(),
+            "peer_keys": ["000102030405060708090a0b0c0d0e0f"],
+            "limits": limits,
+        });
+        let path = self.file(&format!("{name}.json"), &settings.to_string());
+        let child = Command::new(env!("CARGO_BIN_EXE_yuccanotch-entry"))
+            .arg("--settings")
+            .arg(path)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the entry host starts");
+        let entry = EntryProcess { child, callers };
+        entry.wait_until_serving();
+        entry
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// An entry host in a process of its own.
+pub struct EntryProcess {
+    child: Child,
+    /// Address for callers.
+    pub callers: SocketAddr,
+}
+
+impl EntryProcess {
+    fn wait_until_serving(&self) {
+        let start = Instant::now();
+        let body = chat_body("ready?", 1, false);
+        loop {
+            let sent = ureq::post(format!("http://{}/v1/chat/completions", self.callers))
+                .header("authorization", format!("Bearer {TEAM_KEY}"))
+                .send(&body);
+            if sent.is_ok() {
+                return;
+            }
+            assert!(start.elapsed() < READY, "the entry host does not become ready: {sent:?}");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(status.expect("kill starts").success());
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub fn kill(mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Waits for the end.
+    pub fn wait(mut self) -> ExitStatus {
+        self.child.wait().expect("the process ends")
+    }
+
+    /// Asks the model and returns the lines of the event stream with their arrival.
+    pub fn stream(&self, content: &str, max_tokens: u32) -> Vec<(Duration, String)> {
+        let start = Instant::now();
+        let response = ureq::post(format!("http://{}/v1/chat/completions", self.callers))
+            .header("authorization", format!("Bearer {TEAM_KEY}"))
+            .send(chat_body(content, max_tokens, true))
+            .expect("the stream begins");
+        let reader = BufReader::new(response.into_body().into_reader());
+        let lines = reader.lines().map(|line| line.expect("the stream is text"));
+        lines.filter(|line| !line.is_empty()).map(|line| (start.elapsed(), line)).collect()
+    }
+
+    /// Calls the service once under a key.
+    pub fn confirm(&self, key: &str) -> Result<String, ureq::Error> {
+        let response = ureq::post(format!("http://{}/svc/run", self.callers))
+            .header("authorization", format!("Bearer {TEAM_KEY}"))
+            .header("idempotency-key", key)
+            .send("{}")?;
+        response.into_body().read_to_string()
+    }
+}
+
+fn chat_body(content: &str, max_tokens: u32, stream: bool) -> String {
+    json!({
+        "model": "m", "max_tokens": max_tokens, "stream": stream,
+        "messages": [{"role": "user", "content": content}],
+    })
+    .to_string()
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the port has an address")
+}
+
+fn declaration(standin: &Standin) -> Declaration {
+    let engine = |name: &str, first: u16, end: u16| {
+        json!({
+            "domain": "sahab",
+            "address": standin.engine_address(name).expect("the engine listens"),
+            "use": {"engine": {
+                "accelerator": "medium", "model": "m", "version": "v1",
+                "layers": {"first": first, "end": end},
+            }},
+        })
+    };
+    let value = json!({
+        "domains": {"sahab": {"region": "amman"}},
+        "teams": {"t": {"keys": [Digest::of(TEAM_KEY.as_bytes())]}},
+        "models": {"m": {
+            "layers": 4, "version": "v1", "max_tokens": 256, "deadline_ms": 30000, "weights_mb": 1,
+        }},
+        "services": {"svc": {"routes": [{"method": "POST", "path": "/run"}]}},
+        "servers": {
+            "e-0": engine("e-0", 0, 2),
+            "e-1": engine("e-1", 2, 4),
+            "svc-0": {
+                "domain": "sahab",
+                "address": standin.service_address("svc-0").expect("the service listens"),
+                "use": {"service": "svc"},
+            },
+        },
+    });
+    serde_json::from_value(value).expect("the declaration has the right shape")
+}
