Bound the waits of the tests; admit one request on a host with one place

Cause: a test waited without a bound for a run that never began: with one place in flight the pool's limit was rounded down to zero, and the request waited in the queue until its deadline. Change: a pool runs at least one request; tests wait with a bound. Conclusion: fixed at the cause.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -93,7 +93,8 @@
         let queue = (in_flight / IN_FLIGHT_PER_WAITING).max(1);
         let settings = AdmitSettings { queue, ..AdmitSettings::default() };
         let state = State { admit: Admit::new(settings), waiting: HashMap::new(), next_key: 0 };
-        let max_running = u32::try_from(in_flight / IN_FLIGHT_PER_RUNNING).unwrap_or(u32::MAX);
+        let max_running =
+            u32::try_from((in_flight / IN_FLIGHT_PER_RUNNING).max(1)).unwrap_or(u32::MAX);
         let shared = Shared { clock, max_running, state: Mutex::new(state) };
         Self { shared: Arc::new(shared) }
     }
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -4,6 +4,8 @@
 
 use std::process::Command;
 use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 
@@ -31,8 +33,10 @@
     let lines = thread::scope(|scope| {
         let stream = scope.spawn(|| entry.stream("drain", 30));
         let chats_before = 1;
+        let start = Instant::now();
         while work.standin.record().runs.len() <= chats_before {
-            thread::yield_now();
+            assert!(start.elapsed() < Duration::from_secs(20), "the run does not begin");
+            thread::sleep(Duration::from_millis(2));
         }
         entry.terminate();
         stream.join().expect("the caller gets its stream")
--- a/crates/local/tests/bad_input.rs
+++ b/crates/local/tests/bad_input.rs
@@ -145,9 +145,7 @@
             "messages": [{"role": "user", "content": "x"}]}"#;
         support::exchange(host, &request("POST", CHAT, &[AUTH], body)).status
     });
-    while work.deployment.standin.record().runs.is_empty() {
-        std::thread::yield_now();
-    }
+    work.wait_until(|work| !work.deployment.standin.record().runs.is_empty());
     let refused = work.exchange(&request("POST", CHAT, &[AUTH], CHAT_BODY));
     assert_eq!((refused.status, refused.reason().as_str()), (503, "overloaded"));
     assert!(refused.head.to_lowercase().contains("retry-after: 1"), "{}", refused.head);
--- a/crates/local/tests/golden.rs
+++ b/crates/local/tests/golden.rs
@@ -7,9 +7,6 @@
 use std::env;
 use std::fs;
 use std::path::PathBuf;
-use std::thread;
-use std::time::Duration;
-use std::time::Instant;
 
 use yuccanotch_core::clock::Millis;
 use yuccanotch_local::Plan;
@@ -22,7 +19,6 @@
 
 const BLESS: &str = "YUCCANOTCH_BLESS";
 const FAULT_MS: u64 = 60_000;
-const WAIT: Duration = Duration::from_secs(10);
 const RETAIL: (&str, &str) = ("authorization", "Bearer retail-key");
 const INSPECTORS: (&str, &str) = ("authorization", "Bearer inspectors-key");
 const JSON: (&str, &str) = ("content-type", "application/json");
@@ -74,15 +70,6 @@
         }
     }
 
-    /// Waits until the first host sees what a fault did.
-    fn wait_until(&self, seen: impl Fn(&Work) -> bool) {
-        let start = Instant::now();
-        while !seen(&self.work) {
-            assert!(start.elapsed() < WAIT, "the host does not see the fault");
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-
     /// Compares the session with its golden file, or writes the file.
     fn finish(mut self, name: &str) {
         let running = self.work.deployment.entries[0].as_ref().expect("the entry host runs");
@@ -203,7 +190,7 @@
         let target = format!("assistant-1-{replica}").as_str().into();
         session.fault(Fault::ServerLeaves { target });
     }
-    session.wait_until(|work| {
+    session.work.wait_until(|work| {
         let running = work.deployment.entries[0].as_ref().expect("the entry host runs");
         let view = running.host.fleet.view();
         let left = |name: &str| view.servers.get(name).is_some_and(|server| server.leaving);
--- a/crates/local/tests/support/mod.rs
+++ b/crates/local/tests/support/mod.rs
@@ -7,7 +7,9 @@
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use yuccanotch_local::Deployment;
 use yuccanotch_local::Plan;
@@ -36,6 +38,19 @@
         exchange(self.host(0), raw)
     }
 
+    /// Waits until `seen` holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not hold within a bound.
+    pub fn wait_until(&self, seen: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !seen(self) {
+            assert!(start.elapsed() < TIMEOUT, "what the test waits for does not happen");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Returns the value of a counter of the first entry host.
     pub fn counter(&self, name: &str, reason: &str) -> u64 {
         let running = self.deployment.entries[0].as_ref().expect("the entry host runs");
