Hand out shares of team limits by demand

Cause: a limit of requests a second holds over all hosts, and a team's callers reach any host.

Change: core::share, without I/O: a team's home hands out shares by demand to the hosts on which the team is active; without a home the last share decays to an even split; a home that sees a part of the hosts hands out at most twice that part, so the total stays within twice the limit.

Figures: cargo test -p yuccanotch-core share: over 8 hosts with even, skewed and single-host demand the total over 60 s is within 10% of the limit; cut in halves, thirds, one apart and each alone it is at most twice the limit plus a second's burst, and at least 90% of it.

--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -34,6 +34,8 @@
         AcceptStaleMember => "accept-stale-member",
         /// What observers say of a leaving server is not taken.
         IgnoreSpreadLeaving => "ignore-spread-leaving",
+        /// The home of a team hands out the whole limit although it sees a part of the hosts.
+        UnscaledShares => "unscaled-shares",
         /// A host adopts a configuration with a lower number.
         AdoptLowerNumber => "adopt-lower-number",
         /// A host takes a chunk without checking its digest.
--- /dev/null
+++ b/crates/core/src/share/home.rs
@@ -0,0 +1,95 @@
+//! The home of a team: hands out shares of its limit by demand.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use super::messages::Demand;
+use super::messages::Grant;
+use super::messages::MilliRate;
+use super::messages::TeamId;
+use super::Cluster;
+use crate::clock::Millis;
+use crate::name::HostName;
+
+/// Time after which a host's demand is forgotten.
+const DEMAND_TTL: Millis = Millis(3_000);
+/// Most hosts whose demand for one team is remembered.
+const MAX_HOSTS_PER_TEAM: usize = 1_024;
+/// Most teams that one home serves.
+const MAX_TEAMS: usize = 65_536;
+/// Room above a host's demand, in percent, so that growth is not refused at once.
+const HEADROOM_PERCENT: u64 = 125;
+
+/// Demand of the hosts for one team.
+#[derive(Clone, Debug, Default)]
+struct Team {
+    hosts: BTreeMap<HostName, (MilliRate, Millis)>,
+}
+
+/// The teams that this host is the home of.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Homes {
+    teams: HashMap<TeamId, Team>,
+}
+
+impl Homes {
+    pub(super) fn len(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Forgets hosts that stopped reporting, and teams without hosts.
+    pub(super) fn expire(&mut self, now: Millis) {
+        for team in self.teams.values_mut() {
+            team.hosts.retain(|_, (_, at)| now.since(*at) < DEMAND_TTL);
+        }
+        self.teams.retain(|_, team| !team.hosts.is_empty());
+    }
+
+    /// Takes a host's demand and returns its share.
+    pub(super) fn grant(
+        &mut self,
+        now: Millis,
+        from: &HostName,
+        demand: &Demand,
+        cluster: &Cluster,
+    ) -> Option<Grant> {
+        if self.teams.len() >= MAX_TEAMS && !self.teams.contains_key(&demand.team) {
+            return None;
+        }
+        let team = self.teams.entry(demand.team).or_default();
+        team.hosts.retain(|_, (_, at)| now.since(*at) < DEMAND_TTL);
+        if team.hosts.len() >= MAX_HOSTS_PER_TEAM && !team.hosts.contains_key(from) {
+            return None;
+        }
+        team.hosts.insert(from.clone(), (demand.offered, now));
+        let limit = cluster.scaled(demand.limit);
+        let wanted = team.hosts.values().map(|(offered, _)| *offered);
+        let share = fair_share(limit, wanted, demand.offered);
+        Some(Grant { team: demand.team, share })
+    }
+}
+
+/// Returns the share of a host that wants `own`: no more than an equal part while others want
+/// more, else its want with headroom, and an equal part of what nobody wants.
+fn fair_share(
+    limit: MilliRate,
+    wanted: impl Iterator<Item = MilliRate>,
+    own: MilliRate,
+) -> MilliRate {
+    let with_headroom = |rate: MilliRate| rate.0 * HEADROOM_PERCENT / 100;
+    let mut wants: Vec<u64> = wanted.map(with_headroom).collect();
+    wants.sort_unstable();
+    let own = with_headroom(own);
+    let hosts = wants.len() as u64;
+    let mut left = limit.0;
+    let mut waiting = hosts;
+    for want in wants {
+        let part = left / waiting;
+        if want >= part {
+            return MilliRate(own.min(part));
+        }
+        left -= want;
+        waiting -= 1;
+    }
+    MilliRate(own + left / hosts.max(1))
+}
--- /dev/null
+++ b/crates/core/src/share/tests.rs
@@ -0,0 +1,134 @@
+//! Tests of shares over several hosts that exchange messages directly.
+
+use super::Cluster;
+use super::MilliRate;
+use super::ShareNode;
+use super::TeamId;
+use crate::clock::Millis;
+use crate::name::HostName;
+
+const HOSTS: usize = 8;
+const LIMIT: u32 = 40;
+const STEP: Millis = Millis(5);
+const WARM_UP: Millis = Millis(10_000);
+const MEASURED: Millis = Millis(60_000);
+
+struct Bench {
+    names: Vec<HostName>,
+    nodes: Vec<ShareNode>,
+    group_of: Vec<usize>,
+    now: Millis,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let names: Vec<HostName> =
+            (0..HOSTS).map(|i| format!("host-{i}").as_str().into()).collect();
+        let nodes = names.iter().map(|name| ShareNode::new(name.clone(), Millis::ZERO)).collect();
+        let mut bench = Self { names, nodes, group_of: Vec::new(), now: Millis::ZERO };
+        bench.cut([0; HOSTS]);
+        bench
+    }
+
+    /// Lets only hosts of the same group reach each other.
+    fn cut(&mut self, group_of: [usize; HOSTS]) {
+        self.group_of = group_of.to_vec();
+        for i in 0..HOSTS {
+            let near = (0..HOSTS).filter(|j| group_of[*j] == group_of[i]);
+            let usable = near.map(|j| self.names[j].clone()).collect();
+            self.nodes[i].set_cluster(Cluster { usable, known: HOSTS });
+        }
+    }
+
+    /// Offers each host its rate for `span`; returns the requests admitted in total.
+    fn run(&mut self, offered_per_s: [u64; HOSTS], span: Millis) -> u64 {
+        let team = TeamId::of("retail");
+        let mut admitted = 0;
+        let end = self.now + span;
+        while self.now < end {
+            let before = self.now;
+            self.now = self.now + STEP;
+            for (i, rate) in offered_per_s.iter().enumerate() {
+                let due = |at: Millis| at.0 * rate / 1_000;
+                for _ in due(before)..due(self.now) {
+                    let limit = MilliRate::per_s(LIMIT);
+                    admitted += u64::from(self.nodes[i].offer(self.now, team, limit));
+                }
+                self.tick(i);
+            }
+        }
+        admitted
+    }
+
+    fn tick(&mut self, i: usize) {
+        for (home, message) in self.nodes[i].on_tick(self.now) {
+            let j = self.names.iter().position(|name| *name == home).unwrap();
+            assert_eq!(self.group_of[i], self.group_of[j], "a report beyond the cut");
+            let from = self.names[i].clone();
+            let reply = self.nodes[j].on_request(self.now, &from, &message);
+            self.nodes[i].on_reply(self.now, &reply);
+        }
+    }
+}
+
+#[yare::parameterized(
+    even = { [20; HOSTS] },
+    one_host = { [200, 0, 0, 0, 0, 0, 0, 0] },
+    skewed = { [100, 30, 9, 3, 1, 1, 1, 1] },
+    one_idle = { [0, 10, 10, 10, 10, 10, 10, 10] },
+)]
+fn the_total_stays_within_a_tenth_of_the_limit(offered_per_s: [u64; HOSTS]) {
+    let mut bench = Bench::new();
+    bench.run(offered_per_s, WARM_UP);
+    let admitted = bench.run(offered_per_s, MEASURED);
+    let limit = u64::from(LIMIT) * MEASURED.0 / 1_000;
+    assert!(admitted.abs_diff(limit) * 10 <= limit, "{admitted} of {limit}");
+}
+
+#[yare::parameterized(
+    halves = { [0, 0, 0, 0, 1, 1, 1, 1] },
+    uneven = { [0, 0, 0, 0, 0, 0, 0, 1] },
+    thirds = { [0, 0, 0, 1, 1, 1, 2, 2] },
+    each_alone = { [0, 1, 2, 3, 4, 5, 6, 7] },
+)]
+fn the_total_stays_within_twice_the_limit_when_hosts_are_cut_apart(group_of: [usize; HOSTS]) {
+    let mut bench = Bench::new();
+    bench.run([100; HOSTS], WARM_UP);
+    bench.cut(group_of);
+    let admitted = bench.run([100; HOSTS], MEASURED);
+    let limit = u64::from(LIMIT) * MEASURED.0 / 1_000;
+    assert!(admitted <= 2 * limit + u64::from(LIMIT), "{admitted} of {limit}");
+    assert!(admitted * 10 >= limit * 9, "{admitted} of {limit}");
+}
+
+#[test]
+fn a_team_below_its_limit_is_never_refused() {
+    let mut bench = Bench::new();
+    let offered = [20, 4, 4, 2, 1, 1, 0, 0];
+    bench.run(offered, WARM_UP);
+    let admitted = bench.run(offered, MEASURED);
+    assert_eq!(admitted, offered.iter().sum::<u64>() * MEASURED.0 / 1_000);
+}
+
+#[test]
+fn idle_teams_are_forgotten_on_hosts_and_homes() {
+    let mut bench = Bench::new();
+    bench.run([5; HOSTS], WARM_UP);
+    let homes = |bench: &Bench| bench.nodes.iter().map(|node| node.sizes().1).sum::<usize>();
+    assert_eq!(homes(&bench), 1);
+    bench.run([0; HOSTS], Millis(15_000));
+    assert!(bench.nodes.iter().all(|node| node.sizes() == (0, 0)));
+}
+
+#[test]
+fn a_host_alone_decays_to_the_even_split() {
+    let mut bench = Bench::new();
+    let only_first = [200, 0, 0, 0, 0, 0, 0, 0];
+    bench.run(only_first, WARM_UP);
+    // No home answers: nothing is usable, not even the host itself.
+    bench.nodes[0].set_cluster(Cluster { usable: Vec::new(), known: HOSTS });
+    bench.run(only_first, Millis(10_000));
+    let admitted = bench.run(only_first, MEASURED);
+    let even = u64::from(LIMIT) * MEASURED.0 / 1_000 / HOSTS as u64;
+    assert!(admitted.abs_diff(even) * 20 <= even, "{admitted} of {even}");
+}
