Refuse requests beyond a host's share of a team's limit

Cause: each host applied a team's whole limit, so 8 hosts admitted up to 8 times as much.

Change: Shares drives core::share over the peer links; chat and plain calls ask it before they queue. MemberView::cut_off tells hosts of a domain that does not answer from hosts that are dead.

--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -89,6 +89,7 @@
         priority: caller.team.priority.engine_level(),
         deadline,
     };
+    host.shares.admit(&caller.name, caller.team.requests_per_s)?;
     let ticket = host.admission.admit(&caller.name, &caller.team, work(host, &job), is_gone)?;
     Ok((job, chat.stream, ticket))
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -70,6 +70,8 @@
     pub address: SocketAddr,
     /// Whether the host answers, as far as this host knows.
     pub alive: bool,
+    /// Whether the host's failure domain does not answer, so that nothing newer is known.
+    pub cut_off: bool,
     /// Whether the host is stopping.
     pub leaving: bool,
 }
--- a/crates/entry/src/fleet/view.rs
+++ b/crates/entry/src/fleet/view.rs
@@ -51,10 +51,12 @@
             let update = &member.update;
             let proven = update.incarnation.0 > 0 && update.state != MemberState::Dead;
             let listed_leaving = node.is_listed_leaving(update.host.as_str());
+            let reachable = node.is_reachable(now, &update.domain);
             let view = MemberView {
                 domain: update.domain.clone(),
                 address: update.address,
-                alive: proven && node.is_reachable(now, &update.domain),
+                alive: proven && reachable,
+                cut_off: proven && !reachable,
                 leaving: update.state == MemberState::Leaving || listed_leaving,
             };
             members.hosts.insert(update.host.clone(), view);
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -49,6 +49,7 @@
 use crate::problem::Refusal;
 use crate::routing::Routing;
 use crate::settings::Settings;
+use crate::shares::Shares;
 use crate::store_client::StoreClient;
 use crate::telemetry::Telemetry;
 
@@ -86,6 +87,8 @@
     pub peers: Peers,
     /// Backend servers as observed.
     pub fleet: Fleet,
+    /// Shares of the teams' limits.
+    pub shares: Shares,
     /// Requests in flight.
     pub in_flight: AtomicUsize,
     draining: AtomicBool,
@@ -124,6 +127,7 @@
             address: peers.address(),
             incarnation,
         };
+        let shares = Shares::new(settings.host.clone(), clock.clone());
         let fleet = Fleet::new(identity, clock.clone(), rng.random());
         Ok(Self {
             incarnation,
@@ -134,6 +138,7 @@
             claims: Claims::new(store.clone(), clock.clone(), settings.host.clone(), incarnation),
             admission: Admission::new(clock.clone(), settings.limits.in_flight),
             fleet,
+            shares,
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
@@ -328,6 +333,7 @@
         for _ in 0..crate::claims::WORKERS {
             threads.push(spawn(&host, "claims-store", crate::claims::run_worker));
         }
+        threads.push(spawn(&host, "shares", crate::shares::run));
         runtime.spawn(callers::serve(host.clone(), listener));
         emit(
             Event::HostStarted,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod problem;
 pub mod routing;
 pub mod settings;
+pub mod shares;
 pub mod store_client;
 pub mod telemetry;
 
--- a/crates/entry/src/peer_handler.rs
+++ b/crates/entry/src/peer_handler.rs
@@ -16,7 +16,8 @@
             }
             PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(&header, message)),
             PeerRequest::Claim(message) => PeerReply::Claim(self.claims.on_peer(message)),
-            PeerRequest::Quarantine(_) | PeerRequest::Share(_) => PeerReply::Declined,
+            PeerRequest::Share(message) => PeerReply::Share(self.shares.on_peer(&header, &message)),
+            PeerRequest::Quarantine(_) => PeerReply::Declined,
         }
     }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -81,7 +81,9 @@
         hosts: 1,
     };
     let is_gone = || responder.is_gone();
-    let ticket = host.admission.admit(&caller.name, &caller.team, work, &is_gone);
+    let share = host.shares.admit(&caller.name, caller.team.requests_per_s);
+    let ticket =
+        share.and_then(|()| host.admission.admit(&caller.name, &caller.team, work, &is_gone));
     let ticket = ticket.map_err(|e| if job.repeatable { e } else { without_claim(e) })?;
     let answer = if job.repeatable { run_repeatable(host, &job) } else { run_once(host, &job) };
     drop(ticket);
