--- /dev/null
+++ b/crates/check/src/cmd_slopes.rs
@@ -0,0 +1,413 @@
+//! `yuccanotch-check slopes`.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use lexopt::Arg;
+use lexopt::ValueExt;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
+use yuccanotch_core::clock::Clock;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::engine::Holding;
+use yuccanotch_core::engine::HostKind;
+use yuccanotch_core::engine::HostList;
+use yuccanotch_core::engine::LayerRange;
+use yuccanotch_core::engine::ListedHost;
+use yuccanotch_core::engine::LoadReport;
+use yuccanotch_core::engine::Role;
+use yuccanotch_core::fleet::DeclaredServer;
+use yuccanotch_core::fleet::FleetAction;
+use yuccanotch_core::fleet::FleetEvent;
+use yuccanotch_core::fleet::FleetNode;
+use yuccanotch_core::fleet::FleetReply;
+use yuccanotch_core::fleet::Identity;
+use yuccanotch_core::fleet::Timing;
+use yuccanotch_core::ids::Incarnation;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peer::PeerHeader;
+use yuccanotch_core::peer::PeerReply;
+use yuccanotch_core::peer::PeerRequest;
+use yuccanotch_entry::peers::PeerHandler;
+use yuccanotch_entry::peers::PeerKeys;
+use yuccanotch_entry::peers::PeerSettings;
+use yuccanotch_entry::peers::Peers;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const USAGE: &str = "
+Measures what membership and the spread of loads cost each entry host, over
+real links on loopback, and works it out at the target size.
+
+Usage: yuccanotch-check slopes [options]
+
+Options:
+    --seconds N    Seconds measured for each size [default: 8]
+    -h, --help     Prints this text.
+
+Backend servers are synthetic: each observation brings a changed load. The
+bytes of observations and of the host list are worked out from the size of
+one report and one entry.
+";
+
+const DEFAULT_SECONDS: u64 = 8;
+const WARM_UP: Duration = Duration::from_secs(8);
+const DOMAINS: usize = 2;
+const TICK: Duration = Duration::from_millis(100);
+const CALL_TIMEOUT: Millis = Millis(1_000);
+const SIZES: [(usize, usize); 7] =
+    [(8, 100), (16, 100), (32, 100), (64, 100), (32, 40), (32, 200), (32, 400)];
+/// Bytes of the TCP and IP headers of one segment, with the timestamp option.
+const SEGMENT_BYTES: u64 = 52;
+/// Bytes of the headers of an HTTP request and its answer on a connection of its own, with the
+/// segments that open and close it.
+const HTTP_CALL_BYTES: f64 = 850.0;
+const TARGET_HOSTS: f64 = 380.0;
+const TARGET_SERVERS: f64 = 600.0;
+const TARGET_DOMAINS: f64 = 5.0;
+const OBSERVERS: f64 = 2.0;
+const LINKS_PER_SERVER: usize = 20;
+const CLOCK_TICKS_PER_S: f64 = 100.0;
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// One in-process host: real links and a node, without callers.
+struct Node {
+    peers: Peers,
+    node: Mutex<FleetNode>,
+    pending: Mutex<Vec<FleetAction>>,
+    clock: Clock,
+}
+
+impl Node {
+    fn handle(&self, event: FleetEvent) -> Option<FleetReply> {
+        let actions = self.node.lock().expect("no panic").on_event(self.clock.now(), event);
+        let mut answer = None;
+        let mut pending = self.pending.lock().expect("no panic");
+        for action in actions {
+            match action {
+                FleetAction::Reply(reply) => answer = Some(reply),
+                action => pending.push(action),
+            }
+        }
+        answer
+    }
+}
+
+impl PeerHandler for Node {
+    fn on_request(&self, header: PeerHeader, request: PeerRequest) -> PeerReply {
+        let PeerRequest::Fleet(message) = request else {
+            return PeerReply::Declined;
+        };
+        let reply = self.handle(FleetEvent::Request { from: header.host, message });
+        PeerReply::Fleet(reply.unwrap_or(FleetReply::Noted))
+    }
+}
+
+/// Cost of one host.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    hosts: f64,
+    servers: f64,
+    cpu_percent: f64,
+    rss_mb: f64,
+    bytes_per_s: f64,
+    calls_per_s: f64,
+    stale_ms: f64,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when the command line is wrong or a host does not start.
+pub fn run(mut parser: lexopt::Parser) -> CliResult<()> {
+    let mut seconds = DEFAULT_SECONDS;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("seconds") => seconds = parser.value()?.parse()?,
+            Arg::Long("help") | Arg::Short('h') => {
+                println!("{}", USAGE.trim());
+                return Ok(());
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    println!("hosts servers  cpu%/host  rss MB/host  bytes/s/host  calls/s/host  mean age ms");
+    let mut costs = Vec::new();
+    for (hosts, servers) in SIZES {
+        let cost = measure(hosts, servers, Duration::from_secs(seconds))?;
+        println!(
+            "{hosts:5} {servers:7}  {:9.3}  {:11.2}  {:12.0}  {:12.1}  {:11.0}",
+            cost.cpu_percent, cost.rss_mb, cost.bytes_per_s, cost.calls_per_s, cost.stale_ms
+        );
+        costs.push(cost);
+    }
+    work_out(&costs);
+    Ok(())
+}
+
+fn work_out(costs: &[Cost]) {
+    let at_target = |value: fn(&Cost) -> f64| {
+        let (base, per_host, per_server) = fit(costs, value);
+        (per_host, per_server, base + per_host * TARGET_HOSTS + per_server * TARGET_SERVERS)
+    };
+    let print = |what: &str, value: fn(&Cost) -> f64, budget: &str| {
+        let (per_host, per_server, total) = at_target(value);
+        println!("{what}: {per_host:+.4} a host, {per_server:+.4} a server; {total:.2} at the target (budget {budget})");
+    };
+    print("cpu percent of a core", |cost| cost.cpu_percent, "2");
+    print("memory MB", |cost| cost.rss_mb, "32");
+    print("link bytes/s", |cost| cost.bytes_per_s, "29000");
+    let report = serde_json::to_vec(&report("server-0", 0, 20)).map_or(0, |json| json.len());
+    let observed = OBSERVERS * TARGET_SERVERS / TARGET_HOSTS;
+    let observation = observed * (report as f64 + HTTP_CALL_BYTES);
+    let entry = serde_json::to_vec(&listed("host-0-000", "domain-0", HostKind::Entry))
+        .map_or(0, |json| json.len());
+    let list = entry as f64 * (TARGET_HOSTS + TARGET_SERVERS) + HTTP_CALL_BYTES;
+    let listing = OBSERVERS * list * TARGET_DOMAINS / TARGET_HOSTS;
+    println!("worked out: observations {observation:.0} bytes/s, host list {listing:.0} bytes/s");
+    println!(
+        "worked out: host list {:.1} reads/s of the platform, all hosts",
+        OBSERVERS * TARGET_DOMAINS
+    );
+}
+
+/// Fits `base + per_host * hosts + per_server * servers` by least squares.
+fn fit(costs: &[Cost], value: fn(&Cost) -> f64) -> (f64, f64, f64) {
+    let n = costs.len() as f64;
+    let mean = |of: &dyn Fn(&Cost) -> f64| costs.iter().map(of).sum::<f64>() / n;
+    let (mh, ms, mv) = (mean(&|c| c.hosts), mean(&|c| c.servers), mean(&value));
+    let cov = |a: &dyn Fn(&Cost) -> f64, b: &dyn Fn(&Cost) -> f64| {
+        costs.iter().map(|c| a(c) * b(c)).sum::<f64>()
+    };
+    let h = |c: &Cost| c.hosts - mh;
+    let s = |c: &Cost| c.servers - ms;
+    let v = |c: &Cost| value(c) - mv;
+    let (hh, ss, hs) = (cov(&h, &h), cov(&s, &s), cov(&h, &s));
+    let (hv, sv) = (cov(&h, &v), cov(&s, &v));
+    let det = hh * ss - hs * hs;
+    let per_host = (hv * ss - sv * hs) / det;
+    let per_server = (sv * hh - hv * hs) / det;
+    (mv - per_host * mh - per_server * ms, per_host, per_server)
+}
+
+fn measure(hosts: usize, servers: usize, span: Duration) -> CliResult<Cost> {
+    let rss_before = rss_bytes();
+    let declared: Vec<DeclaredServer> =
+        (0..servers).map(|i| DeclaredServer { name: server_name(i), domain: domain(i) }).collect();
+    let mut nodes = Vec::new();
+    for i in 0..hosts {
+        nodes.push(start(i).map_err(|e| CliError::Failed(e.to_string()))?);
+    }
+    for node in &nodes {
+        for other in &nodes {
+            if other.peers.host() != node.peers.host() {
+                let index = index_of(other.peers.host());
+                node.peers.set_address(other.peers.host(), &domain(index), other.peers.address());
+            }
+        }
+        node.handle(FleetEvent::Declared(declared.clone()));
+    }
+    let list = host_list(&nodes);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut loads: BTreeMap<ServerName, u32> = BTreeMap::new();
+    drive(&nodes, &list, &mut rng, &mut loads, WARM_UP);
+    let before = (cpu_ticks(), bytes(&nodes), calls(&nodes));
+    drive(&nodes, &list, &mut rng, &mut loads, span);
+    let seconds = span.as_secs_f64();
+    let each = hosts as f64 * seconds;
+    Ok(Cost {
+        hosts: hosts as f64,
+        servers: servers as f64,
+        cpu_percent: (cpu_ticks() - before.0) / CLOCK_TICKS_PER_S * 100.0 / each,
+        rss_mb: (rss_bytes() - rss_before).max(0.0) / hosts as f64 / f64::from(1 << 20),
+        bytes_per_s: (bytes(&nodes) - before.1) as f64 / each,
+        calls_per_s: (calls(&nodes) - before.2) as f64 / each,
+        stale_ms: mean_age(&nodes),
+    })
+}
+
+fn domain(index: usize) -> DomainName {
+    DomainName::new(&format!("domain-{}", index % DOMAINS))
+}
+
+fn server_name(index: usize) -> ServerName {
+    ServerName::new(&format!("server-{index}"))
+}
+
+fn index_of(host: &HostName) -> usize {
+    host.as_str().rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
+fn start(index: usize) -> std::io::Result<Arc<Node>> {
+    let host = HostName::new(&format!("host-{index}"));
+    let peers = Peers::bind(PeerSettings {
+        host: host.clone(),
+        domain: domain(index),
+        incarnation: Incarnation(1),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        keys: PeerKeys::new(vec![vec![7; 32]]).expect("the key is long enough"),
+    })?;
+    let clock = Clock::monotonic();
+    let identity = Identity {
+        host,
+        domain: domain(index),
+        address: peers.address(),
+        incarnation: Incarnation(1),
+    };
+    let now = clock.now();
+    let node = FleetNode::new(identity, Timing::default(), now, clock.unix_now(), index as u64);
+    let node = Arc::new(Node { peers, node: Mutex::new(node), pending: Mutex::default(), clock });
+    let handler: Arc<dyn PeerHandler> = node.clone();
+    node.peers.serve(Arc::downgrade(&handler))?;
+    Ok(node)
+}
+
+fn listed(name: &str, domain: &str, kind: HostKind) -> ListedHost {
+    ListedHost {
+        name: name.to_owned(),
+        domain: DomainName::new(domain),
+        address: "10.0.100.100:7003".to_owned(),
+        kind,
+        leaving: false,
+    }
+}
+
+fn host_list(nodes: &[Arc<Node>]) -> HostList {
+    let hosts = nodes.iter().map(|node| {
+        let name = node.peers.host();
+        let entry = listed(name.as_str(), domain(index_of(name)).as_str(), HostKind::Entry);
+        ListedHost { address: node.peers.address().to_string(), ..entry }
+    });
+    HostList { hosts: hosts.collect() }
+}
+
+fn report(name: &str, running: u32, links: usize) -> LoadReport {
+    let holding = Holding {
+        model: "assistant-70b".into(),
+        version: "2026-11-30".into(),
+        layers: LayerRange::new(0, 20),
+        adapters: SmallVec::new(),
+    };
+    LoadReport {
+        server: ServerName::new(name),
+        boot: 1,
+        age_ms: Millis::ZERO,
+        running,
+        waiting: running / 8,
+        slots: 64,
+        step_us: 1_000 + running * 20,
+        kv_percent: (running * 100 / 64) as u8,
+        leaving: false,
+        holdings: std::iter::once(holding).collect(),
+        role: Role::Both,
+        fencing: None,
+        links_us: (0..links).map(|i| (server_name(i), 200)).collect(),
+    }
+}
+
+/// Ticks all nodes and carries out their actions for `span`.
+fn drive(
+    nodes: &[Arc<Node>],
+    list: &HostList,
+    rng: &mut Pcg64Mcg,
+    loads: &mut BTreeMap<ServerName, u32>,
+    span: Duration,
+) {
+    let start = Instant::now();
+    let mut round = 0;
+    while start.elapsed() < span {
+        round += 1;
+        for node in nodes {
+            node.handle(FleetEvent::Tick);
+            let actions = std::mem::take(&mut *node.pending.lock().expect("no panic"));
+            for action in actions {
+                act(node, action, list, rng, loads);
+            }
+        }
+        thread::sleep((TICK * round).saturating_sub(start.elapsed()));
+    }
+}
+
+fn act(
+    node: &Arc<Node>,
+    action: FleetAction,
+    list: &HostList,
+    rng: &mut Pcg64Mcg,
+    loads: &mut BTreeMap<ServerName, u32>,
+) {
+    match action {
+        FleetAction::Call { to, message } => {
+            let far = Arc::clone(node);
+            let from = to.clone();
+            let request = PeerRequest::Fleet(message);
+            node.peers.call_with(&to, request, CALL_TIMEOUT, move |result| {
+                if let Ok(PeerReply::Fleet(reply)) = result {
+                    far.handle(FleetEvent::Reply { from, reply });
+                }
+            });
+        }
+        FleetAction::Observe(server) => {
+            let load = loads.entry(server.clone()).or_insert(32);
+            *load = load.saturating_add_signed(rng.random_range(-8..=8)).min(64);
+            let report = Some(report(server.as_str(), *load, LINKS_PER_SERVER));
+            node.handle(FleetEvent::Observed { server, report });
+        }
+        FleetAction::ReadHostList => drop(node.handle(FleetEvent::Listed(list.clone()))),
+        FleetAction::Reply(_) => {}
+    }
+}
+
+fn bytes(nodes: &[Arc<Node>]) -> u64 {
+    let of = |node: &Arc<Node>| {
+        let figures = node.peers.figures();
+        // Each written segment is acknowledged by one of the other side.
+        let segments = 2 * (figures.writes + figures.reads);
+        figures.bytes_in + figures.bytes_out + SEGMENT_BYTES * segments
+    };
+    nodes.iter().map(of).sum()
+}
+
+fn calls(nodes: &[Arc<Node>]) -> u64 {
+    nodes.iter().map(|node| node.peers.figures().calls).sum()
+}
+
+/// Returns the mean age of the loads as all hosts know them.
+fn mean_age(nodes: &[Arc<Node>]) -> f64 {
+    let mut sum = 0;
+    let mut count = 0;
+    for node in nodes {
+        let now = node.clock.now();
+        let guard = node.node.lock().expect("no panic");
+        for (_, record) in guard.servers().filter(|(_, record)| record.report.is_some()) {
+            sum += now.since(record.observed_at).0;
+            count += 1;
+        }
+    }
+    sum as f64 / f64::from(count.max(1))
+}
+
+fn proc_field(file: &str, skip: usize) -> f64 {
+    let text = fs::read_to_string(file).unwrap_or_default();
+    let rest = text.rsplit(')').next().unwrap_or_default().to_owned();
+    rest.split_whitespace().nth(skip).and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
+fn cpu_ticks() -> f64 {
+    proc_field("/proc/self/stat", 11) + proc_field("/proc/self/stat", 12)
+}
+
+fn rss_bytes() -> f64 {
+    proc_field("/proc/self/statm", 1) * PAGE_BYTES
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -12,6 +12,7 @@
 mod claim_case;
 mod cmd_defects;
 mod cmd_random;
+mod cmd_slopes;
 mod error;
 mod fleet_case;
 mod fleet_sim;
@@ -28,6 +29,7 @@
 Commands:
     defects    Shows that the randomised runs find every planted defect.
     random     Runs the decision modules under seeded faults.
+    slopes     Measures the control cost of each entry host.
 
 Run `yuccanotch-check COMMAND --help` for the options of a command.
 ";
@@ -56,6 +58,7 @@
     match command.to_str() {
         Some("defects") => cmd_defects::run(args),
         Some("random") => cmd_random::run(args),
+        Some("slopes") => cmd_slopes::run(args),
         _ => Err(CliError::Usage(format!("unknown command {command:?}\n\n{}", USAGE.trim()))),
     }
 }
