Tell a suspect at once and spread its refutation

Cause: a suspect learned of the suspicion with a later probe; its refutation travelled with probes as well and often came after the 2 s of the suspicion.

A command measures detection and false alarms.

--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -11,6 +11,7 @@
 mod case;
 mod claim_case;
 mod cmd_defects;
+mod cmd_detection;
 mod cmd_random;
 mod cmd_slopes;
 mod error;
@@ -28,6 +29,7 @@
 
 Commands:
     defects    Shows that the randomised runs find every planted defect.
+    detection  Measures detection times and false alarms of membership.
     random     Runs the decision modules under seeded faults.
     slopes     Measures the control cost of each entry host.
 
@@ -57,6 +59,7 @@
     };
     match command.to_str() {
         Some("defects") => cmd_defects::run(args),
+        Some("detection") => cmd_detection::run(args),
         Some("random") => cmd_random::run(args),
         Some("slopes") => cmd_slopes::run(args),
         _ => Err(CliError::Usage(format!("unknown command {command:?}\n\n{}", USAGE.trim()))),
--- a/crates/core/src/fleet/exchange.rs
+++ b/crates/core/src/fleet/exchange.rs
@@ -82,14 +82,14 @@
 
     /// Takes the changes that came with a message.
     pub(super) fn take_gossip(&mut self, now: Millis, from: &HostName, gossip: Gossip) {
+        let mut urgent = false;
         for update in gossip.members {
-            self.take_member(now, update);
+            urgent |= self.take_member(now, update);
         }
         let time = self.now(now);
         for detail in &gossip.details {
             self.servers.apply_detail(gossip.stamp, detail);
         }
-        let mut urgent = false;
         for load in &gossip.loads {
             urgent |= self.servers.apply_load(time, gossip.stamp, load);
         }
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -263,7 +263,9 @@
     }
 
     /// Takes an update of a host; refutes what is said wrongly of this one.
-    pub(super) fn take_member(&mut self, now: Millis, update: MemberUpdate) {
+    ///
+    /// Returns whether it refutes a suspicion, and so is urgent to pass on.
+    pub(super) fn take_member(&mut self, now: Millis, update: MemberUpdate) -> bool {
         if update.host == self.identity.host {
             let held = self.members.get(update.host.as_str()).expect("the own entry is kept");
             let wrong =
@@ -271,9 +273,12 @@
             if wrong {
                 self.round = update.round + 1;
                 self.announce(now);
+                self.spread_urgently(now);
             }
-            return;
+            return false;
         }
-        self.members.apply(now, update);
+        let held = self.members.get(update.host.as_str()).map(|member| member.update.state);
+        let refuted = held == Some(MemberState::Suspect) && update.state < MemberState::Suspect;
+        self.members.apply(now, update) && refuted
     }
 }
--- a/crates/core/src/fleet/probe.rs
+++ b/crates/core/src/fleet/probe.rs
@@ -108,6 +108,9 @@
         if member.update.state < MemberState::Suspect {
             let state = MemberState::Suspect;
             self.take_member(now, MemberUpdate { state, ..member.update.clone() });
+            // The target may only have been slow: it is told, so that it can refute.
+            let gossip = self.gossip_for(now, target);
+            self.call(target, FleetMessage::Rumor(gossip));
         }
     }
 
