Measure routing and admission, wait out full servers

Cause: 953 of 1,293 requests were given up at 96 callers: queues at the fastest servers were sought, and refusals as full used up the retry budget. A cold start counted as a stall.

--- /dev/null
+++ b/crates/check/src/cmd_route_bench.rs
@@ -0,0 +1,329 @@
+//! `yuccanotch-check route-bench`.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use lexopt::Arg;
+use lexopt::ValueExt;
+use yuccanotch_core::admit::Pool;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::Priority;
+use yuccanotch_core::config::Team;
+use yuccanotch_core::name::TeamName;
+use yuccanotch_core::route::Policy;
+use yuccanotch_entry::admission::Work;
+use yuccanotch_entry::answer::CallerGone;
+use yuccanotch_entry::host::Host;
+use yuccanotch_entry::pipelines;
+use yuccanotch_entry::pipelines::ChatJob;
+use yuccanotch_entry::pipelines::TokenSink;
+use yuccanotch_local::Deployment;
+use yuccanotch_local::Plan;
+use yuccanotch_standin::expected_answer;
+use yuccanotch_standin::max_flow_bound_for;
+use yuccanotch_standin::Fault;
+use yuccanotch_standin::FaultRequest;
+use yuccanotch_standin::LinkPair;
+use yuccanotch_standin::WorkMix;
+
+use crate::error::CliError;
+use crate::error::CliResult;
+
+const USAGE: &str = "
+Measures routing policies side by side before stand-in engines: throughput with
+as many requests as the engines hold, and the gap in the answers around a stage
+that dies.
+
+Usage: yuccanotch-check route-bench [options]
+
+Options:
+    --seconds N    Length of each run [default: 6]
+    --callers N    Requests at a time [default: 96]
+    -h, --help     Prints this text.
+";
+
+const MODEL: &str = "assistant";
+const LAYERS: u16 = 24;
+const STAGES: u16 = 3;
+/// Step times of the replicas of each stage, in microseconds.
+const STEPS_US: [u32; 4] = [4_000, 8_000, 8_000, 16_000];
+const SLOTS: u32 = 16;
+const PROMPT_WORDS: u32 = 24;
+const MEAN_ANSWER_TOKENS: f64 = 36.0;
+const FAR_LINK_US: u32 = 5_000;
+const DEADLINE: Millis = Millis(60_000);
+const WARM_UP: Duration = Duration::from_secs(1);
+const MAX_GAP_MS: u64 = 60_000;
+
+struct Args {
+    seconds: u64,
+    callers: usize,
+}
+
+impl Args {
+    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+        let mut args = Self { seconds: 6, callers: 96 };
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("seconds") => args.seconds = parser.value()?.parse()?,
+                Arg::Long("callers") => args.callers = parser.value()?.parse()?,
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                _ => return Err(arg.unexpected().into()),
+            }
+        }
+        Ok(Some(args))
+    }
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns an error when the command line is wrong, a deployment does not start, or an answer was
+/// wrong.
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    let Some(args) = Args::parse(parser)? else {
+        println!("{}", USAGE.trim());
+        return Ok(());
+    };
+    for policy in Policy::ALL {
+        bench(policy, &args, false)?;
+    }
+    for policy in Policy::ALL {
+        bench(policy, &args, true)?;
+    }
+    Ok(())
+}
+
+/// What the callers saw.
+struct Seen {
+    stop: AtomicBool,
+    counting: AtomicBool,
+    tokens: AtomicU64,
+    answers: AtomicU64,
+    refused: AtomicU64,
+    wrong: AtomicU64,
+    first_ms: Mutex<Histogram<u64>>,
+    gap_ms: Mutex<Histogram<u64>>,
+    resumed_gap_ms: Mutex<Histogram<u64>>,
+}
+
+impl Seen {
+    fn new() -> Self {
+        let histogram = || {
+            Mutex::new(Histogram::new_with_bounds(1, MAX_GAP_MS, 3).expect("the bounds are valid"))
+        };
+        Self {
+            stop: AtomicBool::new(false),
+            counting: AtomicBool::new(false),
+            tokens: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            wrong: AtomicU64::new(0),
+            first_ms: histogram(),
+            gap_ms: histogram(),
+            resumed_gap_ms: histogram(),
+        }
+    }
+}
+
+struct Sink<'a> {
+    seen: &'a Seen,
+    tokens: Vec<String>,
+    begun: Instant,
+    last: Instant,
+    largest_gap: Duration,
+}
+
+impl TokenSink for Sink<'_> {
+    fn token(&mut self, token: &str) -> Result<(), CallerGone> {
+        let now = Instant::now();
+        let gap = now - self.last;
+        if self.tokens.is_empty() {
+            record(&self.seen.first_ms, now - self.begun);
+        } else {
+            record(&self.seen.gap_ms, gap);
+            self.largest_gap = self.largest_gap.max(gap);
+        }
+        self.last = now;
+        self.tokens.push(token.to_owned());
+        if self.seen.counting.load(Ordering::Relaxed) {
+            self.seen.tokens.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn is_gone(&self) -> bool {
+        false
+    }
+}
+
+fn record(histogram: &Mutex<Histogram<u64>>, span: Duration) {
+    let ms = (span.as_millis() as u64).clamp(1, MAX_GAP_MS);
+    histogram.lock().expect("no panic while recording").saturating_record(ms);
+}
+
+fn plan(policy: Policy) -> Plan {
+    let mut plan = Plan::new(7, "amman", &["sahab", "marka", "abdali"]);
+    plan.add_team("bakeries", "bakeries-key", Priority::Normal, 1);
+    plan.add_model(MODEL, LAYERS, STAGES, STEPS_US.len());
+    for (place, engine) in plan.standin.engines.iter_mut().enumerate() {
+        engine.behavior.step_base_us = STEPS_US[place % STEPS_US.len()];
+        engine.behavior.step_sequence_us = 100;
+        engine.behavior.slots = SLOTS;
+        engine.behavior.queue = SLOTS;
+    }
+    // One link in the middle of the pipelines is a hundred times slower than its neighbours.
+    plan.standin.links.pairs.push(LinkPair {
+        a: "assistant-0-1".into(),
+        b: "assistant-1-1".into(),
+        us: FAR_LINK_US,
+    });
+    plan.routing = policy;
+    plan
+}
+
+fn bench(policy: Policy, args: &Args, with_crash: bool) -> CliResult<()> {
+    let plan = plan(policy);
+    let words = f64::from(PROMPT_WORDS) / MEAN_ANSWER_TOKENS;
+    let mix = WorkMix { prefill_words_per_token: words };
+    let bound: f64 = max_flow_bound_for(&plan.standin, mix).values().sum();
+    let deployment =
+        Deployment::start(plan).map_err(|e| CliError::Failed(format!("no deployment: {e}")))?;
+    let seen = Seen::new();
+    let span = Duration::from_secs(args.seconds);
+    thread::scope(|scope| {
+        let hosts: Vec<&Host> = deployment.running().map(|running| &*running.host).collect();
+        for caller in 0..args.callers {
+            let host = hosts[caller % hosts.len()];
+            let (seen, deployment) = (&seen, &deployment);
+            scope.spawn(move || call_until_stopped(host, deployment, caller, seen));
+        }
+        thread::sleep(WARM_UP);
+        seen.counting.store(true, Ordering::Relaxed);
+        thread::sleep(span / 2);
+        if with_crash {
+            let fault = Fault::EngineCrash { target: "assistant-1-0".into() };
+            let _ = deployment.standin.inject(FaultRequest { fault, for_ms: 60_000 });
+        }
+        thread::sleep(span - span / 2);
+        seen.counting.store(false, Ordering::Relaxed);
+        seen.stop.store(true, Ordering::Relaxed);
+    });
+    report(policy, &seen, bound, span, with_crash);
+    print_reasons(&deployment);
+    deployment.stop();
+    let wrong = seen.wrong.load(Ordering::Relaxed);
+    if wrong > 0 {
+        return Err(CliError::Failed(format!("{wrong} answers were wrong")));
+    }
+    Ok(())
+}
+
+/// Prints the retries and refusals of all hosts by reason.
+fn print_reasons(deployment: &Deployment) {
+    let mut sums = BTreeMap::<String, u64>::new();
+    for running in deployment.running() {
+        let text = running.host.telemetry.render();
+        let lines = text.lines().filter(|line| line.contains("_total{reason="));
+        for (name, value) in lines.filter_map(|line| line.rsplit_once(' ')) {
+            *sums.entry(name.to_owned()).or_default() += value.parse().unwrap_or(0);
+        }
+    }
+    for (name, sum) in sums.iter().filter(|(_, sum)| **sum > 0) {
+        println!("    {name} {sum}");
+    }
+}
+
+fn report(policy: Policy, seen: &Seen, bound: f64, span: Duration, with_crash: bool) {
+    let rate = seen.tokens.load(Ordering::Relaxed) as f64 / span.as_secs_f64();
+    let p95 = |histogram: &Mutex<Histogram<u64>>| {
+        histogram.lock().expect("no panic while recording").value_at_quantile(0.95)
+    };
+    let resumed = seen.resumed_gap_ms.lock().expect("no panic while recording").len();
+    println!(
+        "{}{}: {rate:.0} tokens/s, {:.2} of the bound of {bound:.0}; first token p95 {} ms, \
+         between tokens p95 {} ms; {} answers, {} refused; {resumed} answers resumed, \
+         largest gap p95 {} ms",
+        policy.as_str(),
+        if with_crash { " with a dying stage" } else { "" },
+        rate / bound,
+        p95(&seen.first_ms),
+        p95(&seen.gap_ms),
+        seen.answers.load(Ordering::Relaxed),
+        seen.refused.load(Ordering::Relaxed),
+        p95(&seen.resumed_gap_ms),
+    );
+}
+
+fn call_until_stopped(host: &Host, deployment: &Deployment, caller: usize, seen: &Seen) {
+    let name = TeamName::new("bakeries");
+    let Some(team) = deployment.plan.teams.get(&name) else {
+        return;
+    };
+    for round in 0_u32.. {
+        if seen.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        call(host, &name, team, &prompt(caller, round), seen);
+    }
+}
+
+fn prompt(caller: usize, round: u32) -> String {
+    let words = (1..PROMPT_WORDS).map(|word| format!("w{word}"));
+    let words: Vec<String> = words.chain([format!("{caller}-{round}")]).rev().collect();
+    words.join(" ")
+}
+
+fn call(host: &Host, name: &TeamName, team: &Team, prompt: &str, seen: &Seen) {
+    let begun = Instant::now();
+    let job = ChatJob {
+        request: host.next_request_id(),
+        team: name.clone(),
+        model: MODEL.into(),
+        version: "v1".into(),
+        layers: LAYERS,
+        prompt: prompt.to_owned(),
+        max_tokens: 64,
+        priority: 5,
+        deadline: host.clock.now() + DEADLINE,
+    };
+    let view = host.fleet.view();
+    let now = host.clock.now();
+    let work = Work {
+        pool: Pool::Model(job.model.clone()),
+        service_time: Millis::ZERO,
+        deadline: job.deadline,
+        places: Some(host.routing.places(now, view, &job.model, &job.version, LAYERS)),
+        hosts: 3,
+    };
+    let Ok(_ticket) = host.admission.admit(name, team, work, &|| false) else {
+        seen.refused.fetch_add(1, Ordering::Relaxed);
+        thread::sleep(Duration::from_millis(20));
+        return;
+    };
+    let mut sink =
+        Sink { seen, tokens: Vec::new(), begun, last: begun, largest_gap: Duration::ZERO };
+    match pipelines::run(host, &job, &mut sink) {
+        Ok(closing) => {
+            seen.answers.fetch_add(1, Ordering::Relaxed);
+            if closing.attempts > 1 {
+                record(&seen.resumed_gap_ms, sink.largest_gap);
+            }
+            if sink.tokens != expected_answer(MODEL, "v1", LAYERS, prompt, 64) {
+                seen.wrong.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        Err(refusal) => {
+            host.telemetry.refusal(refusal.reason);
+            seen.refused.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -13,6 +13,8 @@
 mod cmd_defects;
 mod cmd_detection;
 mod cmd_random;
+mod cmd_route_bench;
+mod cmd_route_figures;
 mod cmd_slopes;
 mod error;
 mod fleet_case;
@@ -31,6 +33,8 @@
     defects    Shows that the randomised runs find every planted defect.
     detection  Measures detection times and false alarms of membership.
     random     Runs the decision modules under seeded faults.
+    route-bench    Measures routing policies side by side.
+    route-figures  Measures processor time and memory of routing and admission.
     slopes     Measures the control cost of each entry host.
 
 Run `yuccanotch-check COMMAND --help` for the options of a command.
@@ -61,6 +65,8 @@
         Some("defects") => cmd_defects::run(args),
         Some("detection") => cmd_detection::run(args),
         Some("random") => cmd_random::run(args),
+        Some("route-bench") => cmd_route_bench::run(args),
+        Some("route-figures") => cmd_route_figures::run(args),
         Some("slopes") => cmd_slopes::run(args),
         _ => Err(CliError::Usage(format!("unknown command {command:?}\n\n{}", USAGE.trim()))),
     }
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -527,7 +527,11 @@
 
 fn wait_us(server: &ServerState, stats: ModelStats) -> u64 {
     let ahead = u64::from(server.runs_ahead());
-    ahead * stats.hold_ms * 1000 / u64::from(server.slots.max(1))
+    if ahead == 0 {
+        return 0;
+    }
+    // A queue at a server also risks a refusal, since other hosts send to it unseen.
+    stats.hold_ms * 1000 + ahead * stats.hold_ms * 1000 / u64::from(server.slots.max(1))
 }
 
 fn prefill_us(step_us: u64, words: u32) -> u64 {
--- a/crates/core/src/stream/pace.rs
+++ b/crates/core/src/stream/pace.rs
@@ -9,7 +9,7 @@
 const MAX_STALL: Millis = Millis(5_000);
 
 /// Shortest wait for the first token of an attempt.
-const MIN_FIRST_TOKEN: Millis = Millis(400);
+const MIN_FIRST_TOKEN: Millis = Millis(1_000);
 
 /// Longest wait for the first token of an attempt.
 const MAX_FIRST_TOKEN: Millis = Millis(20_000);
--- a/crates/entry/src/pipelines/runner.rs
+++ b/crates/entry/src/pipelines/runner.rs
@@ -43,6 +43,9 @@
 /// Most attempts that go on with an answer after its first token.
 const MAX_RESUMES: u32 = 8;
 
+/// Most attempts that servers refuse as full before the request is given up.
+const MAX_FULL: u32 = 16;
+
 /// Time between two looks at the caller's connection while nothing happens.
 const CALLER_POLL: Millis = Millis(200);
 
@@ -88,6 +91,7 @@
     avoid: Vec<ServerName>,
     shun: Vec<ServerName>,
     resumes: u32,
+    full: u32,
     may_have_run: bool,
     lost_at: Option<Millis>,
     outcome: Option<Result<stream::Closing, RefusalReason>>,
@@ -116,6 +120,7 @@
             avoid: Vec::new(),
             shun: Vec::new(),
             resumes: 0,
+            full: 0,
             may_have_run: false,
             lost_at: None,
             outcome: None,
@@ -237,6 +242,7 @@
         self.end_live(now, verdict);
         self.lost_at.get_or_insert(now);
         match server {
+            Some(server) if reason == RetryReason::ServerFull => self.shun = vec![server],
             Some(server) => self.avoid.push(server),
             None => self.shun = chain.iter().map(|hop| hop.server.clone()).collect(),
         }
@@ -284,6 +290,11 @@
             }
             return Ok(self.host.routing.resume_wait(self.resumes));
         }
+        if reason == RetryReason::ServerFull && self.full < MAX_FULL {
+            // Nothing ran, and the admitted requests bound how many ask again.
+            self.full += 1;
+            return Ok(self.host.routing.resume_wait(self.full));
+        }
         let failed = FailedAttempt {
             attempt: self.stream.attempt(),
             reason,
