Quarantine requests that crash backend servers

Cause: a request that crashes its server was tried again, by its host or by its caller under a new key elsewhere, without an end.

Change: core::quarantine counts the crashes at which a fingerprint (team and body) was in flight; two of them, one not shared with another repeated suspect, quarantine it. Suspects run where no other suspect runs, here or on another host; hosts tell each other and repeat it. A crash together with the loss of another server does not count, once. Wired into pipelines and plain calls. A request hit by a crash waits for the stage to boot instead of being refused after a second, and a host with little traffic may retry 10 times in ten seconds instead of 3. Randomised cases for quarantine and retry; whole-deployment tests for claims and quarantine, which wait until the hosts know each other, because word reaches known hosts only.

Conclusion: a poison request crashes two servers at most while hosts know each other; two requests that crash together twice are not told apart and run on.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -45,12 +45,16 @@
     Claim => ("claim", crate::claim_case::run),
     /// Membership and observation.
     Fleet => ("fleet", crate::fleet_case::run),
+    /// Quarantine: a poison request stops after two servers and innocent ones finish.
+    Quarantine => ("quarantine", crate::quarantine_case::run),
     /// Rendezvous hashing: a member's leaving moves only its own keys.
     Rendezvous => ("rendezvous", crate::rendezvous_case::run),
     /// Admission: limits, bounds, single verdicts, deadlines.
     Admit => ("admit", crate::admit_case::run),
     /// Routing: chains tile the layers with usable servers of one version.
     Route => ("route", crate::route_case::run),
+    /// Retries: bounded by cap, budget and bytes that left.
+    Retry => ("retry", crate::retry_case::run),
     /// Streams: an answer over failing chains stays whole, unmixed and final.
     Stream => ("stream", crate::stream_case::run),
 }
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -58,6 +58,10 @@
         TakeoverWithoutSegments => "takeover-without-segments",
         /// A slot that finds an older copy in the store forgets what it knew.
         RestoreWithoutRepair => "restore-without-repair",
+        /// Suspects share a backend server.
+        SuspectsShareServers => "suspects-share-servers",
+        /// A request is quarantined at its first crash.
+        ConvictOnFirstCrash => "convict-on-first-crash",
         /// A call that may not be repeated is retried although a byte left.
         RetryAfterByteLeft => "retry-after-byte-left",
         /// Retries are granted beyond the budget.
--- /dev/null
+++ b/crates/core/src/quarantine/state.rs
@@ -0,0 +1,330 @@
+//! Suspects and convictions as one host sees them.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use smallvec::SmallVec;
+
+use super::messages::CrashId;
+use super::messages::Fingerprint;
+use super::messages::Notice;
+use super::messages::SuspectStart;
+use crate::clock::Millis;
+use crate::defect::planted;
+use crate::ids::RequestId;
+use crate::name::ServerName;
+
+const STRIKES: usize = 2;
+const MAX_LOSSES: usize = 256;
+
+/// Bounds of the quarantine.
+#[derive(Clone, Copy, Debug)]
+pub struct QuarantineSettings {
+    /// How long a fingerprint stays suspect after its last crash.
+    pub suspect_ttl: Millis,
+    /// How long a fingerprint stays quarantined after its last crash.
+    pub quarantine_ttl: Millis,
+    /// Losses of servers within this span may have one cause.
+    pub common_cause: Millis,
+    /// How long the word of a suspect in flight on another host is believed.
+    pub remote_ttl: Millis,
+    /// Most fingerprints that are remembered.
+    pub capacity: usize,
+    /// Most crashes that are remembered of one fingerprint.
+    pub max_crashes: usize,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self {
+            suspect_ttl: Millis(120_000),
+            quarantine_ttl: Millis(900_000),
+            common_cause: Millis(1_000),
+            remote_ttl: Millis(30_000),
+            capacity: 4_096,
+            max_crashes: 4,
+        }
+    }
+}
+
+/// What is known against a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Nothing.
+    Clear,
+    /// It was in flight at a crash; it may run where no other suspect runs.
+    Suspect,
+    /// It crashes servers and is refused.
+    Quarantined,
+}
+
+#[derive(Debug)]
+struct Strike {
+    crash: CrashId,
+    at: Millis,
+}
+
+#[derive(Debug)]
+struct Entry {
+    strikes: SmallVec<[Strike; 2]>,
+    last: Millis,
+}
+
+impl Entry {
+    fn was_at(&self, server: &ServerName) -> bool {
+        self.strikes.iter().any(|strike| strike.crash.server == *server)
+    }
+}
+
+#[derive(Debug)]
+struct Run {
+    fingerprint: Fingerprint,
+    /// When the attempt left for its servers, if it did.
+    started: Option<Millis>,
+    /// The servers with their boots, named as their next crash would be.
+    servers: SmallVec<[CrashId; 4]>,
+}
+
+#[derive(Debug)]
+struct Loss {
+    at: Millis,
+    crash: CrashId,
+}
+
+/// The suspects and convictions that one host knows.
+#[derive(Debug)]
+pub struct Quarantine {
+    settings: QuarantineSettings,
+    entries: BTreeMap<Fingerprint, Entry>,
+    runs: HashMap<RequestId, Run>,
+    /// Suspects in flight on other hosts, with the time of the word.
+    remote: HashMap<RequestId, (Run, Millis)>,
+    losses: VecDeque<Loss>,
+}
+
+impl Quarantine {
+    /// Creates a state without suspects.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+            runs: HashMap::new(),
+            remote: HashMap::new(),
+            losses: VecDeque::new(),
+        }
+    }
+
+    /// Returns what is known against a request.
+    pub fn standing(&self, now: Millis, fingerprint: Fingerprint) -> Standing {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return Standing::Clear;
+        };
+        if self.counted(entry).next().is_none() {
+            return Standing::Clear;
+        }
+        let age = now.since(entry.last);
+        if self.is_convicted(fingerprint, entry) {
+            return if age < self.settings.quarantine_ttl {
+                Standing::Quarantined
+            } else {
+                Standing::Clear
+            };
+        }
+        if age < self.settings.suspect_ttl {
+            Standing::Suspect
+        } else {
+            Standing::Clear
+        }
+    }
+
+    /// Returns the servers that a suspect has to keep away from, because another suspect runs
+    /// there; none for a request that is clear.
+    pub fn excluded(&self, now: Millis, fingerprint: Fingerprint) -> HashSet<ServerName> {
+        if self.standing(now, fingerprint) == Standing::Clear || planted!(SuspectsShareServers) {
+            return HashSet::new();
+        }
+        let own = self.runs.values().filter(|run| run.fingerprint != fingerprint);
+        let suspects = own.filter(|run| self.standing(now, run.fingerprint) != Standing::Clear);
+        let span = self.settings.remote_ttl;
+        let remote = self.remote.values().filter(|(_, at)| now.since(*at) < span);
+        let remote = remote.map(|(run, _)| run).filter(|run| run.fingerprint != fingerprint);
+        let runs = suspects.chain(remote);
+        runs.flat_map(|run| run.servers.iter().map(|at| at.server.clone())).collect()
+    }
+
+    /// Returns whether the fingerprint is in flight on this host; a suspect runs once at a time.
+    pub fn is_running(&self, fingerprint: Fingerprint) -> bool {
+        self.runs.values().any(|run| run.fingerprint == fingerprint)
+    }
+
+    /// Records the servers that a suspect is about to run on, before other hosts are told.
+    pub fn on_reserve(
+        &mut self,
+        request: RequestId,
+        fingerprint: Fingerprint,
+        servers: impl IntoIterator<Item = CrashId>,
+    ) {
+        let servers = servers.into_iter().collect();
+        self.runs.insert(request, Run { fingerprint, started: None, servers });
+    }
+
+    /// Records the start of an attempt; it replaces the request's earlier one.
+    pub fn on_start(
+        &mut self,
+        now: Millis,
+        request: RequestId,
+        fingerprint: Fingerprint,
+        servers: impl IntoIterator<Item = CrashId>,
+    ) {
+        let servers = servers.into_iter().collect();
+        self.runs.insert(request, Run { fingerprint, started: Some(now), servers });
+    }
+
+    /// Records the end of a request; a whole answer clears a suspect.
+    pub fn on_end(&mut self, now: Millis, request: RequestId, whole: bool) {
+        let Some(run) = self.runs.remove(&request) else {
+            return;
+        };
+        if whole && self.standing(now, run.fingerprint) == Standing::Suspect {
+            self.entries.remove(&run.fingerprint);
+        }
+    }
+
+    /// Records the crash of a server, and returns what the other hosts have to know.
+    ///
+    /// Work of this host on the server becomes suspect, or suspect again.
+    pub fn on_crash(&mut self, now: Millis, crash: &CrashId) -> Vec<Notice> {
+        let lost_at = self.remember_loss(now, crash);
+        // An attempt that began after the crash was known met a dead server; it is no suspect.
+        let was_running = |run: &&Run| run.started.is_some_and(|started| started <= lost_at);
+        let on_server =
+            self.runs.values().filter(was_running).filter(|run| run.servers.contains(crash));
+        let running: HashSet<Fingerprint> = on_server.map(|run| run.fingerprint).collect();
+        for fingerprint in &running {
+            self.strike(now, *fingerprint, crash);
+        }
+        self.trim(now);
+        running.iter().filter_map(|fingerprint| self.notice(*fingerprint)).collect()
+    }
+
+    /// Takes word of a suspect that starts on another host.
+    pub fn on_remote_start(&mut self, now: Millis, start: SuspectStart) {
+        let span = self.settings.remote_ttl;
+        self.remote.retain(|_, (_, at)| now.since(*at) < span);
+        if self.remote.len() < self.settings.capacity {
+            let SuspectStart { request, fingerprint, servers } = start;
+            let run = Run { fingerprint, started: Some(now), servers };
+            self.remote.insert(request, (run, now));
+        }
+    }
+
+    /// Takes word of the end of a suspect on another host.
+    pub fn on_remote_end(&mut self, request: RequestId) {
+        self.remote.remove(&request);
+    }
+
+    /// Takes what another host tells.
+    pub fn on_notice(&mut self, now: Millis, notice: &Notice) {
+        for crash in &notice.crashes {
+            self.remember_loss(now, crash);
+            self.strike(now, notice.fingerprint, crash);
+        }
+        self.trim(now);
+    }
+
+    /// Returns what was learned within `span`, to be told again to hosts that missed it.
+    pub fn recent(&self, now: Millis, span: Millis, most: usize) -> Vec<Notice> {
+        let recent = self.entries.iter().filter(|(_, entry)| now.since(entry.last) < span);
+        recent.take(most).filter_map(|(fingerprint, _)| self.notice(*fingerprint)).collect()
+    }
+
+    /// Returns the number of remembered fingerprints.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no fingerprint is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// A fingerprint is convicted by two crashes, one of which is not shared with another
+    /// fingerprint that was in flight at two crashes as well.
+    fn is_convicted(&self, fingerprint: Fingerprint, entry: &Entry) -> bool {
+        if planted!(ConvictOnFirstCrash) {
+            return !entry.strikes.is_empty();
+        }
+        if self.counted(entry).count() < STRIKES {
+            return false;
+        }
+        let others = self.entries.iter().filter(|(other, _)| **other != fingerprint);
+        let repeated = others.filter(|(_, found)| self.counted(found).count() >= STRIKES);
+        let shared: HashSet<&CrashId> =
+            repeated.flat_map(|(_, found)| self.counted(found)).collect();
+        self.counted(entry).any(|crash| !shared.contains(crash))
+    }
+
+    /// Returns the crashes that count; the first one that probably has another cause does not.
+    fn counted<'a>(&'a self, entry: &'a Entry) -> impl Iterator<Item = &'a CrashId> {
+        let excused = entry.strikes.iter().position(|strike| self.has_other_cause(entry, strike));
+        let counted = entry.strikes.iter().enumerate().filter(move |(i, _)| Some(*i) != excused);
+        counted.map(|(_, strike)| &strike.crash)
+    }
+
+    /// Returns whether a server on which the fingerprint did not run was lost at the same time.
+    fn has_other_cause(&self, entry: &Entry, strike: &Strike) -> bool {
+        let span = self.settings.common_cause;
+        let together =
+            |loss: &&Loss| loss.at.since(strike.at) < span && strike.at.since(loss.at) < span;
+        let mut losses = self.losses.iter().filter(together);
+        losses.any(|loss| !entry.was_at(&loss.crash.server))
+    }
+
+    fn strike(&mut self, now: Millis, fingerprint: Fingerprint, crash: &CrashId) {
+        let max_crashes = self.settings.max_crashes;
+        let fresh = || Entry { strikes: SmallVec::new(), last: now };
+        let entry = self.entries.entry(fingerprint).or_insert_with(fresh);
+        let known = entry.strikes.iter().any(|strike| strike.crash == *crash);
+        if !known && entry.strikes.len() < max_crashes {
+            entry.strikes.push(Strike { crash: crash.clone(), at: now });
+            entry.last = now;
+        }
+    }
+
+    /// Returns when the loss became known.
+    fn remember_loss(&mut self, now: Millis, crash: &CrashId) -> Millis {
+        if let Some(known) = self.losses.iter().find(|loss| loss.crash == *crash) {
+            return known.at;
+        }
+        if self.losses.len() == MAX_LOSSES {
+            self.losses.pop_front();
+        }
+        self.losses.push_back(Loss { at: now, crash: crash.clone() });
+        now
+    }
+
+    fn notice(&self, fingerprint: Fingerprint) -> Option<Notice> {
+        let entry = self.entries.get(&fingerprint)?;
+        let crashes: SmallVec<[CrashId; 2]> =
+            entry.strikes.iter().map(|strike| strike.crash.clone()).collect();
+        (!crashes.is_empty()).then_some(Notice { fingerprint, crashes })
+    }
+
+    /// Forgets what has expired, and the oldest entries beyond the capacity.
+    fn trim(&mut self, now: Millis) {
+        let longest = self.settings.quarantine_ttl.max(self.settings.suspect_ttl);
+        self.entries.retain(|_, entry| now.since(entry.last) < longest);
+        while self.entries.len() > self.settings.capacity {
+            let oldest = self
+                .entries
+                .iter()
+                .min_by_key(|(_, entry)| (entry.strikes.len() >= STRIKES, entry.last));
+            let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.entries.remove(&oldest);
+        }
+    }
+}
--- a/crates/core/src/retry/policy.rs
+++ b/crates/core/src/retry/policy.rs
@@ -29,7 +29,7 @@
         Self {
             max_attempts: 3,
             budget_percent: 15,
-            budget_floor: 3,
+            budget_floor: 10,
             backoff_base: Millis(8),
             backoff_max: Millis(250),
         }
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -47,6 +47,7 @@
 use crate::peers::PeerSettings;
 use crate::peers::Peers;
 use crate::problem::Refusal;
+use crate::quarantine::Quarantines;
 use crate::routing::Routing;
 use crate::settings::Settings;
 use crate::shares::Shares;
@@ -81,6 +82,8 @@
     pub configuration: Configuration,
     /// Claims of calls that may not be repeated.
     pub claims: Claims,
+    /// Requests that crash backend servers.
+    pub quarantine: Quarantines,
     /// Admission of requests.
     pub admission: Admission,
     /// Links to the other entry hosts.
@@ -136,6 +139,7 @@
             routing: Routing::new(settings.routing, rng.random()),
             configuration: Configuration::new(),
             claims: Claims::new(store.clone(), clock.clone(), settings.host.clone(), incarnation),
+            quarantine: Quarantines::new(clock.clone()),
             admission: Admission::new(clock.clone(), settings.limits.in_flight),
             fleet,
             shares,
@@ -330,6 +334,7 @@
         threads.push(spawn(&host, "config", crate::configuration::run));
         threads.push(spawn(&host, "fleet", crate::fleet::run));
         threads.push(spawn(&host, "claims", crate::claims::run));
+        threads.push(spawn(&host, "quarantine", crate::quarantine::run));
         for _ in 0..crate::claims::WORKERS {
             threads.push(spawn(&host, "claims-store", crate::claims::run_worker));
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod pipelines;
 pub mod plain;
 pub mod problem;
+pub mod quarantine;
 pub mod routing;
 pub mod settings;
 pub mod shares;
--- a/crates/entry/src/peer_handler.rs
+++ b/crates/entry/src/peer_handler.rs
@@ -17,7 +17,9 @@
             PeerRequest::Fleet(message) => PeerReply::Fleet(self.fleet.on_peer(&header, message)),
             PeerRequest::Claim(message) => PeerReply::Claim(self.claims.on_peer(message)),
             PeerRequest::Share(message) => PeerReply::Share(self.shares.on_peer(&header, &message)),
-            PeerRequest::Quarantine(_) => PeerReply::Declined,
+            PeerRequest::Quarantine(message) => {
+                PeerReply::Quarantine(self.quarantine.on_peer(message))
+            }
         }
     }
 
--- a/crates/entry/src/pipelines/runner.rs
+++ b/crates/entry/src/pipelines/runner.rs
@@ -15,6 +15,7 @@
 use yuccanotch_core::event::Event as LogEvent;
 use yuccanotch_core::ids::Attempt;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::quarantine::Fingerprint;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::reason::RetryReason;
 use yuccanotch_core::retry::Decision;
@@ -38,6 +39,7 @@
 use crate::fleet::Health;
 use crate::host::Host;
 use crate::problem::Refusal;
+use crate::quarantine::Watch;
 use crate::routing::AttemptResult;
 
 /// Most attempts that go on with an answer after its first token.
@@ -55,7 +57,7 @@
 /// Longest wait for a chain before the first token.
 const MAX_CHAIN_WAIT: Millis = Millis(1_000);
 
-/// Longest wait for a chain of the same version after the first token.
+/// Longest wait for a chain after an attempt that ran.
 const MAX_RESUME_WAIT: Millis = Millis(15_000);
 
 /// Fewest tokens of an attempt whose pace says something of its chain.
@@ -90,6 +92,7 @@
     prompt_words: u32,
     avoid: Vec<ServerName>,
     shun: Vec<ServerName>,
+    watch: Watch<'a>,
     resumes: u32,
     full: u32,
     may_have_run: bool,
@@ -119,6 +122,7 @@
             prompt_words: words(&job.prompt),
             avoid: Vec::new(),
             shun: Vec::new(),
+            watch: Watch::new(host, job.request, fingerprint(job)),
             resumes: 0,
             full: 0,
             may_have_run: false,
@@ -219,6 +223,7 @@
 
     fn on_close(&mut self, now: Millis, closing: stream::Closing) {
         self.end_live(now, Verdict::Good);
+        self.watch.whole();
         self.outcome = Some(Ok(closing));
     }
 
@@ -238,6 +243,9 @@
             (None, _) => Verdict::Open,
         };
         self.report_health(reason, server.as_ref());
+        if let Some(server) = &server {
+            self.watch.lost(server);
+        }
         let chain = self.stream.chain().clone();
         self.end_live(now, verdict);
         self.lost_at.get_or_insert(now);
@@ -324,8 +332,13 @@
         let started = self.now();
         loop {
             let now = self.now();
+            if self.watch.is_quarantined() {
+                return self.give_up(RefusalReason::Quarantined);
+            }
             if let Some(choice) = self.choose(now) {
-                return self.begin_on(now, choice);
+                if self.watch.start(servers(&choice.chain)) {
+                    return self.begin_on(self.now(), choice);
+                }
             }
             if self.repin() {
                 continue;
@@ -347,6 +360,9 @@
         let has_begun = !self.stream.released().is_empty();
         let (limit, reason) = if has_begun {
             (MAX_RESUME_WAIT, RefusalReason::VersionGone)
+        } else if self.may_have_run {
+            // A request hit by a crash waits for the stage to boot again.
+            (MAX_RESUME_WAIT, RefusalReason::NoChain)
         } else {
             (MAX_CHAIN_WAIT, RefusalReason::NoChain)
         };
@@ -372,8 +388,11 @@
             let query = Query { avoid, ..self.query() };
             self.host.routing.choose(now, view.clone(), &query)
         };
-        // A server that failed this request before is better than none.
-        choose(&self.avoid).or_else(|| choose(&[]))
+        // A server that failed this request before is better than none, but a suspect never runs
+        // beside another one.
+        let excluded: Vec<ServerName> = self.watch.excluded().into_iter().collect();
+        let avoid: Vec<ServerName> = self.avoid.iter().chain(&excluded).cloned().collect();
+        choose(&avoid).or_else(|| choose(&excluded))
     }
 
     fn query(&self) -> Query<'_> {
@@ -435,7 +454,9 @@
         let choice = self.choose(now);
         let limit_us = pace_us * u64::from(100 - MIN_MOVE_GAIN_PERCENT) / 100;
         match choice.filter(|choice| u64::from(choice.step_us) <= limit_us) {
-            Some(choice) if self.resumes < MAX_RESUMES => {
+            Some(choice)
+                if self.resumes < MAX_RESUMES && self.watch.start(servers(&choice.chain)) =>
+            {
                 self.resumes += 1;
                 self.count_retry(RetryReason::LinkDegraded);
                 self.begin_on(now, choice);
@@ -498,6 +519,15 @@
     }
 }
 
+fn fingerprint(job: &ChatJob) -> Fingerprint {
+    let body = format!("{}\n{}", job.model, job.prompt);
+    Fingerprint::new(&job.team, body.as_bytes())
+}
+
+fn servers(chain: &Chain) -> impl Iterator<Item = ServerName> + '_ {
+    chain.iter().map(|hop| hop.server.clone())
+}
+
 fn words(prompt: &str) -> u32 {
     u32::try_from(prompt.split_whitespace().count()).unwrap_or(u32::MAX)
 }
@@ -509,6 +539,7 @@
         RefusalReason::RetriesExhausted => "the answer could not be completed",
         RefusalReason::DeadlineExceeded => "the deadline passed",
         RefusalReason::CallerGone => "the caller went away",
+        RefusalReason::Quarantined => "the request crashed backend servers and was stopped",
         _ => "the backend servers failed",
     }
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -15,6 +15,7 @@
 use yuccanotch_core::ids::Attempt;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
+use yuccanotch_core::quarantine::Fingerprint;
 use yuccanotch_core::reason::Outcome;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::reason::RetryReason;
@@ -35,6 +36,7 @@
 use crate::host::Caller;
 use crate::host::Host;
 use crate::problem::Refusal;
+use crate::quarantine::Watch;
 
 /// Header that names a call that may not be repeated.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -46,6 +48,8 @@
 const DIGEST_HEADER: &str = "yuccanotch-digest";
 const MAX_KEY_BYTES: usize = 128;
 const RETRY_AFTER: Millis = Millis(500);
+/// Time between two looks for a server that a suspect may use.
+const SUSPECT_POLL: Millis = Millis(25);
 
 struct PlainJob<'a> {
     req: &'a CallerRequest,
@@ -153,14 +157,23 @@
 
 /// Runs a call that may be repeated, on one server after the other.
 fn run_repeatable(host: &Host, job: &PlainJob<'_>) -> Result<StoredAnswer, Refusal> {
+    let mut watch = watch(host, job);
+    watch.admit()?;
     host.routing.on_request(host.clock.now());
     let mut attempt = Attempt(1);
     let mut byte_left = false;
-    for (server, address) in candidates(host, job) {
+    while let Some((server, address)) = next_server(host, job, &mut watch, attempt) {
         let e = match call(host, job, &server, &address) {
-            Ok(reply) => return Ok(reply.into()),
+            Ok(reply) => {
+                watch.whole();
+                return Ok(reply.into());
+            }
             Err(e) => e,
         };
+        watch.lost(&server);
+        if watch.is_quarantined() {
+            return Err(given_up(RefusalReason::Quarantined, byte_left, "the call was stopped"));
+        }
         byte_left |= !matches!(e, CallError::NotSent);
         let decision = host.routing.on_failed_attempt(
             host.clock.now(),
@@ -211,13 +224,19 @@
         digest: call_digest(job),
         deadline: job.deadline,
     };
-    let permit = match host.claims.begin(host, &claim) {
+    let watch = watch(host, job);
+    let begin = if watch.is_quarantined() {
+        host.claims.refuse(host, &claim, RefusalReason::Quarantined)
+    } else {
+        host.claims.begin(host, &claim)
+    };
+    let permit = match begin {
         Begin::Run(permit) => permit,
         Begin::Answer(answer) => return Ok(answer),
         Begin::Refuse(refusal) => return Err(refusal),
     };
     host.routing.on_request(host.clock.now());
-    let (result, finished) = dispatch(host, job);
+    let (result, finished) = dispatch(host, job, watch);
     let not_run = matches!(finished, Finished::NotRun(_));
     let recorded = host.claims.finish(host, permit, finished);
     if not_run && !recorded {
@@ -231,14 +250,19 @@
 }
 
 /// Sends a claimed call to one server after the other until a byte leaves.
-fn dispatch(host: &Host, job: &PlainJob<'_>) -> (Result<StoredAnswer, Refusal>, Finished) {
+fn dispatch(
+    host: &Host,
+    job: &PlainJob<'_>,
+    mut watch: Watch<'_>,
+) -> (Result<StoredAnswer, Refusal>, Finished) {
     let mut attempt = Attempt(1);
-    for (server, address) in candidates(host, job) {
+    while let Some((server, address)) = next_server(host, job, &mut watch, attempt) {
         if host.clock.now() >= job.deadline {
             return withdrawn(RefusalReason::DeadlineExceeded, "the deadline passed");
         }
         match call(host, job, &server, &address) {
             Ok(reply) => {
+                watch.whole();
                 let answer = StoredAnswer::from(reply);
                 return (Ok(answer.clone()), Finished::Answer(answer));
             }
@@ -262,6 +286,7 @@
                 }
             }
             Err(e) => {
+                watch.lost(&server);
                 emit(
                     Event::OutcomeUnknown,
                     format_args!("host={} request={}: {e}", host.settings.host, job.req.id),
@@ -274,6 +299,37 @@
     (Err(no_server(job)), Finished::NotRun(RefusalReason::NoServer))
 }
 
+fn watch<'a>(host: &'a Host, job: &PlainJob<'_>) -> Watch<'a> {
+    let digest = call_digest(job).0;
+    Watch::new(host, job.req.id, Fingerprint::new(&job.caller.name, &digest))
+}
+
+/// Returns the server for the next attempt, after waiting for one that the call may use.
+fn next_server(
+    host: &Host,
+    job: &PlainJob<'_>,
+    watch: &mut Watch<'_>,
+    attempt: Attempt,
+) -> Option<(ServerName, String)> {
+    loop {
+        let excluded = watch.excluded();
+        let found = candidates(host, job);
+        if attempt.0 as usize > found.len() {
+            return None;
+        }
+        let usable = found.into_iter().find(|(server, _)| !excluded.contains(server));
+        if let Some((server, address)) = usable {
+            if watch.start([server.clone()]) {
+                return Some((server, address));
+            }
+        }
+        if host.clock.now() + SUSPECT_POLL >= job.deadline {
+            return None;
+        }
+        thread::sleep(SUSPECT_POLL.to_duration());
+    }
+}
+
 fn withdrawn(reason: RefusalReason, text: &str) -> (Result<StoredAnswer, Refusal>, Finished) {
     let refusal = Refusal::not_run(reason, text).retry_after(RETRY_AFTER);
     (Err(refusal), Finished::NotRun(reason))
--- /dev/null
+++ b/crates/entry/src/quarantine.rs
@@ -0,0 +1,256 @@
+//! Drives `yuccanotch_core::quarantine`: watches the attempts of this host and tells the others.
+
+use std::collections::HashSet;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use yuccanotch_core::clock::Clock;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::RequestId;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peer::PeerRequest;
+use yuccanotch_core::quarantine::CrashId;
+use yuccanotch_core::quarantine::Fingerprint;
+use yuccanotch_core::quarantine::Quarantine;
+use yuccanotch_core::quarantine::QuarantineMessage;
+use yuccanotch_core::quarantine::QuarantineReply;
+use yuccanotch_core::quarantine::QuarantineSettings;
+use yuccanotch_core::quarantine::Standing;
+use yuccanotch_core::quarantine::SuspectStart;
+use yuccanotch_core::reason::RefusalReason;
+
+use crate::host::Host;
+use crate::problem::Refusal;
+
+/// Longest wait for the other hosts to take word of a crash or of a suspect's start.
+const SPREAD_WAIT: Millis = Millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How often, and for how long, word of a crash is told again.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
+const REPEAT_SPAN: Millis = Millis(5_000);
+const REPEATED_NOTICES: usize = 64;
+/// Stands for the boot of servers that report none.
+const BOOT_SPAN: Millis = Millis(10_000);
+
+/// The quarantine of one entry host.
+pub struct Quarantines {
+    clock: Clock,
+    state: Mutex<Quarantine>,
+}
+
+impl fmt::Debug for Quarantines {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Quarantines").finish_non_exhaustive()
+    }
+}
+
+impl Quarantines {
+    /// Creates a quarantine without suspects.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, state: Mutex::new(Quarantine::new(QuarantineSettings::default())) }
+    }
+
+    /// Answers another entry host.
+    pub fn on_peer(&self, message: QuarantineMessage) -> QuarantineReply {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match message {
+            QuarantineMessage::Notices(notices) => {
+                notices.iter().for_each(|notice| state.on_notice(now, notice));
+            }
+            QuarantineMessage::Started(start) => state.on_remote_start(now, start),
+            QuarantineMessage::Ended(request) => state.on_remote_end(request),
+        }
+        QuarantineReply::Taken
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Watches the attempts of one request; the request has ended when the value is dropped.
+pub struct Watch<'a> {
+    host: &'a Host,
+    request: RequestId,
+    fingerprint: Fingerprint,
+    at: SmallVec<[CrashId; 4]>,
+    announced: bool,
+    whole: bool,
+}
+
+impl<'a> Watch<'a> {
+    /// Watches a request.
+    pub fn new(host: &'a Host, request: RequestId, fingerprint: Fingerprint) -> Self {
+        let at = SmallVec::new();
+        Self { host, request, fingerprint, at, announced: false, whole: false }
+    }
+
+    /// Refuses the request when it is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal of a request that was not run.
+    pub fn admit(&self) -> Result<(), Refusal> {
+        if self.is_quarantined() {
+            let text = "requests with this body crashed backend servers and are not run for now";
+            return Err(Refusal::not_run(RefusalReason::Quarantined, text));
+        }
+        Ok(())
+    }
+
+    /// Returns whether the request is quarantined.
+    pub fn is_quarantined(&self) -> bool {
+        self.standing() == Standing::Quarantined
+    }
+
+    /// Returns the servers that the request has to keep away from.
+    pub fn excluded(&self) -> HashSet<ServerName> {
+        self.host.quarantine.lock().excluded(self.now(), self.fingerprint)
+    }
+
+    /// Records the start of an attempt on `servers`; returns whether it may start now.
+    ///
+    /// A suspect is announced to the other hosts first, and has to wait when one of them runs a
+    /// suspect there or this host runs another request with its fingerprint.
+    pub fn start(&mut self, servers: impl IntoIterator<Item = ServerName>) -> bool {
+        let at: SmallVec<[CrashId; 4]> =
+            servers.into_iter().map(|server| self.crash_id(server)).collect();
+        self.end_announced();
+        if self.standing() == Standing::Suspect && !self.reserve(&at) {
+            return false;
+        }
+        let state = &self.host.quarantine;
+        let now = self.now();
+        state.lock().on_start(now, self.request, self.fingerprint, at.iter().cloned());
+        self.at = at;
+        true
+    }
+
+    /// Takes note that an attempt lost a server, and tells the other hosts when it crashed.
+    pub fn lost(&self, server: &ServerName) {
+        let Some(crash) = self.at.iter().find(|at| at.server == *server) else {
+            return;
+        };
+        if !self.has_crashed(crash) {
+            return;
+        }
+        self.host.telemetry.counter("yuccanotch_server_crashes_seen_total", "");
+        let notices = self.host.quarantine.lock().on_crash(self.now(), crash);
+        self.spread(&QuarantineMessage::Notices(notices));
+    }
+
+    /// Records that the answer is whole, which clears a suspect.
+    pub fn whole(&mut self) {
+        self.whole = true;
+    }
+
+    fn now(&self) -> Millis {
+        self.host.clock.now()
+    }
+
+    fn standing(&self) -> Standing {
+        self.host.quarantine.lock().standing(self.now(), self.fingerprint)
+    }
+
+    fn crash_id(&self, server: ServerName) -> CrashId {
+        let view = self.host.fleet.view();
+        let report = view.servers.get(&server).and_then(|server| server.report.as_ref());
+        let without_report = self.host.clock.unix_now().0 / BOOT_SPAN.0;
+        CrashId { boot: report.map_or(without_report, |report| report.boot), server }
+    }
+
+    /// Announces a suspect; returns whether no other suspect runs on its servers.
+    fn reserve(&mut self, at: &SmallVec<[CrashId; 4]>) -> bool {
+        let state = &self.host.quarantine;
+        if state.lock().is_running(self.fingerprint) {
+            return false;
+        }
+        state.lock().on_reserve(self.request, self.fingerprint, at.iter().cloned());
+        self.announced = true;
+        let start = SuspectStart {
+            request: self.request,
+            fingerprint: self.fingerprint,
+            servers: at.clone(),
+        };
+        self.spread(&QuarantineMessage::Started(start));
+        let excluded = self.excluded();
+        if at.iter().any(|at| excluded.contains(&at.server)) {
+            self.end_announced();
+            return false;
+        }
+        true
+    }
+
+    fn end_announced(&mut self) {
+        self.host.quarantine.lock().on_end(self.now(), self.request, self.whole);
+        if std::mem::take(&mut self.announced) {
+            for name in self.host.peers.known() {
+                let message = QuarantineMessage::Ended(self.request);
+                self.host.peers.send(&name, PeerRequest::Quarantine(message));
+            }
+        }
+    }
+
+    /// Returns whether the server refuses connections or runs another boot than before.
+    fn has_crashed(&self, crash: &CrashId) -> bool {
+        let view = self.host.fleet.view();
+        let Some(server) = view.servers.get(&crash.server) else {
+            return false;
+        };
+        if server.report.as_ref().is_some_and(|report| report.boot != crash.boot) {
+            return true;
+        }
+        server.address.parse().is_ok_and(refuses_connections)
+    }
+
+    /// Sends a message to all hosts and waits until they took it, up to a limit.
+    fn spread(&self, message: &QuarantineMessage) {
+        let (tx, rx) = mpsc::channel();
+        for name in self.host.peers.known() {
+            let tx = tx.clone();
+            let request = PeerRequest::Quarantine(message.clone());
+            self.host.peers.call_with(&name, request, SPREAD_WAIT, move |_| drop(tx));
+        }
+        drop(tx);
+        // Ends when every call has dropped its sender.
+        let _: Result<(), _> = rx.recv_timeout(SPREAD_WAIT.to_duration());
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        self.end_announced();
+    }
+}
+
+/// Tells the other hosts again what was learned lately, until the host stops.
+pub fn run(host: &Arc<Host>) {
+    while !host.is_stopped() {
+        thread::sleep(REPEAT_INTERVAL);
+        let now = host.clock.now();
+        let notices = host.quarantine.lock().recent(now, REPEAT_SPAN, REPEATED_NOTICES);
+        if notices.is_empty() {
+            continue;
+        }
+        for name in host.peers.known() {
+            let message = QuarantineMessage::Notices(notices.clone());
+            host.peers.send(&name, PeerRequest::Quarantine(message));
+        }
+    }
+}
+
+fn refuses_connections(address: SocketAddr) -> bool {
+    let probe = TcpStream::connect_timeout(&address, PROBE_TIMEOUT);
+    probe.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+}
