--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -10,6 +10,7 @@
 mod admit_case;
 mod case;
 mod claim_case;
+mod cmd_claim_figures;
 mod cmd_defects;
 mod cmd_detection;
 mod cmd_random;
@@ -32,6 +33,7 @@
 Usage: yuccanotch-check COMMAND [options]
 
 Commands:
+    claim-figures  Prints what claims cost the store.
     defects    Shows that the randomised runs find every planted defect.
     detection  Measures detection times and false alarms of membership.
     random     Runs the decision modules under seeded faults.
@@ -64,6 +66,7 @@
         None => return Err(CliError::Usage(USAGE.trim().to_owned())),
     };
     match command.to_str() {
+        Some("claim-figures") => cmd_claim_figures::run(args),
         Some("defects") => cmd_defects::run(args),
         Some("detection") => cmd_detection::run(args),
         Some("random") => cmd_random::run(args),
