Describe the entry host to operators; test bound keys end to end

Figures: in a store outage a bound key runs once for two sends at two hosts; with its host gone it does not run and is answered unknown. Conclusion: calls that may not be repeated go on in an outage for callers who fetched keys.

--- a/crates/local/src/main.rs
+++ b/crates/local/src/main.rs
@@ -121,6 +121,14 @@
             running.callers
         );
     }
+    let hosts: Vec<String> =
+        deployment.running().map(|running| running.admin.to_string()).collect();
+    println!(
+        "\nyuccanotch-ctl status --store {} --hosts {} --key FILE\n  with {:?} in FILE",
+        deployment.standin.store_address(),
+        hosts.join(","),
+        yuccanotch_local::deployment::ADMIN_KEY
+    );
     loop {
         thread::sleep(Duration::from_secs(3600));
     }
--- /dev/null
+++ b/crates/local/tests/bound_keys.rs
@@ -0,0 +1,66 @@
+//! Keys fetched beforehand keep calls running, once, while the store is away.
+
+mod support;
+
+use serde_json::Value;
+use yuccanotch_local::Plan;
+use yuccanotch_standin::Fault;
+use yuccanotch_standin::FaultRequest;
+
+use crate::support::exchange;
+use crate::support::request;
+use crate::support::Answer;
+use crate::support::Work;
+
+const AUTH: (&str, &str) = ("authorization", "Bearer retail-key");
+const OUTAGE_MS: u64 = 60_000;
+
+fn fetch_key(work: &Work) -> String {
+    let answer = work.exchange(&request("POST", "/v1/keys", &[AUTH], b""));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let value: Value = serde_json::from_str(&answer.body).expect("the answer is JSON");
+    value["keys"][0].as_str().expect("there is a key").to_owned()
+}
+
+fn confirm(work: &Work, host: usize, key: &str) -> Answer {
+    let headers = [AUTH, ("idempotency-key", key)];
+    exchange(work.host(host), &request("POST", "/ordering/confirmations", &headers, b"{}"))
+}
+
+fn store_outage(work: &Work) {
+    let req = FaultRequest { fault: Fault::StoreOutage, for_ms: OUTAGE_MS };
+    work.deployment.standin.inject(req).expect("the store is there");
+}
+
+#[test]
+fn a_bound_key_runs_once_at_two_hosts_while_the_store_is_away() {
+    let work = Work::start(Plan::haddad(31));
+    let key = fetch_key(&work);
+    store_outage(&work);
+    let first = confirm(&work, 0, &key);
+    let second = confirm(&work, 1, &key);
+    assert_eq!((first.status, second.status), (200, 200), "{first:?} {second:?}");
+    assert_eq!(first.body, second.body);
+    assert_eq!(work.deployment.standin.record().calls.len(), 1);
+}
+
+#[test]
+fn a_bound_key_whose_host_is_gone_stays_unknown_and_does_not_run() {
+    let mut work = Work::start(Plan::haddad(32));
+    let key = fetch_key(&work);
+    store_outage(&work);
+    work.deployment.kill_entry(0);
+    let answer = confirm(&work, 1, &key);
+    assert!(answer.body.contains(r#""outcome":"unknown""#), "{answer:?}");
+    assert_eq!(work.deployment.standin.record().calls.len(), 0);
+}
+
+#[test]
+fn an_ordinary_key_is_not_run_while_the_store_is_away() {
+    let work = Work::start(Plan::haddad(33));
+    store_outage(&work);
+    let answer = confirm(&work, 0, "order-1");
+    assert_eq!(answer.reason(), "store_unavailable");
+    assert!(answer.body.contains(r#""outcome":"unknown""#), "{answer:?}");
+    assert_eq!(work.deployment.standin.record().calls.len(), 0);
+}
