Show first tokens by team and hold a flood to its limit

The report had one first-token latency for all teams, so the target for a flood could not be seen: the others' p95 within 1.5 of their quiet figure.

Each team has its counts and first token p50, p95 and p99 in the text, the JSON, the page and the comparison. A scenario may name the flooding team and the highest ratio; its requests before the flood are the quiet figure.

--- a/crates/load/src/html.rs
+++ b/crates/load/src/html.rs
@@ -10,6 +10,8 @@
 use crate::report::Quantiles;
 use crate::report::Report;
 use crate::report::STEP_MS;
+use crate::teams::ratio_text;
+use crate::teams::TeamFigures;
 
 const PLOT_SIZE: (u32, u32) = (860, 300);
 const MAX_BOUND_RATIO: f64 = 3.0;
@@ -54,6 +56,7 @@
     )?;
     write_verdict(out, report)?;
     write_summary(out, report)?;
+    write_teams(out, report)?;
     write!(out, "<h2>Throughput against the bound</h2>{}", throughput_plot(report)?)?;
     let bound = report.chat.bound_tokens_per_s;
     if bound <= throughput_top(report) {
@@ -129,6 +132,46 @@
     Ok(())
 }
 
+fn write_teams(out: &mut String, report: &Report) -> PageResult {
+    out.push_str(
+        "<h2>First token by team</h2><table><tr><th>team</th><th>sent</th><th>whole</th>\
+         <th>refused</th><th>broken</th><th>p50 ms</th><th>p95 ms</th><th>p99 ms</th></tr>",
+    );
+    for (team, figures) in &report.teams {
+        write_team(out, team, figures)?;
+    }
+    if let Some(flood) = &report.flood {
+        let each = flood.teams.iter().map(|(team, phases)| (team.as_str(), phases));
+        for (team, phases) in each.clone().chain([("others", &flood.others)]) {
+            write_team(out, &format!("{team}, quiet"), &phases.quiet)?;
+            write_team(out, &format!("{team}, flood"), &phases.flood)?;
+        }
+        let ratio = ratio_text(flood.others.p95_ratio);
+        write!(out, "</table><p>Others' p95 first token, flood over quiet: {ratio}</p>")?;
+        return Ok(());
+    }
+    out.push_str("</table>");
+    Ok(())
+}
+
+fn write_team(out: &mut String, name: &str, team: &TeamFigures) -> PageResult {
+    let q = &team.first_token_ms;
+    write!(
+        out,
+        "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{:.1}</td><td>{:.1}</td>\
+         <td>{:.1}</td></tr>",
+        escape(name),
+        team.sent,
+        team.whole,
+        team.refused,
+        team.broken,
+        q.p50,
+        q.p95,
+        q.p99
+    )?;
+    Ok(())
+}
+
 fn write_faults(out: &mut String, report: &Report) -> PageResult {
     if report.faults.is_empty() {
         return Ok(());
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod report;
 pub mod scenario;
 pub mod target;
+pub mod teams;
 
 pub use error::CliResult;
 pub use error::LoadError;
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -19,11 +19,14 @@
 use crate::outcome::WholeAnswer;
 use crate::promises::Broken;
 use crate::scenario::Scenario;
+use crate::teams;
+use crate::teams::FloodFigures;
+use crate::teams::TeamFigures;
 
 /// Width of the steps of the throughput series, in milliseconds.
 pub const STEP_MS: u64 = 250;
 /// Span at the start of a run that throughput leaves out, in milliseconds.
-const WARM_UP_MS: u64 = 1000;
+pub(crate) const WARM_UP_MS: u64 = 1000;
 const BASELINE_STEPS: usize = 8;
 /// Share of the throughput before a fault at which it counts as back.
 const BACK_SHARE: f64 = 0.8;
@@ -44,6 +47,12 @@
     pub chat: ChatFigures,
     /// Calls to plain services.
     pub calls: CallFigures,
+    /// Requests to models by team.
+    #[serde(default)]
+    pub teams: BTreeMap<String, TeamFigures>,
+    /// How the flood of the scenario touched the other teams.
+    #[serde(default)]
+    pub flood: Option<FloodFigures>,
     /// Refusals by reason and outcome.
     pub refusals: BTreeMap<String, u64>,
     /// Faults with their recovery.
@@ -155,21 +164,21 @@
     pub back_ms: Option<u64>,
 }
 
-struct Latencies {
+pub(crate) struct Latencies {
     histogram: Histogram<u64>,
 }
 
 impl Latencies {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let histogram = Histogram::new_with_max(MAX_LATENCY_US, 3);
         Self { histogram: histogram.expect("the limits of the histogram are valid") }
     }
 
-    fn add(&mut self, us: u64) {
+    pub(crate) fn add(&mut self, us: u64) {
         self.histogram.saturating_record(us);
     }
 
-    fn quantiles(&self) -> Quantiles {
+    pub(crate) fn quantiles(&self) -> Quantiles {
         let at = |q| self.histogram.value_at_quantile(q) as f64 / 1000.0;
         if self.histogram.is_empty() {
             return Quantiles::default();
@@ -218,6 +227,7 @@
         ..Report::default()
     };
     count_results(&mut report, scenario, observed);
+    add_teams(&mut report, scenario, observed);
     report.series = series(observed);
     add_throughput(&mut report, scenario, observed, record, settings);
     let answers: Vec<&WholeAnswer> = answers(observed).collect();
@@ -277,6 +287,16 @@
     report.inter_token = inter_token.buckets();
 }
 
+fn add_teams(report: &mut Report, scenario: &Scenario, observed: &Observed) {
+    report.teams = teams::team_figures(scenario, observed);
+    let flood = scenario.flood.as_ref();
+    report.flood = flood.and_then(|spec| teams::flood_figures(scenario, spec, observed));
+    if let Some(text) = report.flood.as_ref().and_then(FloodFigures::broken) {
+        report.broken.insert("a flood slows other teams".to_owned(), 1);
+        report.broken_examples.push(text);
+    }
+}
+
 fn gaps_us(answer: &WholeAnswer) -> impl Iterator<Item = u64> + '_ {
     answer.arrivals_us.windows(2).map(|pair| pair[1].saturating_sub(pair[0]))
 }
@@ -402,6 +422,12 @@
         )?;
         write_quantiles(out, "first token", &chat.first_token_ms)?;
         write_quantiles(out, "inter-token", &chat.inter_token_ms)?;
+        for (team, figures) in &self.teams {
+            teams::write_team(out, &format!("team      {team}"), figures)?;
+        }
+        if let Some(flood) = &self.flood {
+            teams::write_flood(out, flood)?;
+        }
         let calls = &self.calls;
         writeln!(
             out,
--- a/crates/load/src/scenario.rs
+++ b/crates/load/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenario files: a deployment, callers and faults.
 
 use std::fs;
+use std::ops::Range;
 use std::path::Path;
 
 use serde::Deserialize;
@@ -13,6 +14,7 @@
 use yuccanotch_standin::FaultRequest;
 
 use crate::error::LoadError;
+use crate::report::WARM_UP_MS;
 
 /// Shortest run, in seconds; throughput leaves out the first second.
 pub const MIN_SECONDS: u32 = 2;
@@ -41,6 +43,21 @@
     /// Most crashes of engines that marked requests may cause; `None` for no limit.
     #[serde(default)]
     pub max_crashes: Option<u64>,
+    /// Team whose requests are a flood; what the others see is compared with the time before.
+    #[serde(default)]
+    pub flood: Option<FloodSpec>,
+}
+
+/// A flood by one team.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FloodSpec {
+    /// Team.
+    pub team: String,
+    /// Highest p95 first token of the other teams during the flood over the one before; `None`
+    /// for no limit.
+    #[serde(default)]
+    pub max_ratio: Option<f64>,
 }
 
 /// Sizes of an embedded deployment.
@@ -374,6 +391,23 @@
             });
         }
         self.check_faults(findings);
+        if let Some(flood) = &self.flood {
+            let end_ms = u64::from(self.seconds) * 1000;
+            let window_ms = self.flood_window_ms(&flood.team);
+            let is_later = window_ms.is_some_and(|ms| ms.start > WARM_UP_MS && ms.end <= end_ms);
+            findings.check(is_later, "/flood/team", || {
+                format!("needs requests to models that begin after {WARM_UP_MS} ms")
+            });
+        }
+    }
+
+    /// Returns when a team's requests to models begin and end, in milliseconds.
+    pub fn flood_window_ms(&self, team: &str) -> Option<Range<u64>> {
+        let loads = self.chat.iter().filter(|chat| chat.team == team);
+        let from_ms = loads.clone().map(|chat| chat.from_ms).min()?;
+        let end_ms = u64::from(self.seconds) * 1000;
+        let to_ms = loads.map(|chat| chat.to_ms.unwrap_or(end_ms)).max()?;
+        Some(from_ms..to_ms)
     }
 
     fn check_team(&self, findings: &mut Findings, at: &str, team: &str) {
--- /dev/null
+++ b/crates/load/src/teams.rs
@@ -0,0 +1,181 @@
+//! Figures of each team, and of the others while one team floods.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::ops::Range;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::arrivals::Work;
+use crate::experiment::Observed;
+use crate::outcome::Sent;
+use crate::outcome::SentResult;
+use crate::report::Latencies;
+use crate::report::Quantiles;
+use crate::report::WARM_UP_MS;
+use crate::scenario::FloodSpec;
+use crate::scenario::Scenario;
+
+/// Figures of requests to models from one team or several.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct TeamFigures {
+    /// Requests sent, resends included.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Broken connections.
+    pub broken: u64,
+    /// Time from the due time of a request to its first token, of whole answers.
+    pub first_token_ms: Quantiles,
+}
+
+/// Figures before a flood and during it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct PhaseFigures {
+    /// Requests that were due after the warm-up and before the flood.
+    pub quiet: TeamFigures,
+    /// Requests that were due during the flood.
+    pub flood: TeamFigures,
+    /// First token p95 during the flood over the one before; `None` when either is missing.
+    pub p95_ratio: Option<f64>,
+}
+
+/// How a flood by one team touched the others.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct FloodFigures {
+    /// Team that floods.
+    pub team: String,
+    /// Start of the flood, in milliseconds.
+    pub from_ms: u64,
+    /// End of the flood, in milliseconds.
+    pub to_ms: u64,
+    /// Highest ratio that is kept; `None` for no limit.
+    pub max_ratio: Option<f64>,
+    /// All other teams together.
+    pub others: PhaseFigures,
+    /// Each other team.
+    pub teams: BTreeMap<String, PhaseFigures>,
+}
+
+/// Returns the figures of each team that sent requests to models.
+pub fn team_figures(scenario: &Scenario, observed: &Observed) -> BTreeMap<String, TeamFigures> {
+    let teams = scenario.chat.iter().map(|chat| chat.team.clone());
+    teams.map(|team| (team.clone(), figures(chat_of(scenario, observed, &team)))).collect()
+}
+
+/// Returns how the flood of a scenario touched the other teams.
+pub fn flood_figures(
+    scenario: &Scenario,
+    spec: &FloodSpec,
+    observed: &Observed,
+) -> Option<FloodFigures> {
+    let window_ms = scenario.flood_window_ms(&spec.team)?;
+    let others = chats(scenario, observed);
+    let others = others.filter(|(team, _)| *team != spec.team).map(|(_, sent)| sent);
+    let names = scenario.chat.iter().map(|chat| &chat.team).filter(|team| **team != spec.team);
+    Some(FloodFigures {
+        team: spec.team.clone(),
+        from_ms: window_ms.start,
+        to_ms: window_ms.end,
+        max_ratio: spec.max_ratio,
+        others: phases(others, &window_ms),
+        teams: names
+            .map(|team| (team.clone(), phases(chat_of(scenario, observed, team), &window_ms)))
+            .collect(),
+    })
+}
+
+fn chats<'a>(
+    scenario: &'a Scenario,
+    observed: &'a Observed,
+) -> impl Iterator<Item = (&'a str, &'a Sent)> {
+    observed.sent.iter().filter_map(|sent| match &sent.work {
+        Work::Chat { load, .. } => Some((scenario.chat[*load].team.as_str(), sent)),
+        Work::Call { .. } => None,
+    })
+}
+
+fn chat_of<'a>(
+    scenario: &'a Scenario,
+    observed: &'a Observed,
+    team: &'a str,
+) -> impl Iterator<Item = &'a Sent> {
+    chats(scenario, observed).filter(move |(other, _)| *other == team).map(|(_, sent)| sent)
+}
+
+fn phases<'a>(sent: impl Iterator<Item = &'a Sent>, window_ms: &Range<u64>) -> PhaseFigures {
+    let sent: Vec<&Sent> = sent.collect();
+    let due_in = |phase_ms: Range<u64>| {
+        let sent = sent.iter().copied();
+        figures(sent.filter(move |sent| phase_ms.contains(&(sent.due_us / 1000))))
+    };
+    let quiet = due_in(WARM_UP_MS..window_ms.start);
+    let flood = due_in(window_ms.clone());
+    let is_measured = quiet.first_token_ms.p95 > 0.0 && flood.whole > 0;
+    let p95_ratio = is_measured.then(|| flood.first_token_ms.p95 / quiet.first_token_ms.p95);
+    PhaseFigures { quiet, flood, p95_ratio }
+}
+
+fn figures<'a>(sent: impl Iterator<Item = &'a Sent>) -> TeamFigures {
+    let mut figures = TeamFigures::default();
+    let mut first_token = Latencies::new();
+    for sent in sent {
+        figures.sent += 1;
+        match &sent.result {
+            SentResult::Whole(answer) => {
+                figures.whole += 1;
+                if let Some(first) = answer.arrivals_us.first() {
+                    first_token.add(first.saturating_sub(sent.due_us));
+                }
+            }
+            SentResult::Refused { .. } => figures.refused += 1,
+            _ => figures.broken += 1,
+        }
+    }
+    figures.first_token_ms = first_token.quantiles();
+    figures
+}
+
+impl FloodFigures {
+    /// Returns what was seen if the flood slowed the others more than the limit.
+    pub fn broken(&self) -> Option<String> {
+        let max_ratio = self.max_ratio?;
+        match self.others.p95_ratio {
+            Some(ratio) if ratio <= max_ratio => None,
+            Some(ratio) => Some(format!(
+                "p95 first token of the other teams is {ratio:.2} of their quiet figure, at most \
+                 {max_ratio} is expected"
+            )),
+            None => Some("no other team had answers before the flood and during it".to_owned()),
+        }
+    }
+}
+
+pub(crate) fn write_team(out: &mut String, name: &str, team: &TeamFigures) -> std::fmt::Result {
+    let q = &team.first_token_ms;
+    writeln!(
+        out,
+        "{name:<28}{} sent, {} whole, {} refused, {} broken, first token p50 {:.1} p95 {:.1} \
+         p99 {:.1} ms",
+        team.sent, team.whole, team.refused, team.broken, q.p50, q.p95, q.p99
+    )
+}
+
+pub(crate) fn write_flood(out: &mut String, flood: &FloodFigures) -> std::fmt::Result {
+    let all = ("others", &flood.others);
+    let each = flood.teams.iter().map(|(team, phases)| (team.as_str(), phases));
+    for (team, phases) in each.chain([all]) {
+        write_team(out, &format!("quiet     {team}"), &phases.quiet)?;
+        write_team(out, &format!("flood     {team}"), &phases.flood)?;
+        writeln!(out, "ratio     {team:<18}p95 first token {}", ratio_text(phases.p95_ratio))?;
+    }
+    Ok(())
+}
+
+/// Returns a ratio as text.
+pub(crate) fn ratio_text(ratio: Option<f64>) -> String {
+    ratio.map_or("not measured".to_owned(), |ratio| format!("{ratio:.2}"))
+}
--- a/crates/load/tests/commands.rs
+++ b/crates/load/tests/commands.rs
@@ -9,12 +9,14 @@
     "title": "smoke", "seconds": 2,
     "deployment": {
         "region": "amman", "domains": ["sahab", "marka"], "entries_per_domain": 1,
-        "teams": [{"name": "retail"}],
+        "teams": [{"name": "retail"}, {"name": "print-shop"}],
         "models": [{"name": "assistant", "layers": 6, "stages": 2, "step_base_us": [1000, 2000]}],
         "services": [{"name": "ordering",
             "routes": [{"method": "POST", "path": "/confirmations", "repeatable": false}]}]
     },
-    "chat": [{"model": "assistant", "team": "retail", "per_s": 6}],
+    "chat": [{"model": "assistant", "team": "retail", "per_s": 6},
+        {"model": "assistant", "team": "print-shop", "per_s": 8, "from_ms": 1400}],
+    "flood": {"team": "print-shop"},
     "calls": [{"service": "ordering", "method": "POST", "path": "/confirmations",
         "team": "retail", "per_s": 6, "keyed": true, "double_percent": 30, "resends": 2}],
     "faults": [{"at_ms": 500, "fault": "engine_crash", "target": "assistant-1-0", "for_ms": 300}]
@@ -43,12 +45,15 @@
     let page = fs::read_to_string(at("out.html")).unwrap();
     assert_eq!(page.matches("<svg").count(), page.matches("</svg>").count());
     assert!(page.contains("Throughput against the bound"));
+    assert!(text.contains("ratio     retail") && page.contains("retail, flood"), "{text}");
     assert!(!page.contains("src="), "the page refers to another file");
     let output = load(&["compare", &at("out.json"), &at("out.json")]);
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success());
     let line = text.lines().find(|line| line.starts_with("/chat/tokens_per_s")).unwrap();
     assert!(line.ends_with("1.000"), "{line}");
+    assert!(text.contains("/teams/retail/first_token_ms/p95"), "{text}");
+    assert!(text.contains("/flood/teams/retail/quiet/sent"), "{text}");
 }
 
 #[test]
--- /dev/null
+++ b/crates/load/tests/teams.rs
@@ -0,0 +1,79 @@
+//! Tests of the figures of teams and of the limit on a flood.
+
+use std::fs;
+use std::path::PathBuf;
+
+use yare::parameterized;
+use yuccanotch_core::reason::Outcome;
+use yuccanotch_core::reason::RefusalReason;
+use yuccanotch_load::arrivals::Work;
+use yuccanotch_load::experiment::Observed;
+use yuccanotch_load::outcome::Sent;
+use yuccanotch_load::outcome::SentResult;
+use yuccanotch_load::outcome::WholeAnswer;
+use yuccanotch_load::teams::flood_figures;
+use yuccanotch_load::teams::team_figures;
+use yuccanotch_load::Scenario;
+
+const BAKERIES: usize = 0;
+const GROCERS: usize = 1;
+const FLOODER: usize = 2;
+const QUIET_MS: u64 = 8_000;
+const FLOOD_MS: u64 = 20_000;
+
+fn scenario() -> Scenario {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/team-flood.json");
+    Scenario::parse(&fs::read(path).unwrap()).unwrap()
+}
+
+fn sent(load: usize, due_ms: u64, result: SentResult) -> Sent {
+    let work = Work::Chat { load, content: String::new() };
+    let due_us = due_ms * 1000;
+    Sent { number: 0, work, due_us, started_us: due_us, ended_us: due_us, result }
+}
+
+fn whole(load: usize, due_ms: u64, first_ms: u64) -> Sent {
+    let answer = WholeAnswer {
+        tokens: vec!["bags".to_owned()],
+        arrivals_us: vec![(due_ms + first_ms) * 1000],
+        version: "v1".to_owned(),
+        told_tokens: 1,
+        told_digest: String::new(),
+        attempts: 1,
+    };
+    sent(load, due_ms, SentResult::Whole(answer))
+}
+
+#[parameterized(
+    same = { Some(20), false },
+    within_the_limit = { Some(29), false },
+    beyond_the_limit = { Some(31), true },
+    never_answered = { None, true },
+)]
+fn a_flood_is_held_against_the_quiet_time(during_ms: Option<u64>, is_broken: bool) {
+    let mut observed = Observed::default();
+    observed.sent.push(whole(BAKERIES, QUIET_MS, 20));
+    observed.sent.push(whole(FLOODER, FLOOD_MS, 3_000));
+    observed.sent.extend(during_ms.map(|ms| whole(BAKERIES, FLOOD_MS, ms)));
+    let scenario = scenario();
+    let spec = scenario.flood.as_ref().unwrap();
+    let figures = flood_figures(&scenario, spec, &observed).unwrap();
+    assert_eq!(figures.broken().is_some(), is_broken, "{figures:?}");
+    assert_eq!(figures.others.p95_ratio.is_some(), during_ms.is_some());
+}
+
+#[test]
+fn results_are_counted_for_their_team() {
+    let refused =
+        SentResult::Refused { reason: RefusalReason::TeamLimit, outcome: Outcome::NotRun };
+    let mut observed = Observed::default();
+    observed.sent.push(whole(GROCERS, QUIET_MS, 40));
+    observed.sent.push(sent(FLOODER, FLOOD_MS, refused));
+    observed.sent.push(sent(FLOODER, FLOOD_MS, SentResult::Broken("reset".to_owned())));
+    let teams = team_figures(&scenario(), &observed);
+    assert_eq!((teams["grocers"].sent, teams["grocers"].whole), (1, 1));
+    assert!((teams["grocers"].first_token_ms.p95 - 40.0).abs() < 0.1);
+    let flooder = &teams["flooder"];
+    assert_eq!((flooder.sent, flooder.refused, flooder.broken), (2, 1, 1));
+    assert_eq!(teams["bakeries"].sent, 0);
+}
