Bring about the declared placement by orders

Cause: operators declare what each engine holds; a change must not leave a layer range unserved, also with paused issuers and engines that ignore fencing numbers.

Change: core::orders decides from the configuration and the reports. A server that gives up what it serves is first entered in a list in the store by compare-and-swap; the list keeps enough other servers for each layer, across failure domains and issuers. It counts again once a report from after the order shows what is declared. The domain's issuer holds a lease and a fencing number, keeps to the weight store's rate and to the number of loads at once.

Conclusion: a version is rolled out over a running entry host with each layer range served, with engines of both kinds.

--- a/crates/core/src/config/reader.rs
+++ b/crates/core/src/config/reader.rs
@@ -114,6 +114,7 @@
         }
         partial.stored.chunks.insert(chunk.digest, bytes.into());
         partial.missing.pop();
+        self.attempts.succeeded();
         Ok(())
     }
 
@@ -156,12 +157,7 @@
             (Some(value), Some(_)) => self.take_chunk(value.value),
         };
         match taken {
-            Ok(()) => {
-                if self.partial.is_some() {
-                    self.attempts.succeeded();
-                }
-                self.advance()
-            }
+            Ok(()) => self.advance(),
             Err(e) => Step::Done(Err(e)),
         }
     }
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -36,6 +36,8 @@
         IgnoreSpreadLeaving => "ignore-spread-leaving",
         /// The home of a team hands out the whole limit although it sees a part of the hosts.
         UnscaledShares => "unscaled-shares",
+        /// A server is ordered to load although its layers would not stay served.
+        OrderWithoutRangeCheck => "order-without-range-check",
         /// A host adopts a configuration with a lower number.
         AdoptLowerNumber => "adopt-lower-number",
         /// A host takes a chunk without checking its digest.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -67,6 +67,10 @@
     ConfigForked = 1304, Error, "another configuration has the same number";
     /// A source sent a chunk whose bytes do not have its digest.
     ConfigBadChunk = 1305, Error, "chunk of a configuration has other bytes";
+    /// The entry host gives the orders of its failure domain.
+    IssuerStarted = 1311, Info, "order issuer started";
+    /// A backend server has taken an order.
+    OrderTaken = 1312, Info, "order taken";
     /// The store does not answer.
     StoreAway = 1401, Warn, "store does not answer";
     /// The store answers again.
--- /dev/null
+++ b/crates/core/src/orders/issuer.rs
@@ -0,0 +1,245 @@
+//! Decides the orders of one failure domain.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Millis;
+use crate::config::Declaration;
+use crate::config::Placement;
+use crate::config::ServerUse;
+use crate::engine::Order;
+use crate::engine::OrderAction;
+use crate::ids::ConfigNumber;
+use crate::ids::FencingNumber;
+use crate::name::DomainName;
+use crate::name::HostName;
+use crate::name::ServerName;
+use crate::orders::coverage::load;
+use crate::orders::coverage::may_leave;
+use crate::orders::Away;
+use crate::orders::Servers;
+
+/// Time after which an order without effect is given again.
+const REPEAT_AFTER: Millis = Millis(10_000);
+
+/// What an issuer acts for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Scope {
+    /// The issuer.
+    pub host: HostName,
+    /// Failure domain whose servers it orders.
+    pub domain: DomainName,
+    /// Fencing number of its lease.
+    pub fencing: FencingNumber,
+    /// Configuration in force on it.
+    pub config: ConfigNumber,
+}
+
+/// An order with the server that it goes to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrderTo {
+    /// The server.
+    pub server: ServerName,
+    /// Its address.
+    pub address: String,
+    /// The order.
+    pub order: Order,
+}
+
+/// What an issuer does in one round.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Plan {
+    /// List to write, against the one that was read, before any order is sent.
+    pub away: Option<Away>,
+    /// Orders to send once the list is written.
+    pub orders: Vec<OrderTo>,
+    /// Servers whose layers would be left without enough others.
+    pub blocked: Vec<ServerName>,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    action: OrderAction,
+    at: Millis,
+    taken_at: Option<Millis>,
+}
+
+/// Memory of an issuer; a new lease starts with an empty one.
+#[derive(Debug, Default)]
+pub struct Issuer {
+    sent: BTreeMap<ServerName, Sent>,
+    next_load_at: Millis,
+}
+
+impl Issuer {
+    /// Creates an issuer that has sent nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Decides the next round.
+    pub fn plan(
+        &mut self,
+        now: Millis,
+        scope: &Scope,
+        declaration: &Declaration,
+        servers: &Servers,
+        away: &Away,
+    ) -> Plan {
+        if away.servers.values().any(|config| *config > scope.config) {
+            // Another issuer acts on a later configuration.
+            return Plan::default();
+        }
+        let wanted = placements(declaration, &scope.domain);
+        let mut next = away.clone();
+        next.servers.retain(|server, _| {
+            !self.is_back(server, declaration, &scope.domain, wanted.get(server), servers)
+        });
+        for (server, config) in &mut next.servers {
+            if wanted.contains_key(server) {
+                *config = scope.config;
+            }
+        }
+        let mut plan = Plan::default();
+        for (server, (placement, _)) in &wanted {
+            self.enter(now, scope, declaration, servers, (server, placement), &mut next, &mut plan);
+        }
+        for (&server, (placement, address)) in &wanted {
+            if let Some(action) = self.action(now, server, placement, servers, &next) {
+                self.sent.insert(
+                    server.clone(),
+                    Sent { action: action.clone(), at: now, taken_at: None },
+                );
+                plan.orders.push(OrderTo {
+                    server: server.clone(),
+                    address: (*address).to_owned(),
+                    order: Order {
+                        issuer: scope.host.clone(),
+                        fencing: scope.fencing,
+                        config: scope.config,
+                        action,
+                    },
+                });
+            }
+        }
+        plan.away = (next != *away).then_some(next);
+        plan
+    }
+
+    /// Takes note that a server has taken the order that was sent to it last.
+    pub fn on_taken(&mut self, now: Millis, server: &ServerName) {
+        if let Some(sent) = self.sent.get_mut(server) {
+            sent.taken_at = Some(now);
+        }
+    }
+
+    /// Takes note that an order was not sent or not taken, so that it is given again.
+    pub fn on_not_taken(&mut self, server: &ServerName) {
+        self.sent.remove(server);
+    }
+
+    /// Returns whether a server on the list serves again, or is none of the configuration's.
+    ///
+    /// Its report counts only if it was taken after this issuer's own order: an earlier one may
+    /// show what the server has been about to give up.
+    fn is_back(
+        &self,
+        server: &ServerName,
+        declaration: &Declaration,
+        domain: &DomainName,
+        wanted: Option<&(&Placement, &str)>,
+        servers: &Servers,
+    ) -> bool {
+        let Some((wanted, _)) = wanted else {
+            // A server of another failure domain is left to that domain's issuer.
+            let declared = declaration.servers.get(server);
+            return declared.is_none_or(|declared| declared.domain == *domain);
+        };
+        let Some(sent) = self.sent.get(server) else { return false };
+        let Some(taken_at) = sent.taken_at else { return false };
+        let Some(state) = servers.get(server) else { return false };
+        state.usable && state.measured_at > taken_at && state.satisfies(wanted)
+    }
+
+    /// Enters a server that has to change, if its layers stay served.
+    #[allow(clippy::too_many_arguments)]
+    fn enter(
+        &mut self,
+        now: Millis,
+        scope: &Scope,
+        declaration: &Declaration,
+        servers: &Servers,
+        (server, wanted): (&ServerName, &Placement),
+        next: &mut Away,
+        plan: &mut Plan,
+    ) {
+        let Some(state) = servers.get(server).filter(|state| state.usable) else { return };
+        let action = state.next_action(wanted);
+        let gives_up = matches!(action, Some(OrderAction::Load(_) | OrderAction::SetRole { .. }));
+        if !gives_up || next.contains(server) {
+            return;
+        }
+        let rollout = &declaration.rollout;
+        let loading = next.servers.keys().filter(|server| is_in(declaration, server, scope));
+        if loading.count() >= usize::from(rollout.loads_at_once) || now < self.next_load_at {
+            return;
+        }
+        if !may_leave(server, &declaration.models, servers, next, rollout.keep_serving) {
+            plan.blocked.push(server.clone());
+            return;
+        }
+        next.servers.insert(server.clone(), scope.config);
+        if matches!(action, Some(OrderAction::Load(_))) {
+            self.next_load_at = now + load_time(declaration, wanted);
+        }
+    }
+
+    /// Returns the order that is due to a server.
+    fn action(
+        &self,
+        now: Millis,
+        server: &ServerName,
+        wanted: &Placement,
+        servers: &Servers,
+        away: &Away,
+    ) -> Option<OrderAction> {
+        let state = servers.get(server);
+        let action = if away.contains(server) {
+            // A server on the list gets its order from this issuer too, whoever entered it.
+            state.and_then(|state| state.next_action(wanted)).unwrap_or_else(|| load(wanted))
+        } else {
+            let next = state.filter(|state| state.usable)?.next_action(wanted)?;
+            Some(next).filter(|next| matches!(next, OrderAction::LoadAdapter { .. }))?
+        };
+        let due = self
+            .sent
+            .get(server)
+            .is_none_or(|sent| sent.action != action || now.since(sent.at) >= REPEAT_AFTER);
+        due.then_some(action)
+    }
+}
+
+fn placements<'a>(
+    declaration: &'a Declaration,
+    domain: &DomainName,
+) -> BTreeMap<&'a ServerName, (&'a Placement, &'a str)> {
+    let servers = declaration.servers.iter().filter(|(_, server)| server.domain == *domain);
+    servers
+        .filter_map(|(name, server)| match &server.used_for {
+            ServerUse::Engine(placement) => Some((name, (placement, server.address.as_str()))),
+            ServerUse::Service(_) => None,
+        })
+        .collect()
+}
+
+fn is_in(declaration: &Declaration, server: &ServerName, scope: &Scope) -> bool {
+    declaration.servers.get(server).is_some_and(|server| server.domain == scope.domain)
+}
+
+/// Returns how long the weights of a placement take at the rate of the weight store.
+fn load_time(declaration: &Declaration, wanted: &Placement) -> Millis {
+    const MS_PER_S: u64 = 1_000;
+    let Some(model) = declaration.models.get(&wanted.model) else { return Millis::ZERO };
+    let mb = u64::from(model.weights_mb) * u64::from(wanted.layers.len())
+        / u64::from(model.layers.max(1));
+    Millis(mb * MS_PER_S / u64::from(declaration.rollout.weights_mb_per_s.max(1)))
+}
--- a/crates/entry/src/configuration/driver.rs
+++ b/crates/entry/src/configuration/driver.rs
@@ -206,7 +206,7 @@
             format_args!("host={name} number={number} patch={}", active.patch()),
         );
         let notice = PeerRequest::Config(ConfigMessage::Notice(number));
-        for peer in told_by(&host.settings.domain, &watch::members(host), name) {
+        for peer in told_by(&host.settings.domain, &watch::domain_members(host), name) {
             host.peers.send(&peer, notice.clone());
         }
     }
--- a/crates/entry/src/configuration/mod.rs
+++ b/crates/entry/src/configuration/mod.rs
@@ -22,6 +22,7 @@
 use yuccanotch_core::name::HostName;
 
 pub use driver::run;
+pub(crate) use watch::domain_members;
 
 /// Holds the configuration in force.
 #[derive(Debug)]
--- a/crates/entry/src/configuration/watch.rs
+++ b/crates/entry/src/configuration/watch.rs
@@ -39,7 +39,7 @@
 }
 
 /// Returns the entry hosts of the own failure domain, the own one included.
-pub(super) fn members(host: &Host) -> Vec<HostName> {
+pub(crate) fn domain_members(host: &Host) -> Vec<HostName> {
     let own = &host.settings.host;
     let known = host.fleet.members();
     let usable = known.usable_in(&host.settings.domain).map(|(name, _)| name.clone());
@@ -104,7 +104,7 @@
     fn is_due(&self, host: &Host) -> bool {
         let own = &host.settings.host;
         host.configuration.current().is_none()
-            || is_watcher(&host.settings.domain, &members(host), own)
+            || is_watcher(&host.settings.domain, &domain_members(host), own)
     }
 
     fn read_change(&mut self, host: &Host, batch: &WatchBatch) -> Result<(), StoreError> {
--- a/crates/entry/src/engine_client.rs
+++ b/crates/entry/src/engine_client.rs
@@ -18,6 +18,8 @@
 use yuccanotch_core::engine::ErrorFrame;
 use yuccanotch_core::engine::Frame;
 use yuccanotch_core::engine::LoadReport;
+use yuccanotch_core::engine::Order;
+use yuccanotch_core::engine::OrderReply;
 use yuccanotch_core::engine::RunRequest;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -159,6 +161,21 @@
         self.get_json(&format!("http://{address}/v1/load"))
     }
 
+    /// Gives an order to an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no whole answer came; the order may have been taken.
+    pub fn order(&self, address: &str, order: &Order) -> Result<OrderReply, CallError> {
+        let url = format!("http://{address}/v1/orders");
+        let req = self.agent.post(url).config().timeout_global(Some(CONTROL_TIMEOUT)).build();
+        let mut response = req.send_json(order).map_err(to_call_error)?;
+        match response.status().as_u16() {
+            200 | 412 => response.body_mut().read_json().map_err(to_call_error),
+            status => Err(CallError::Lost(format!("status {status}"))),
+        }
+    }
+
     /// Reads a JSON document from a backend server.
     ///
     /// # Errors
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -339,6 +339,7 @@
             threads.push(spawn(&host, "claims-store", crate::claims::run_worker));
         }
         threads.push(spawn(&host, "shares", crate::shares::run));
+        threads.push(spawn(&host, "orders", crate::orders::run));
         runtime.spawn(callers::serve(host.clone(), listener));
         emit(
             Event::HostStarted,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod host;
 pub mod logging;
 pub mod operators;
+pub mod orders;
 pub mod peer_handler;
 pub mod peers;
 pub mod pipelines;
--- /dev/null
+++ b/crates/entry/tests/orders.rs
@@ -0,0 +1,111 @@
+//! Placement brought about by a running entry host.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use serde_json::Value;
+use yare::parameterized;
+use yuccanotch_core::config::call::drive;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::parse;
+use yuccanotch_core::config::publisher::Change;
+use yuccanotch_core::config::publisher::Published;
+use yuccanotch_core::config::publisher::Publisher;
+use yuccanotch_core::config::write_first;
+use yuccanotch_core::engine::LayerRange;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_entry::engine_client::EngineClient;
+use yuccanotch_entry::host::Running;
+use yuccanotch_entry::store_client::StoreClient;
+use yuccanotch_entry::Settings;
+use yuccanotch_standin::EngineSettings;
+use yuccanotch_standin::ModelSettings;
+use yuccanotch_standin::Standin;
+use yuccanotch_standin::StandinSettings;
+
+const LAYERS: u16 = 8;
+const STAGES: [(&str, u16); 4] = [("a1", 0), ("a2", 0), ("b1", 4), ("b2", 4)];
+const POLLS: usize = 1_000;
+const POLL: Duration = Duration::from_millis(20);
+
+fn start_standin(honours_fencing: bool) -> Standin {
+    let mut settings = StandinSettings::default();
+    settings.models.insert("m".into(), ModelSettings { layers: LAYERS, weights_mb: 1_000 });
+    for (name, first) in STAGES {
+        let layers = LayerRange::new(first, first + 4);
+        let mut engine = EngineSettings::new(name, "sahab", "m", "v1", layers);
+        engine.behavior.honours_fencing = honours_fencing;
+        settings.engines.push(engine);
+    }
+    Standin::start(settings).unwrap()
+}
+
+fn server(address: SocketAddr, version: &str, first: u16) -> Value {
+    json!({"domain": "sahab", "address": address, "use": {"engine": {
+        "accelerator": "large", "model": "m", "version": version,
+        "layers": {"first": first, "end": first + 4},
+    }}})
+}
+
+fn declaration(standin: &Standin, version: &str) -> Value {
+    let servers = STAGES.iter().map(|(name, first)| {
+        let address = standin.engine_address(name).unwrap();
+        ((*name).to_owned(), server(address, version, *first))
+    });
+    json!({
+        "domains": {"sahab": {"region": "amman"}},
+        "models": {"m": {
+            "layers": LAYERS, "version": version, "max_tokens": 9, "deadline_ms": 9,
+            "weights_mb": 1_000,
+        }},
+        "rollout": {"weights_mb_per_s": 10_000},
+        "servers": servers.collect::<serde_json::Map<_, _>>(),
+    })
+}
+
+fn start_host(standin: &Standin) -> Running {
+    let settings = json!({
+        "host": "entry-1", "domain": "sahab", "callers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "peer": "127.0.0.1:0", "store": standin.store_address(),
+        "peer_keys": ["00112233445566778899aabbccddeeff"],
+    });
+    Running::start(Settings::parse(settings.to_string().as_bytes()).unwrap()).unwrap()
+}
+
+/// Returns the version that each engine reports, `None` while it loads.
+fn versions(standin: &Standin, client: &EngineClient) -> Vec<Option<String>> {
+    let report = |(name, _): &(&str, u16)| {
+        let address = standin.engine_address(name).unwrap().to_string();
+        let report = client.load(&address).unwrap();
+        report.holdings.first().map(|holding| holding.version.as_str().to_owned())
+    };
+    STAGES.iter().map(report).collect()
+}
+
+#[parameterized(
+    engines_that_honour_fencing_numbers = { true },
+    engines_that_ignore_fencing_numbers = { false },
+)]
+fn a_new_version_is_rolled_out_with_each_layer_range_served(honours_fencing: bool) {
+    let standin = start_standin(honours_fencing);
+    let store = StoreClient::new(standin.store_address());
+    let first = declaration(&standin, "v1").to_string();
+    write_first(&store, &parse(first.as_bytes()).unwrap()).unwrap();
+    let running = start_host(&standin);
+    let patch = declaration(&standin, "v2");
+    let change = Change::Patch { base: ConfigNumber(1), patch };
+    let published = drive(Publisher::new(PatchId(2), change), &store, &mut |_| ());
+    assert_eq!(published, Published::Accepted(ConfigNumber(2)));
+    let client = EngineClient::new();
+    let done = (0..POLLS).any(|_| {
+        thread::sleep(POLL);
+        let versions = versions(&standin, &client);
+        let loading = |stage: &[Option<String>]| stage.iter().all(Option::is_none);
+        assert!(!versions.chunks(2).any(loading), "a layer range is not served: {versions:?}");
+        versions.iter().all(|version| version.as_deref() == Some("v2"))
+    });
+    assert!(done, "{:?}", versions(&standin, &client));
+    running.kill();
+}
