Answer requests while a version is rolled out

Cause: new requests were pinned to the declared version, which has no chain until each of its layers is held, so they were refused for the time between.

Change: new requests, and attempts that have released no token, run on the declared version once usable servers hold chains of it, and until then on the version that is still whole. The router decides by the table it keeps of the servers' reported holdings.

The rollout test over a running host sends a request every 20 ms.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -13,6 +13,7 @@
 mod router;
 mod server;
 mod table;
+mod version;
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -114,7 +114,7 @@
     policy: Policy,
     servers: Vec<Option<ServerState>>,
     index: HashMap<ServerName, u16>,
-    table: Table,
+    pub(super) table: Table,
     outliers: Outliers,
     prefixes: PrefixIndex,
     stats: HashMap<ModelName, ModelStats>,
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -1,6 +1,7 @@
 //! Servers by model, version and layer range.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use crate::engine::LayerRange;
@@ -59,6 +60,31 @@
     pub(super) fn groups(&self, model: &ModelName, version: &ModelVersion) -> Option<&Groups> {
         self.groups.get(model)?.get(version)
     }
+
+    /// Returns the version of a model that chains can be built of: the declared one, else the last
+    /// other one by name.
+    pub(super) fn whole_version(
+        &self,
+        model: &ModelName,
+        declared: &ModelVersion,
+        layers: u16,
+    ) -> Option<&ModelVersion> {
+        let versions = self.groups.get(model)?;
+        let whole = versions.iter().filter(|(_, groups)| can_tile(groups, layers));
+        whole.map(|(version, _)| version).max_by_key(|version| (*version == declared, *version))
+    }
+}
+
+/// Returns whether a chain of groups tiles `0..layers`.
+fn can_tile(groups: &Groups, layers: u16) -> bool {
+    let mut ends = BTreeSet::from([0]);
+    // Ranges come sorted by their first layer, so each end is known before it is asked for.
+    for range in groups.keys().filter(|range| !range.is_empty()) {
+        if ends.contains(&range.first) {
+            ends.insert(range.end);
+        }
+    }
+    ends.contains(&layers)
 }
 
 fn sort_by_domain(group: &mut Group, servers: &[Option<ServerState>]) {
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -126,6 +126,25 @@
     router
 }
 
+#[test]
+fn new_requests_run_on_the_declared_version_once_chains_of_it_exist() {
+    let mut fleet = fleet();
+    let declared = ModelVersion::new("v2");
+    let version = |fleet: &[Server]| {
+        let router = router(Policy::Adaptive, fleet);
+        router.version(&ModelName::new("m"), &declared, LAYERS).as_str().to_owned()
+    };
+    assert_eq!(version(&fleet), "v1");
+    fleet[0].report.holdings[0].version = declared.clone();
+    assert_eq!(version(&fleet), "v1", "layers 4 to 8 of v2 are missing");
+    fleet[2].report.holdings[0].version = declared.clone();
+    assert_eq!(version(&fleet), "v2");
+    fleet[2].suspected = true;
+    assert_eq!(version(&fleet), "v1", "no usable server holds layers 4 to 8 of v2");
+    fleet[3].suspected = true;
+    assert_eq!(version(&fleet), "v2", "no version is whole");
+}
+
 #[parameterized(
     adaptive = { Policy::Adaptive },
     fixed_pipelines = { Policy::FixedPipelines },
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -78,11 +78,12 @@
         return Err(Refusal::not_run(RefusalReason::UnknownModel, text));
     };
     let deadline = host.deadline(req, declared.deadline_ms)?;
+    let version = host.serving_version(&model, declared);
     let job = ChatJob {
         request: req.id,
         team: caller.name.clone(),
         model,
-        version: declared.version.clone(),
+        version,
         layers: declared.layers,
         prompt: prompt(&chat.messages),
         max_tokens: chat.max_tokens.unwrap_or(declared.max_tokens).min(declared.max_tokens),
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -20,6 +20,7 @@
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::config::Active;
+use yuccanotch_core::config::Model;
 use yuccanotch_core::config::Team;
 use yuccanotch_core::digest::Digest;
 use yuccanotch_core::event::emit;
@@ -28,6 +29,8 @@
 use yuccanotch_core::fleet::Identity;
 use yuccanotch_core::ids::Incarnation;
 use yuccanotch_core::ids::RequestId;
+use yuccanotch_core::name::ModelName;
+use yuccanotch_core::name::ModelVersion;
 use yuccanotch_core::name::TeamName;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::store::Store;
@@ -174,6 +177,12 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Returns the version of a model that new requests run on.
+    pub fn serving_version(&self, name: &ModelName, model: &Model) -> ModelVersion {
+        let view = self.fleet.view();
+        self.routing.version(self.clock.now(), view, name, &model.version, model.layers)
+    }
+
     /// Returns whether the host has stopped or was killed.
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
--- a/crates/entry/src/pipelines/runner.rs
+++ b/crates/entry/src/pipelines/runner.rs
@@ -378,8 +378,9 @@
         let Some(model) = active.declaration.models.get(&self.job.model) else {
             return false;
         };
-        let is_other = *self.stream.version() != model.version;
-        is_other && model.layers == self.job.layers && self.stream.repin(&model.version)
+        let version = self.host.serving_version(&self.job.model, model);
+        let is_other = *self.stream.version() != version;
+        is_other && model.layers == self.job.layers && self.stream.repin(&version)
     }
 
     fn choose(&self, now: Millis) -> Option<Choice> {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -137,6 +137,20 @@
         }
     }
 
+    /// Returns the version that new requests to a model run on.
+    pub fn version(
+        &self,
+        now: Millis,
+        view: Arc<FleetView>,
+        model: &ModelName,
+        declared: &ModelVersion,
+        layers: u16,
+    ) -> ModelVersion {
+        let state = &mut *self.lock();
+        state.update(now, view);
+        state.router.version(model, declared, layers)
+    }
+
     /// Returns the places of the narrowest stage of a model version.
     pub fn places(
         &self,
--- a/crates/entry/tests/orders.rs
+++ b/crates/entry/tests/orders.rs
@@ -14,6 +14,7 @@
 use yuccanotch_core::config::publisher::Published;
 use yuccanotch_core::config::publisher::Publisher;
 use yuccanotch_core::config::write_first;
+use yuccanotch_core::digest::Digest;
 use yuccanotch_core::engine::LayerRange;
 use yuccanotch_core::ids::ConfigNumber;
 use yuccanotch_entry::engine_client::EngineClient;
@@ -27,6 +28,8 @@
 
 const LAYERS: u16 = 8;
 const STAGES: [(&str, u16); 4] = [("a1", 0), ("a2", 0), ("b1", 4), ("b2", 4)];
+const TEAM_KEY: &str = "team-key";
+const TOKENS: u64 = 9;
 const POLLS: usize = 1_000;
 const POLL: Duration = Duration::from_millis(20);
 
@@ -57,9 +60,10 @@
     json!({
         "domains": {"sahab": {"region": "amman"}},
         "models": {"m": {
-            "layers": LAYERS, "version": version, "max_tokens": 9, "deadline_ms": 9,
+            "layers": LAYERS, "version": version, "max_tokens": 9, "deadline_ms": 5_000,
             "weights_mb": 1_000,
         }},
+        "teams": {"t": {"keys": [Digest::of(TEAM_KEY.as_bytes())]}},
         "rollout": {"weights_mb_per_s": 10_000},
         "servers": servers.collect::<serde_json::Map<_, _>>(),
     })
@@ -84,6 +88,57 @@
     STAGES.iter().map(report).collect()
 }
 
+/// Asks the model; returns the version that the whole answer names, or the refusal.
+fn ask(running: &Running) -> Result<String, String> {
+    let body = json!({"model": "m", "messages": [{"role": "user", "content": "a question"}]});
+    let response = ureq::post(format!("http://{}/v1/chat/completions", running.callers))
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .header("authorization", format!("Bearer {TEAM_KEY}"))
+        .send(body.to_string())
+        .map_err(|e| e.to_string())?;
+    let status = response.status();
+    let text = response.into_body().read_to_string().map_err(|e| e.to_string())?;
+    let answer: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    let tokens = &answer["yuccanotch"]["tokens"];
+    match answer["yuccanotch"]["version"].as_str() {
+        Some(version) if status == 200 && *tokens == TOKENS => Ok(version.to_owned()),
+        _ => Err(format!("{status}: {text}")),
+    }
+}
+
+#[test]
+fn requests_are_answered_whole_by_one_version_each_while_a_version_is_rolled_out() {
+    let standin = start_standin(true);
+    let store = StoreClient::new(standin.store_address());
+    let first = declaration(&standin, "v1").to_string();
+    write_first(&store, &parse(first.as_bytes()).unwrap()).unwrap();
+    let running = start_host(&standin);
+    let is_serving = (0..POLLS).any(|_| {
+        thread::sleep(POLL);
+        ask(&running).as_deref() == Ok("v1")
+    });
+    assert!(is_serving, "{:?}", ask(&running));
+    let change = Change::Patch { base: ConfigNumber(1), patch: declaration(&standin, "v2") };
+    let published = drive(Publisher::new(PatchId(2), change), &store, &mut |_| ());
+    assert_eq!(published, Published::Accepted(ConfigNumber(2)));
+    let client = EngineClient::new();
+    let mut served = vec!["v1".to_owned()];
+    let done = (0..POLLS).any(|_| {
+        thread::sleep(POLL);
+        let version = ask(&running).expect("requests are answered during a rollout");
+        if served.last() != Some(&version) {
+            served.push(version);
+        }
+        versions(&standin, &client).iter().all(|version| version.as_deref() == Some("v2"))
+    });
+    assert!(done, "{:?}", versions(&standin, &client));
+    assert_eq!(ask(&running).as_deref(), Ok("v2"));
+    assert!(served == ["v1"] || served == ["v1", "v2"], "{served:?}");
+    running.kill();
+}
+
 #[parameterized(
     engines_that_honour_fencing_numbers = { true },
     engines_that_ignore_fencing_numbers = { false },
