--- /dev/null
+++ b/crates/standin/src/engine/faults.rs
@@ -0,0 +1,69 @@
+//! Faults of engines.
+
+use crate::engine::server::RunKey;
+use crate::engine::world::Event;
+use crate::engine::world::PortChange;
+use crate::engine::world::World;
+use crate::record::RunEnd;
+
+impl World {
+    /// Crashes an engine, which boots again after `restart_ms`.
+    pub(crate) fn crash(&mut self, now: u64, i: usize, restart_ms: u64) {
+        if !self.engines[i].up {
+            return;
+        }
+        self.crashes += 1;
+        self.engines[i].crash();
+        self.port_changes.push((i, PortChange::Close));
+        let server = self.engines[i].settings.name.clone();
+        let hit: Vec<RunKey> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.stages.iter().any(|stage| stage.engine == i))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in hit {
+            let Some(run) = self.runs.get(&key) else { continue };
+            if run.starts_at(i) {
+                self.end(now, key, RunEnd::Crashed);
+                continue;
+            }
+            let first = run.stages[0].engine;
+            let detect_ms = self.engines[first].settings.behavior.stage_lost_ms;
+            let event = Event::StageLost { run: key, server: server.clone() };
+            self.schedule(now + detect_ms * 1000, event);
+        }
+        let boot = self.engines[i].boot;
+        self.schedule(now + restart_ms * 1000, Event::Restarts { engine: i, boot });
+    }
+
+    pub(super) fn restart(&mut self, now: u64, i: usize, boot: u64) {
+        let engine = &mut self.engines[i];
+        if engine.boot != boot || engine.up {
+            return;
+        }
+        engine.up = true;
+        self.port_changes.push((i, PortChange::Reopen));
+        self.take_report(now, i);
+    }
+
+    /// Ends all faults; crashed engines boot at once.
+    pub(crate) fn heal(&mut self, now: u64) {
+        self.links.clear();
+        for i in 0..self.engines.len() {
+            let engine = &mut self.engines[i];
+            engine.stalled_until_us = 0;
+            engine.slow_until_us = 0;
+            engine.skip_layer_until_us = 0;
+            engine.cross_until_us = 0;
+            engine.full_until_us = 0;
+            let boot = engine.boot;
+            self.restart(now, i, boot);
+        }
+    }
+
+    /// Makes an engine stand still until `until_us`.
+    pub(crate) fn stall(&mut self, i: usize, until_us: u64) {
+        self.engines[i].stalled_until_us = until_us;
+    }
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,11 +2,13 @@
 
 mod cache;
 mod driver;
+mod faults;
 mod handler;
 mod links;
 mod orders;
 mod run;
 mod server;
+mod weights;
 mod world;
 
 pub use world::CRASH_MARK;
--- a/crates/standin/src/engine/world.rs
+++ b/crates/standin/src/engine/world.rs
@@ -47,8 +47,9 @@
     Some(digits.parse().unwrap_or(0))
 }
 
+/// What happens at a set time.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Event {
+pub(super) enum Event {
     StepEnds { engine: usize, boot: u64 },
     Arrives { run: RunKey, stage: usize },
     TokenArrives { run: RunKey },
@@ -81,9 +82,9 @@
     pub(crate) rng: Pcg64Mcg,
     pub(crate) weights_free_us: u64,
     pub(crate) settings: StandinSettings,
-    loads: Vec<Holding>,
+    pub(super) loads: Vec<Holding>,
     index: HashMap<ServerName, usize>,
-    runs: HashMap<RunKey, Run>,
+    pub(super) runs: HashMap<RunKey, Run>,
     runs_by_request: HashMap<RequestId, SmallVec<[RunKey; 2]>>,
     waiting: Vec<RunKey>,
     heap: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -140,7 +141,7 @@
         }
     }
 
-    fn schedule(&mut self, at_us: u64, event: Event) {
+    pub(super) fn schedule(&mut self, at_us: u64, event: Event) {
         self.sequence += 1;
         self.heap.push(Reverse((at_us, self.sequence, event)));
     }
@@ -449,7 +450,7 @@
     }
 
     /// Removes a run; its stream is cut unless it was ended before.
-    fn end(&mut self, now: u64, key: RunKey, end: RunEnd) {
+    pub(super) fn end(&mut self, now: u64, key: RunKey, end: RunEnd) {
         let Some(run) = self.runs.remove(&key) else { return };
         self.records[run.record].end = end;
         if let Some(keys) = self.runs_by_request.get_mut(&run.req.request) {
@@ -492,66 +493,6 @@
         }
     }
 
-    /// Crashes an engine, which boots again after `restart_ms`.
-    pub(crate) fn crash(&mut self, now: u64, i: usize, restart_ms: u64) {
-        if !self.engines[i].up {
-            return;
-        }
-        self.crashes += 1;
-        self.engines[i].crash();
-        self.port_changes.push((i, PortChange::Close));
-        let server = self.engines[i].settings.name.clone();
-        let hit: Vec<RunKey> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.stages.iter().any(|stage| stage.engine == i))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in hit {
-            let Some(run) = self.runs.get(&key) else { continue };
-            if run.starts_at(i) {
-                self.end(now, key, RunEnd::Crashed);
-                continue;
-            }
-            let first = run.stages[0].engine;
-            let detect_ms = self.engines[first].settings.behavior.stage_lost_ms;
-            let event = Event::StageLost { run: key, server: server.clone() };
-            self.schedule(now + detect_ms * 1000, event);
-        }
-        let boot = self.engines[i].boot;
-        self.schedule(now + restart_ms * 1000, Event::Restarts { engine: i, boot });
-    }
-
-    fn restart(&mut self, now: u64, i: usize, boot: u64) {
-        let engine = &mut self.engines[i];
-        if engine.boot != boot || engine.up {
-            return;
-        }
-        engine.up = true;
-        self.port_changes.push((i, PortChange::Reopen));
-        self.take_report(now, i);
-    }
-
-    /// Ends all faults; crashed engines boot at once.
-    pub(crate) fn heal(&mut self, now: u64) {
-        self.links.clear();
-        for i in 0..self.engines.len() {
-            let engine = &mut self.engines[i];
-            engine.stalled_until_us = 0;
-            engine.slow_until_us = 0;
-            engine.skip_layer_until_us = 0;
-            engine.cross_until_us = 0;
-            engine.full_until_us = 0;
-            let boot = engine.boot;
-            self.restart(now, i, boot);
-        }
-    }
-
-    /// Makes an engine stand still until `until_us`.
-    pub(crate) fn stall(&mut self, i: usize, until_us: u64) {
-        self.engines[i].stalled_until_us = until_us;
-    }
-
     fn report(&mut self, now: u64, i: usize) {
         if self.engines[i].up {
             self.take_report(now, i);
@@ -560,7 +501,7 @@
         self.schedule(now + every_us, Event::Report { engine: i });
     }
 
-    fn take_report(&mut self, now: u64, i: usize) {
+    pub(super) fn take_report(&mut self, now: u64, i: usize) {
         let own = &self.engines[i].settings;
         let mut links = Vec::new();
         for other in self.engines.iter().filter(|other| other.settings.model == own.model) {
@@ -575,36 +516,6 @@
         }
         self.engines[i].take_report(now, links);
     }
-
-    /// Begins to load weights; what is held before is dropped for new runs at once.
-    pub(crate) fn load(&mut self, now: u64, i: usize, holding: Holding) {
-        let model = self.settings.models.get(&holding.model);
-        let layers = model.map_or(1, |model| u64::from(model.layers.max(1)));
-        let model_mb = model.map_or(0, |model| u64::from(model.weights_mb));
-        let mb = model_mb * u64::from(holding.layers.len()) / layers;
-        let rate = u64::from(self.settings.platform.weights_mb_per_s.max(1));
-        let begin = now.max(self.weights_free_us);
-        self.weights_free_us = begin + mb * 1_000_000 / rate;
-        let engine = &mut self.engines[i];
-        engine.holding = None;
-        engine.load_number += 1;
-        let number = engine.load_number;
-        self.loads.push(holding);
-        let holding = self.loads.len() - 1;
-        let at = self.weights_free_us;
-        self.schedule(at, Event::Loaded { engine: i, number, holding });
-    }
-
-    fn loaded(&mut self, i: usize, number: u64, holding: usize) {
-        let engine = &mut self.engines[i];
-        if engine.load_number != number {
-            return;
-        }
-        engine.cache =
-            crate::engine::cache::PrefixCache::new(engine.settings.behavior.cache_blocks);
-        engine.kv.clear();
-        engine.holding = Some(self.loads[holding].clone());
-    }
 }
 
 fn record_of(req: &RunRequest, now: u64) -> RunRecord {
