Go on quietly when nobody reads standard output

yuccanotch-ctl show | head ended in a panic with a broken pipe. All commands of ctl, load and check now print through one writer per crate: when the reader is gone the command goes on to its own exit code, so that a patch, a report file or a broken promise is not lost to a closed pipe; any other error of standard output ends the command with 1. A test of ctl runs show with a pipe that nobody reads.

--- a/crates/check/src/cmd_claim_figures.rs
+++ b/crates/check/src/cmd_claim_figures.rs
@@ -52,15 +52,13 @@
     if let Some(arg) = parser.next()? {
         return match arg {
             Arg::Long("help") | Arg::Short('h') => {
-                println!("{}", USAGE.trim());
+                outln!("{}", USAGE.trim());
                 Ok(())
             }
             _ => Err(arg.unexpected().into()),
         };
     }
-    println!(
-        "batch  writes/claim  bytes/claim  bytes/write  CPU us/claim  takeover reads  records"
-    );
+    outln!("batch  writes/claim  bytes/claim  bytes/write  CPU us/claim  takeover reads  records");
     for batch in BATCHES {
         print_row(batch);
     }
@@ -145,7 +143,7 @@
     let per_claim = |n: u64| n as f64 / CLAIMS as f64;
     let mut taken = Bench::new(bench.values);
     taken.commit(vec![op(&mut rng)]);
-    println!(
+    outln!(
         "{batch:>5}  {:>12.3}  {:>11.0}  {:>11.0}  {cpu:>12.1}  {:>14}  {:>7}",
         per_claim(bench.writes),
         per_claim(counts.written_bytes),
--- a/crates/check/src/cmd_defects.rs
+++ b/crates/check/src/cmd_defects.rs
@@ -46,7 +46,7 @@
 /// Returns an error when the command line is wrong or a defect was not found.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     std::panic::set_hook(Box::new(|_| ()));
@@ -59,7 +59,7 @@
 
     let missed = Defect::ALL.iter().filter(|defect| !is_found(**defect, seeds)).count();
     if missed == 0 {
-        println!("all {} planted defects were found", Defect::ALL.len());
+        outln!("all {} planted defects were found", Defect::ALL.len());
         return Ok(());
     }
     let text = format!("{missed} of {} planted defects were not found", Defect::ALL.len());
@@ -79,9 +79,9 @@
     plant(None);
     match &found {
         Some((seed, case, failure)) => {
-            println!("{}: found by {} seed {seed}: {}", defect.as_str(), case.name(), failure.text);
+            outln!("{}: found by {} seed {seed}: {}", defect.as_str(), case.name(), failure.text);
         }
-        None => println!("{}: NOT found in {seeds} seeds", defect.as_str()),
+        None => outln!("{}: NOT found in {seeds} seeds", defect.as_str()),
     }
     found.is_some()
 }
--- a/crates/check/src/cmd_detection.rs
+++ b/crates/check/src/cmd_detection.rs
@@ -40,13 +40,13 @@
         match arg {
             Arg::Long("seeds") => seeds = parser.value()?.parse()?,
             Arg::Long("help") | Arg::Short('h') => {
-                println!("{}", USAGE.trim());
+                outln!("{}", USAGE.trim());
                 return Ok(());
             }
             _ => return Err(arg.unexpected().into()),
         }
     }
-    println!("loss  pause ms  false deaths/host-hour  detection ms: median  p95  not in 30 s");
+    outln!("loss  pause ms  false deaths/host-hour  detection ms: median  p95  not in 30 s");
     for loss in LOSSES {
         for pause in PAUSES {
             row(seeds.max(1), loss, pause).map_err(CliError::Failed)?;
@@ -75,7 +75,7 @@
     let host_hours = (seeds * HOSTS as u64 * QUIET.0) as f64 / 3_600_000.0;
     let rate = f64::from(false_deaths) / host_hours;
     let (median, p95) = (text(50), text(95));
-    println!("{loss:4.2}  {:8}  {rate:22.3}  {median:20}  {p95:5}  {missed:11}", pause.0);
+    outln!("{loss:4.2}  {:8}  {rate:22.3}  {median:20}  {p95:5}  {missed:11}", pause.0);
     Ok(())
 }
 
--- a/crates/check/src/cmd_random.rs
+++ b/crates/check/src/cmd_random.rs
@@ -67,7 +67,7 @@
 /// Returns an error when the command line is wrong or an invariant was broken.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     std::panic::set_hook(Box::new(|_| ()));
@@ -83,15 +83,15 @@
         case.check(seed).map_err(|failure| report(case, seed, &failure))?;
     }
     let rate = seeds as f64 / start.elapsed().as_secs_f64();
-    println!("{}: {seeds} seeds from {first}, no invariant broken, {rate:.0} seeds/s", case.name());
+    outln!("{}: {seeds} seeds from {first}, no invariant broken, {rate:.0} seeds/s", case.name());
     Ok(())
 }
 
 fn report(case: Case, seed: u64, failure: &Failure) -> CliError {
     for line in failure.trace.lines() {
-        println!("{line}");
+        outln!("{line}");
     }
-    println!("broken: {}", failure.text);
-    println!("replay: yuccanotch-check random --case {} --first {seed} --seeds 1", case.name());
+    outln!("broken: {}", failure.text);
+    outln!("replay: yuccanotch-check random --case {} --first {seed} --seeds 1", case.name());
     CliError::Failed(format!("{}: seed {seed} broke an invariant", case.name()))
 }
--- a/crates/check/src/cmd_route_bench.rs
+++ b/crates/check/src/cmd_route_bench.rs
@@ -90,7 +90,7 @@
 /// wrong.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     for policy in Policy::ALL {
@@ -238,7 +238,7 @@
         }
     }
     for (name, sum) in sums.iter().filter(|(_, sum)| **sum > 0) {
-        println!("    {name} {sum}");
+        outln!("    {name} {sum}");
     }
 }
 
@@ -248,7 +248,7 @@
         histogram.lock().expect("no panic while recording").value_at_quantile(0.95)
     };
     let resumed = seen.resumed_gap_ms.lock().expect("no panic while recording").len();
-    println!(
+    outln!(
         "{}{}: {rate:.0} tokens/s, {:.2} of the bound of {bound:.0}; first token p95 {} ms, \
          between tokens p95 {} ms; {} answers, {} refused; {resumed} answers resumed, \
          largest gap p95 {} ms",
--- a/crates/check/src/cmd_route_figures.rs
+++ b/crates/check/src/cmd_route_figures.rs
@@ -70,7 +70,7 @@
     if let Some(arg) = parser.next()? {
         return match arg {
             Arg::Long("help") | Arg::Short('h') => {
-                println!("{}", USAGE.trim());
+                outln!("{}", USAGE.trim());
                 Ok(())
             }
             arg => Err(arg.unexpected().into()),
@@ -145,7 +145,7 @@
             update(&mut router, &fleet, Millis(1_000 + u64::from(i)));
         });
         let choice_us = time_us(CHOICES, |i| choose_and_end(&mut router, i, &mut rng));
-        println!(
+        outln!(
             "route: {count} servers, {}: {choice_us:.2} us per choice with start and end, \
              {update_us:.0} us per view, {} KB",
             policy.as_str(),
@@ -223,7 +223,7 @@
             black_box(stream.on_event(now, Event::Frame(Attempt(1), frame)));
         }
     });
-    println!(
+    outln!(
         "stream: {both_us:.2} us per token, of which {parse_us:.2} us parse its frame; \
          {} bytes per active answer and its tokens",
         size_of::<AnswerStream>()
@@ -256,7 +256,7 @@
         admit.on_event(Millis(1), AdmitEvent::Arrive(arrival));
         admit.on_event(Millis(1), AdmitEvent::Finish(key));
     });
-    println!(
+    outln!(
         "admit: {teams} active teams: {admit_us:.2} us per request, state of {} teams",
         admit.team_count()
     );
--- a/crates/check/src/cmd_slopes.rs
+++ b/crates/check/src/cmd_slopes.rs
@@ -137,19 +137,23 @@
         match arg {
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
             Arg::Long("help") | Arg::Short('h') => {
-                println!("{}", USAGE.trim());
+                outln!("{}", USAGE.trim());
                 return Ok(());
             }
             _ => return Err(arg.unexpected().into()),
         }
     }
-    println!("hosts servers  cpu%/host  rss MB/host  bytes/s/host  calls/s/host  mean age ms");
+    outln!("hosts servers  cpu%/host  rss MB/host  bytes/s/host  calls/s/host  mean age ms");
     let mut costs = Vec::new();
     for (hosts, servers) in SIZES {
         let cost = measure(hosts, servers, Duration::from_secs(seconds))?;
-        println!(
+        outln!(
             "{hosts:5} {servers:7}  {:9.3}  {:11.2}  {:12.0}  {:12.1}  {:11.0}",
-            cost.cpu_percent, cost.rss_mb, cost.bytes_per_s, cost.calls_per_s, cost.stale_ms
+            cost.cpu_percent,
+            cost.rss_mb,
+            cost.bytes_per_s,
+            cost.calls_per_s,
+            cost.stale_ms
         );
         costs.push(cost);
     }
@@ -164,7 +168,7 @@
     };
     let print = |what: &str, value: fn(&Cost) -> f64, budget: &str| {
         let (per_host, per_server, total) = at_target(value);
-        println!("{what}: {per_host:+.4} a host, {per_server:+.4} a server; {total:.2} at the target (budget {budget})");
+        outln!("{what}: {per_host:+.4} a host, {per_server:+.4} a server; {total:.2} at the target (budget {budget})");
     };
     print("cpu percent of a core", |cost| cost.cpu_percent, "2");
     print("memory MB", |cost| cost.rss_mb, "32");
@@ -176,8 +180,8 @@
         .map_or(0, |json| json.len());
     let list = entry as f64 * (TARGET_HOSTS + TARGET_SERVERS) + HTTP_CALL_BYTES;
     let listing = OBSERVERS * list * TARGET_DOMAINS / TARGET_HOSTS;
-    println!("worked out: observations {observation:.0} bytes/s, host list {listing:.0} bytes/s");
-    println!(
+    outln!("worked out: observations {observation:.0} bytes/s, host list {listing:.0} bytes/s");
+    outln!(
         "worked out: host list {:.1} reads/s of the platform, all hosts",
         OBSERVERS * TARGET_DOMAINS
     );
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -7,6 +7,9 @@
 use crate::error::CliError;
 use crate::error::CliResult;
 
+#[macro_use]
+mod output;
+
 mod admit_case;
 mod case;
 mod claim_case;
@@ -59,7 +62,7 @@
     let command = match args.next()? {
         Some(Arg::Value(command)) => command,
         Some(Arg::Long("help") | Arg::Short('h')) => {
-            println!("{}", USAGE.trim());
+            outln!("{}", USAGE.trim());
             return Ok(());
         }
         Some(arg) => return Err(arg.unexpected().into()),
--- a/crates/ctl/src/cmd_diff.rs
+++ b/crates/ctl/src/cmd_diff.rs
@@ -63,7 +63,7 @@
 /// Returns an error when the declaration has faults or the store cannot be read.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let wanted = parse_document(&util::read_file(&args.file)?).map_err(CliError::Findings)?;
@@ -72,13 +72,13 @@
     let old = stored.document()?.to_value();
     let new = wanted.to_value();
     if args.patch {
-        println!("{:#}", merge_patch(&old, &new));
+        outln!("{:#}", merge_patch(&old, &new));
         return Ok(());
     }
     let mut lines = Vec::new();
     compare("", &old, &new, &mut lines);
-    lines.iter().for_each(|line| println!("{line}"));
-    println!("{} differences from configuration {}", lines.len(), stored.manifest.number);
+    lines.iter().for_each(|line| outln!("{line}"));
+    outln!("{} differences from configuration {}", lines.len(), stored.manifest.number);
     Ok(())
 }
 
--- a/crates/ctl/src/cmd_drain.rs
+++ b/crates/ctl/src/cmd_drain.rs
@@ -65,7 +65,7 @@
 /// Returns an error when nothing has this name or the patch is not accepted.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     check_hosts(&args.config)?;
@@ -102,7 +102,7 @@
                 return Err(CliError::Usage("an entry host that drains exits".to_owned()));
             }
             client.drain()?;
-            println!("draining: entry host {}", args.name);
+            outln!("draining: entry host {}", args.name);
             return Ok(());
         }
     }
--- a/crates/ctl/src/cmd_init.rs
+++ b/crates/ctl/src/cmd_init.rs
@@ -60,7 +60,7 @@
 /// Returns an error when the declaration has faults or the store holds a configuration.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let document = parse_document(&util::read_file(&args.file)?).map_err(CliError::Findings)?;
--- a/crates/ctl/src/cmd_patch.rs
+++ b/crates/ctl/src/cmd_patch.rs
@@ -68,7 +68,7 @@
 /// Returns an error unless the patch is accepted or changes nothing.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let patch = util::read_json(&args.file)?;
--- a/crates/ctl/src/cmd_recover.rs
+++ b/crates/ctl/src/cmd_recover.rs
@@ -51,7 +51,7 @@
 /// Returns an error when no host answers or the store is not behind.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let mut best = None;
@@ -66,7 +66,7 @@
     let client = hosts.iter().find(|client| client.address == address);
     let held = client.ok_or_else(|| CliError::Failed("no host answered".to_owned()))?.config()?;
     let document = Document::try_from(held.declaration).map_err(CliError::Findings)?;
-    println!("highest: configuration {} on {address}", held.number);
+    outln!("highest: configuration {} on {address}", held.number);
     let change = Change::Recovery { highest: held.number, document };
     util::publish(None, held.number, change, &args.config.store()?)?;
     Ok(())
--- a/crates/ctl/src/cmd_show.rs
+++ b/crates/ctl/src/cmd_show.rs
@@ -46,15 +46,15 @@
 /// Returns an error when the store cannot be read.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let stored = args.config.read()?;
     if args.number {
-        println!("{}", stored.manifest.number);
+        outln!("{}", stored.manifest.number);
         return Ok(());
     }
     let value = stored.document()?.to_value();
-    println!("{value:#}");
+    outln!("{value:#}");
     Ok(())
 }
--- a/crates/ctl/src/cmd_status.rs
+++ b/crates/ctl/src/cmd_status.rs
@@ -47,7 +47,7 @@
 /// Returns an error when hosts do not answer or hold different configurations.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let mut held = Vec::new();
@@ -55,7 +55,7 @@
     for client in args.config.some_hosts()? {
         match client.status() {
             Ok(status) => {
-                println!(
+                outln!(
                     "{} {} configuration {} patch {} in flight {}{}",
                     status.host,
                     status.domain,
@@ -67,14 +67,14 @@
                 held.push((status.config, status.patch));
             }
             Err(e) => {
-                println!("{e}");
+                outln!("{e}");
                 silent += 1;
             }
         }
     }
     if let Ok(stored) = args.config.read() {
         let manifest = stored.manifest;
-        println!("store configuration {} patch {}", manifest.number, manifest.patch);
+        outln!("store configuration {} patch {}", manifest.number, manifest.patch);
         held.push((manifest.number, manifest.patch.to_string()));
     }
     held.sort();
--- a/crates/ctl/src/cmd_validate.rs
+++ b/crates/ctl/src/cmd_validate.rs
@@ -47,11 +47,11 @@
 /// Returns an error when the command line is wrong or the declaration has faults.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let declaration = parse(&util::read_file(&args.file)?).map_err(CliError::Findings)?;
-    println!(
+    outln!(
         "valid: {} domains, {} teams, {} models, {} services, {} servers",
         declaration.domains.len(),
         declaration.teams.len(),
--- a/crates/ctl/src/cmd_wait.rs
+++ b/crates/ctl/src/cmd_wait.rs
@@ -64,7 +64,7 @@
 /// Returns an error when a host does not hold the number in time.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
     let Some(args) = Args::parse(parser)? else {
-        println!("{}", USAGE.trim());
+        outln!("{}", USAGE.trim());
         return Ok(());
     };
     let hosts = args.config.some_hosts()?;
@@ -73,7 +73,7 @@
     loop {
         behind.retain(|host| !holds(host, args.number));
         if behind.is_empty() {
-            println!("configuration {} is in force on {} hosts", args.number, hosts.len());
+            outln!("configuration {} is in force on {} hosts", args.number, hosts.len());
             return Ok(());
         }
         if clock.now() >= args.timeout {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -7,6 +7,9 @@
 use crate::error::CliError;
 use crate::error::CliResult;
 
+#[macro_use]
+mod output;
+
 mod admin_client;
 mod cmd_diff;
 mod cmd_drain;
@@ -61,11 +64,11 @@
     let command = match parser.next()? {
         Some(Arg::Value(command)) => command,
         Some(Arg::Long("help") | Arg::Short('h')) => {
-            println!("{}", USAGE.trim());
+            outln!("{}", USAGE.trim());
             return Ok(());
         }
         Some(Arg::Long("version") | Arg::Short('V')) => {
-            println!("yuccanotch-ctl {}", env!("CARGO_PKG_VERSION"));
+            outln!("yuccanotch-ctl {}", env!("CARGO_PKG_VERSION"));
             return Ok(());
         }
         Some(arg) => return Err(arg.unexpected().into()),
--- a/crates/ctl/src/util.rs
+++ b/crates/ctl/src/util.rs
@@ -69,11 +69,11 @@
     match drive(publisher, store) {
         Published::Accepted(number) => {
             drive(Collector::new(), store);
-            println!("accepted: configuration {number}, patch {id}");
+            outln!("accepted: configuration {number}, patch {id}");
             Ok(number)
         }
         Published::Unchanged(number) => {
-            println!("unchanged: configuration {number} has this already");
+            outln!("unchanged: configuration {number} has this already");
             Ok(number)
         }
         Published::Stale { current } => Err(CliError::Stale(base, current)),
--- a/crates/ctl/tests/show.rs
+++ b/crates/ctl/tests/show.rs
@@ -21,3 +21,12 @@
     assert_eq!(work.run("show", &[]).code, 1);
     assert_eq!(work.run_offline("show", &[]).code, 2);
 }
+
+#[test]
+fn ends_quietly_when_nobody_reads_its_output() {
+    let work = Work::with_sample();
+    let ran = work.run_unread("show", &[]);
+    assert_eq!((ran.code, ran.err.as_str()), (0, ""));
+    let ran = Work::new().run_unread("show", &[]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+}
--- a/crates/ctl/tests/util/mod.rs
+++ b/crates/ctl/tests/util/mod.rs
@@ -3,9 +3,11 @@
 #![allow(dead_code)]
 
 use std::fs;
+use std::io;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
+use std::process::Stdio;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -129,6 +131,21 @@
         self.execute(command, &shared, args)
     }
 
+    /// Runs a command on the store, with a standard output that nobody reads.
+    pub fn run_unread(&self, command: &str, args: &[&str]) -> Ran {
+        let (reader, writer) = io::pipe().unwrap();
+        drop(reader);
+        let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-ctl"))
+            .current_dir(&self.dir)
+            .args([command, "--store", &self.standin.store_address().to_string()])
+            .args(args)
+            .stdout(writer)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        output.wait_with_output().unwrap().into()
+    }
+
     fn execute(&self, command: &str, shared: &[&str], args: &[&str]) -> Ran {
         let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-ctl"))
             .current_dir(&self.dir)
--- a/crates/load/src/cmd_compare.rs
+++ b/crates/load/src/cmd_compare.rs
@@ -22,7 +22,7 @@
         match arg {
             Value(path) => paths.push(path.into()),
             Short('h') | Long("help") => {
-                print!("{USAGE}");
+                out!("{USAGE}");
                 return Ok(true);
             }
             _ => return Err(arg.unexpected().into()),
@@ -32,7 +32,7 @@
         return Err(lexopt::Error::from("two reports are required").into());
     };
     let rows = compare::rows(&read(a)?, &read(b)?);
-    print!("{}", compare::text(&rows));
+    out!("{}", compare::text(&rows));
     Ok(true)
 }
 
--- a/crates/load/src/cmd_engines.rs
+++ b/crates/load/src/cmd_engines.rs
@@ -54,7 +54,7 @@
             Long("runs") => args.runs = parser.value()?.parse()?,
             Long("seconds") => args.seconds = parser.value()?.parse()?,
             Short('h') | Long("help") => {
-                print!("{USAGE}");
+                out!("{USAGE}");
                 return Ok(true);
             }
             _ => return Err(arg.unexpected().into()),
@@ -79,12 +79,12 @@
     let cpu = cpu_time().saturating_sub(cpu_before);
     let record = standin.stop();
     let tokens = record.tokens as f64;
-    println!("engines           {}", replicas * STAGES);
-    println!("runs at a time    {}", args.runs);
-    println!("tokens/s          {:.0}", tokens / seconds);
-    println!("bound tokens/s    {bound:.0}");
-    println!("cpu us per token  {:.1}", cpu.as_micros() as f64 / tokens.max(1.0));
-    println!("cores             {:.2}", cpu.as_secs_f64() / seconds);
+    outln!("engines           {}", replicas * STAGES);
+    outln!("runs at a time    {}", args.runs);
+    outln!("tokens/s          {:.0}", tokens / seconds);
+    outln!("bound tokens/s    {bound:.0}");
+    outln!("cpu us per token  {:.1}", cpu.as_micros() as f64 / tokens.max(1.0));
+    outln!("cores             {:.2}", cpu.as_secs_f64() / seconds);
     Ok(true)
 }
 
--- a/crates/load/src/cmd_policies.rs
+++ b/crates/load/src/cmd_policies.rs
@@ -31,7 +31,7 @@
             Value(value) if path.is_none() => path = Some(value.into()),
             Long("seed") => seed = parser.value()?.parse()?,
             Short('h') | Long("help") => {
-                print!("{USAGE}");
+                out!("{USAGE}");
                 return Ok(true);
             }
             _ => return Err(arg.unexpected().into()),
@@ -52,9 +52,9 @@
 
 fn print_table(reports: &[Report]) {
     let row = |name: &str, figure: &dyn Fn(&Report) -> String| {
-        print!("{name:<28}");
-        reports.iter().for_each(|report| print!("{:>18}", figure(report)));
-        println!();
+        out!("{name:<28}");
+        reports.iter().for_each(|report| out!("{:>18}", figure(report)));
+        outln!();
     };
     row("", &|report| report.policy.clone());
     row("whole answers", &|report| report.chat.whole.to_string());
--- a/crates/load/src/cmd_run.rs
+++ b/crates/load/src/cmd_run.rs
@@ -59,7 +59,7 @@
         Target::Given { entries: args.addresses.clone(), standin: args.standin }
     };
     let report = carry_out(target, &scenario, args.seed, policy)?;
-    print!("{}", report.text());
+    out!("{}", report.text());
     if let Some(path) = &args.json {
         let text = serde_json::to_string_pretty(&report).unwrap_or_default();
         write(path, &text)?;
@@ -107,7 +107,7 @@
             }
             Long("standin") => args.standin = Some(parser.value()?.parse()?),
             Short('h') | Long("help") => {
-                print!("{USAGE}");
+                out!("{USAGE}");
                 return Ok(None);
             }
             _ => return Err(arg.unexpected().into()),
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,5 +1,8 @@
 //! `yuccanotch-load`: load and experiment tool.
 
+#[macro_use]
+mod output;
+
 mod cmd_compare;
 mod cmd_engines;
 mod cmd_policies;
@@ -50,7 +53,7 @@
             other => Err(lexopt::Error::from(format!("no command {other:?}\n\n{USAGE}")).into()),
         },
         Some(Short('h') | Long("help")) => {
-            print!("{USAGE}");
+            out!("{USAGE}");
             Ok(true)
         }
         Some(arg) => Err(arg.unexpected().into()),
