Bound the throughput by slots that whole chains hold

The bound took each server's slots at the shortest cycle of any chain, so that slots which are held for slower stages counted as usable.

slot_bound_for counts that a run holds a slot on all its stages at once, and no more runs than the narrowest layer has slots; the proof is at the function. It is cut off at the old bound and printed beside it by route-bench and the load tool, whose share stays that of the old one.

--- a/crates/check/src/cmd_route_bench.rs
+++ b/crates/check/src/cmd_route_bench.rs
@@ -28,6 +28,7 @@
 use yuccanotch_local::Plan;
 use yuccanotch_standin::expected_answer;
 use yuccanotch_standin::max_flow_bound_for;
+use yuccanotch_standin::slot_bound_for;
 use yuccanotch_standin::Fault;
 use yuccanotch_standin::FaultRequest;
 use yuccanotch_standin::LinkPair;
@@ -134,6 +135,13 @@
     }
 }
 
+/// Upper bounds of the tokens per second.
+#[derive(Clone, Copy)]
+struct Bounds {
+    flow: f64,
+    slots: f64,
+}
+
 struct Sink<'a> {
     seen: &'a Seen,
     tokens: Vec<String>,
@@ -194,7 +202,10 @@
     let plan = plan(policy);
     let words = f64::from(PROMPT_WORDS) / MEAN_ANSWER_TOKENS;
     let mix = WorkMix { prefill_words_per_token: words };
-    let bound: f64 = max_flow_bound_for(&plan.standin, mix).values().sum();
+    let bounds = Bounds {
+        flow: max_flow_bound_for(&plan.standin, mix).values().sum(),
+        slots: slot_bound_for(&plan.standin, mix).values().sum(),
+    };
     let deployment =
         Deployment::start(plan).map_err(|e| CliError::Failed(format!("no deployment: {e}")))?;
     let seen = Seen::new();
@@ -217,7 +228,7 @@
         seen.counting.store(false, Ordering::Relaxed);
         seen.stop.store(true, Ordering::Relaxed);
     });
-    report(policy, &seen, bound, span, with_crash);
+    report(policy, &seen, bounds, span, with_crash);
     print_reasons(&deployment);
     deployment.stop();
     let wrong = seen.wrong.load(Ordering::Relaxed);
@@ -242,19 +253,23 @@
     }
 }
 
-fn report(policy: Policy, seen: &Seen, bound: f64, span: Duration, with_crash: bool) {
+fn report(policy: Policy, seen: &Seen, bounds: Bounds, span: Duration, with_crash: bool) {
     let rate = seen.tokens.load(Ordering::Relaxed) as f64 / span.as_secs_f64();
     let p95 = |histogram: &Mutex<Histogram<u64>>| {
         histogram.lock().expect("no panic while recording").value_at_quantile(0.95)
     };
     let resumed = seen.resumed_gap_ms.lock().expect("no panic while recording").len();
     outln!(
-        "{}{}: {rate:.0} tokens/s, {:.2} of the bound of {bound:.0}; first token p95 {} ms, \
+        "{}{}: {rate:.0} tokens/s, {:.2} of the bound of {:.0}, {:.2} of the bound \
+         with chain slots of {:.0}; first token p95 {} ms, \
          between tokens p95 {} ms; {} answers, {} refused; {resumed} answers resumed, \
          largest gap p95 {} ms",
         policy.as_str(),
         if with_crash { " with a dying stage" } else { "" },
-        rate / bound,
+        rate / bounds.flow,
+        bounds.flow,
+        rate / bounds.slots,
+        bounds.slots,
         p95(&seen.first_ms),
         p95(&seen.gap_ms),
         seen.answers.load(Ordering::Relaxed),
--- a/crates/load/src/cmd_policies.rs
+++ b/crates/load/src/cmd_policies.rs
@@ -62,6 +62,8 @@
     row("late", &|report| report.chat.late.to_string());
     row("tokens/s offered", &|report| format!("{:.0}", report.chat.offered_tokens_per_s));
     row("tokens/s received", &|report| format!("{:.0}", report.chat.tokens_per_s));
+    row("bound tokens/s", &|report| format!("{:.0}", report.chat.bound_tokens_per_s));
+    row("bound with chain slots", &|report| format!("{:.0}", report.chat.slot_bound_tokens_per_s));
     row("received of bound", &|report| format!("{:.3}", report.chat.share_of_bound));
     row("first token p50 ms", &|report| format!("{:.0}", report.chat.first_token_ms.p50));
     row("first token p95 ms", &|report| format!("{:.0}", report.chat.first_token_ms.p95));
--- a/crates/load/src/html.rs
+++ b/crates/load/src/html.rs
@@ -118,6 +118,8 @@
     write!(out, "<tr><td>received</td><td>{:.0}</td></tr>", chat.tokens_per_s)?;
     write!(out, "<tr><td>offered</td><td>{:.0}</td></tr>", chat.offered_tokens_per_s)?;
     write!(out, "<tr><td>bound</td><td>{:.0}</td></tr>", chat.bound_tokens_per_s)?;
+    let slot_bound = chat.slot_bound_tokens_per_s;
+    write!(out, "<tr><td>bound with slots of chains</td><td>{slot_bound:.0}</td></tr>")?;
     write!(out, "<tr><td>received of bound</td><td>{:.3}</td></tr>", chat.share_of_bound)?;
     write!(out, "<tr><td>made per received</td><td>{:.3}</td></tr></table>", chat.work_per_token)?;
     Ok(())
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use yuccanotch_standin::max_flow_bound_for;
+use yuccanotch_standin::slot_bound_for;
 use yuccanotch_standin::Record;
 use yuccanotch_standin::StandinSettings;
 use yuccanotch_standin::StoreCalls;
@@ -98,6 +99,8 @@
     pub offered_tokens_per_s: f64,
     /// Tokens per second that the engines can give at most.
     pub bound_tokens_per_s: f64,
+    /// Bound that also counts the slots which a chain holds on all its stages at once.
+    pub slot_bound_tokens_per_s: f64,
     /// Received tokens against the bound.
     pub share_of_bound: f64,
     /// Tokens that engines made for each token that callers received.
@@ -346,6 +349,7 @@
     chat.tokens_per_s = received / window_s.max(f64::MIN_POSITIVE);
     chat.offered_tokens_per_s = offered / window_s.max(f64::MIN_POSITIVE);
     chat.bound_tokens_per_s = bound;
+    chat.slot_bound_tokens_per_s = slot_bound_for(settings, mix).values().sum();
     chat.share_of_bound = if bound > 0.0 { chat.tokens_per_s / bound } else { 0.0 };
     let all: usize = answers(observed).map(|answer| answer.tokens.len()).sum();
     if let Some(record) = record {
--- a/crates/standin/src/bound.rs
+++ b/crates/standin/src/bound.rs
@@ -96,7 +96,7 @@
 }
 
 /// Returns the least one-way delay between two engines.
-fn shortest_link_us(settings: &StandinSettings) -> f64 {
+pub(crate) fn shortest_link_us(settings: &StandinSettings) -> f64 {
     let links = &settings.links;
     let pairs = links.pairs.iter().map(|pair| pair.us);
     let least = pairs.chain([links.same_domain_us, links.cross_domain_us]).min();
--- /dev/null
+++ b/crates/standin/src/slot_bound.rs
@@ -0,0 +1,90 @@
+//! Upper bound of the tokens per second that counts the slots of whole chains.
+//!
+//! A run holds a slot at each server of its chain for its whole answer. The time that a token
+//! takes is the sum over the chain, so each server's slots are also held while the token is
+//! elsewhere.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use yuccanotch_core::name::ModelName;
+
+use crate::bound::max_flow_bound_for;
+use crate::bound::shortest_link_us;
+use crate::bound::WorkMix;
+use crate::settings::EngineSettings;
+use crate::settings::StandinSettings;
+
+const US_PER_S: f64 = 1e6;
+
+/// Returns the most tokens per second of each model when runs hold a slot on each of their stages
+/// at once; at most that of [`max_flow_bound_for`].
+///
+/// Every answer is taken to have the prefill of the mix. Of `L` layers, a chain takes `u` layers
+/// from each of its servers, and the `u` of a chain add up to `L`. A token of that chain takes at
+/// least the sum of its servers' `t`: one step with a batch of one, the prefill per token, and a
+/// link. The Cauchy-Schwarz inequality gives
+///
+/// ```text
+/// 1 / sum(t) <= sum((u / L)^2 / t) <= sum((len / L) * (u / L) / t)
+/// ```
+///
+/// where `len` is the number of layers that the server holds. Summed over all runs, a server
+/// counts with `(len / L) / t` times its share `m`, the sum of `u / L` over the runs that hold its
+/// slots. The share is at most `len / L` times its slots, and all shares add up to the number of
+/// runs, which is at most the slots of any one layer. The bound is the largest such sum; filling
+/// the servers with the largest factor first gives it. It is reached when the servers of each
+/// chain take equal times and steps do not grow with the batch.
+pub fn slot_bound_for(settings: &StandinSettings, mix: WorkMix) -> BTreeMap<ModelName, f64> {
+    let mut bounds = max_flow_bound_for(settings, mix);
+    for (name, bound) in &mut bounds {
+        let layers = settings.models[name].layers;
+        *bound = bound.min(slot_bound(settings, name, layers, mix));
+    }
+    bounds
+}
+
+fn slot_bound(settings: &StandinSettings, model: &ModelName, layers: u16, mix: WorkMix) -> f64 {
+    let engines: Vec<&EngineSettings> =
+        settings.engines.iter().filter(|engine| engine.model == *model).collect();
+    let link_us = shortest_link_us(settings);
+    let mut parts: Vec<(f64, f64)> = engines
+        .iter()
+        .map(|engine| {
+            let part = f64::from(engine.layers.len()) / f64::from(layers);
+            let factor = part * US_PER_S / token_us(engine, layers, link_us, mix);
+            (factor, part * f64::from(engine.behavior.slots))
+        })
+        .collect();
+    parts.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut runs = narrowest_slots(&engines, layers);
+    let mut sum = 0.0;
+    for (factor, share) in parts {
+        let taken = share.min(runs);
+        sum += factor * taken;
+        runs -= taken;
+    }
+    sum
+}
+
+/// Returns the least time that a token takes at a server and over one link, in microseconds.
+fn token_us(engine: &EngineSettings, layers: u16, link_us: f64, mix: WorkMix) -> f64 {
+    let behavior = &engine.behavior;
+    let prefill_us = f64::from(behavior.prefill_word_us) * mix.prefill_words_per_token;
+    let step_us = f64::from(behavior.step_base_us) + f64::from(behavior.step_sequence_us);
+    let is_whole = engine.layers.first == 0 && engine.layers.end == layers;
+    // A chain of several servers has as many links as servers, the one back included.
+    let link_us = if is_whole { 0.0 } else { link_us };
+    (step_us + prefill_us + link_us).max(1.0)
+}
+
+/// Returns the least number of slots that hold any one layer.
+fn narrowest_slots(engines: &[&EngineSettings], layers: u16) -> f64 {
+    let ends = engines.iter().flat_map(|engine| [engine.layers.first, engine.layers.end]);
+    let starts: BTreeSet<u16> = ends.chain([0]).filter(|layer| *layer < layers).collect();
+    let slots_at = |layer: &u16| {
+        let holding = engines.iter().filter(|e| e.layers.first <= *layer && *layer < e.layers.end);
+        holding.map(|engine| f64::from(engine.behavior.slots)).sum::<f64>()
+    };
+    starts.iter().map(slots_at).fold(f64::INFINITY, f64::min)
+}
--- a/crates/standin/src/tests/bound.rs
+++ b/crates/standin/src/tests/bound.rs
@@ -3,9 +3,11 @@
 use yuccanotch_core::engine::LayerRange;
 
 use crate::max_flow_bound;
+use crate::slot_bound_for;
 use crate::EngineSettings;
 use crate::ModelSettings;
 use crate::StandinSettings;
+use crate::WorkMix;
 
 /// Returns an engine that gives `tokens_per_s` in a batch of one.
 fn engine(name: &str, first: u16, end: u16, tokens_per_s: u32) -> EngineSettings {
@@ -17,9 +19,24 @@
 }
 
 fn bound_of(engines: Vec<EngineSettings>) -> f64 {
+    max_flow_bound(&settings_of(engines))
+}
+
+fn settings_of(engines: Vec<EngineSettings>) -> StandinSettings {
     let mut settings = StandinSettings { engines, ..StandinSettings::default() };
     settings.models.insert("m".into(), ModelSettings { layers: 10, weights_mb: 0 });
-    max_flow_bound(&settings)
+    settings
+}
+
+fn with_slots(mut engine: EngineSettings, slots: u32) -> EngineSettings {
+    engine.behavior.slots = slots;
+    engine
+}
+
+/// Returns the bound by steps and the one that also counts the slots of whole chains.
+fn bounds_of(engines: Vec<EngineSettings>, mix: WorkMix) -> (f64, f64) {
+    let settings = settings_of(engines);
+    (max_flow_bound(&settings), slot_bound_for(&settings, mix).values().sum())
 }
 
 #[test]
@@ -62,3 +79,65 @@
     let bound = bound_of(engines);
     assert!((bound - 486.3).abs() < 1.0, "{bound}");
 }
+
+#[test]
+fn slot_bound_is_reached_by_chains_of_servers_with_equal_times() {
+    let engines = ["a", "b"].into_iter().zip([(0, 5), (5, 10)]).flat_map(|(name, (first, end))| {
+        let slow = engine(&format!("slow-{name}"), first, end, 200);
+        let fast = engine(&format!("fast-{name}"), first, end, 1000);
+        [with_slots(slow, 1), with_slots(fast, 1)]
+    });
+    let (flow, slots) = bounds_of(engines.collect(), WorkMix::default());
+    // One run on the fast chain takes 2.1 ms a token with its links, one on the slow 10.1 ms.
+    let reached = 1_000_000.0 / 2100.0 + 1_000_000.0 / 10_100.0;
+    assert!((slots - reached).abs() < 1.0, "{slots} for {reached}");
+    assert!(flow > reached + 10.0, "{flow}");
+}
+
+#[test]
+fn slot_bound_is_not_below_any_pairing_of_servers() {
+    let (a, b) = ([900, 300], [700, 100]);
+    let mut engines = Vec::new();
+    for place in 0..2 {
+        engines.push(with_slots(engine(&format!("a{place}"), 0, 5, a[place]), 1));
+        engines.push(with_slots(engine(&format!("b{place}"), 5, 10, b[place]), 1));
+    }
+    let (_, slots) = bounds_of(engines, WorkMix::default());
+    let rate = |a: u32, b: u32| 1e6 / (f64::from(1_000_000 / a + 1_000_000 / b) + 100.0);
+    for reached in [rate(a[0], b[0]) + rate(a[1], b[1]), rate(a[0], b[1]) + rate(a[1], b[0])] {
+        assert!(slots > reached, "{slots} for {reached}");
+    }
+}
+
+#[test]
+fn slot_bound_counts_no_more_runs_than_the_narrowest_stage_holds() {
+    let engines = vec![
+        with_slots(engine("a", 0, 5, 1000), 1),
+        with_slots(engine("b", 5, 10, 1000), 1),
+        with_slots(engine("c", 5, 10, 1000), 1),
+    ];
+    let (_, slots) = bounds_of(engines, WorkMix::default());
+    assert!((slots - 1_000_000.0 / 2100.0).abs() < 1.0, "{slots}");
+}
+
+#[test]
+fn slot_bound_counts_the_prefill_that_a_slot_is_held_for() {
+    let mut engines = Vec::new();
+    for (name, tokens_per_s) in [("slow", 200), ("fast", 1000)] {
+        for (stage, (first, end)) in [(0, 5), (5, 10)].into_iter().enumerate() {
+            let mut engine = engine(&format!("{name}-{stage}"), first, end, tokens_per_s);
+            engine.behavior.prefill_word_us = 500;
+            engines.push(with_slots(engine, 1));
+        }
+    }
+    let (_, slots) = bounds_of(engines, WorkMix { prefill_words_per_token: 4.0 });
+    // Each token costs 2 ms of prefill at both stages.
+    let reached = 1_000_000.0 / 6100.0 + 1_000_000.0 / 14_100.0;
+    assert!((slots - reached).abs() < 1.0, "{slots} for {reached}");
+}
+
+#[test]
+fn slot_bound_is_zero_without_a_whole_chain() {
+    let engines = vec![engine("a", 0, 5, 100), engine("b", 6, 10, 100)];
+    assert_eq!(bounds_of(engines, WorkMix::default()).1, 0.0);
+}
