Prove service and agreement through partitions

Cause: no test cut a failure domain from other domains or the platform over real peer links.

Change: five partitions of a domain of a deployment of six entry hosts: from one other domain, from all others, from the platform, from both, and one that is heard but does not hear. Idempotent work and model requests are served on both sides; a keyed call sent to both sides at once runs at most once and ends everywhere with the same answer or as unknown; after healing all hosts agree on the members and on the configuration that was changed during the cut.

--- /dev/null
+++ b/crates/local/tests/partitions.rs
@@ -0,0 +1,245 @@
+//! Failure domains that are cut off from other domains, from the platform, or from both.
+
+mod util;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use util::wait_until_hosts_know_each_other;
+use yuccanotch_core::config::call::drive;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::publisher::Change;
+use yuccanotch_core::config::publisher::Published;
+use yuccanotch_core::config::publisher::Publisher;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::reason::Outcome;
+use yuccanotch_entry::host::Running;
+use yuccanotch_entry::peers::Cut;
+use yuccanotch_entry::peers::Direction;
+use yuccanotch_entry::peers::Far;
+use yuccanotch_entry::store_client::StoreClient;
+use yuccanotch_local::client::CallError;
+use yuccanotch_local::client::Caller;
+use yuccanotch_local::client::PlainAnswer;
+use yuccanotch_local::Deployment;
+use yuccanotch_local::Plan;
+use yuccanotch_standin::Fault;
+use yuccanotch_standin::FaultRequest;
+
+const CUT_SIDE: &str = "sahab";
+const OTHERS: [&str; 2] = ["marka", "abdali"];
+const BOTH: [Direction; 2] = [Direction::To, Direction::From];
+const STORE_CUT_MS: u64 = 300_000;
+const BODY: &str = r#"{"order": 4711, "bags": 5000}"#;
+/// Far longer than any step takes; a test that waits for it has failed.
+const PATIENCE: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(50);
+
+/// What the cut side is cut from.
+struct Partition {
+    /// Other domains that the cut side exchanges no messages with.
+    domains: &'static [&'static str],
+    /// Directions that are cut, as the cut side sees them.
+    directions: &'static [Direction],
+    /// Whether the cut side cannot reach the store and the host list.
+    platform: bool,
+}
+
+struct Bench {
+    deployment: Deployment,
+    caller: Caller,
+}
+
+impl Bench {
+    fn start() -> Self {
+        let mut plan = Plan::haddad(5);
+        plan.entries_per_domain = 2;
+        let deployment = Deployment::start(plan).expect("the deployment starts");
+        wait_until_hosts_know_each_other(&deployment);
+        let bench = Self { deployment, caller: Caller::new("retail-key", Duration::from_secs(20)) };
+        bench.wait_for_agreement(ConfigNumber(1));
+        bench
+    }
+
+    fn side(&self, cut: bool) -> impl Iterator<Item = &Running> {
+        let hosts = self.deployment.running();
+        hosts.filter(move |r| (r.host.settings.domain.as_str() == CUT_SIDE) == cut)
+    }
+
+    /// Drops or restores the messages that the cut side exchanges with other domains.
+    fn set_cut(&self, partition: &Partition, active: bool) {
+        for running in self.side(true) {
+            for domain in partition.domains {
+                for direction in partition.directions {
+                    let far = Far::Domain(DomainName::new(domain));
+                    running.host.peers.set_cut(Cut { direction: *direction, far }, active);
+                }
+            }
+        }
+        let fault = match (partition.platform, active) {
+            (false, _) => return,
+            (true, true) => Fault::StoreCut { target: DomainName::new(CUT_SIDE) },
+            (true, false) => Fault::Heal,
+        };
+        let for_ms = STORE_CUT_MS;
+        self.deployment.standin.inject(FaultRequest { fault, for_ms }).expect("it is known");
+    }
+
+    /// Waits until the cut side sees the hosts of the other domains as cut off.
+    fn wait_until_cut_off(&self, partition: &Partition) {
+        let sees = |running: &Running| {
+            let members = running.host.fleet.members();
+            let is_far = |domain: &DomainName| partition.domains.contains(&domain.as_str());
+            members.hosts.values().all(|member| member.cut_off == is_far(&member.domain))
+        };
+        wait("the cut is not seen", || self.side(true).all(sees));
+    }
+
+    /// Waits until all hosts see the same hosts as usable and hold the same configuration.
+    fn wait_for_agreement(&self, number: ConfigNumber) {
+        let mut names: Vec<HostName> =
+            self.deployment.running().map(|running| running.host.settings.host.clone()).collect();
+        names.sort();
+        let agrees = |running: &Running| {
+            let members = running.host.fleet.members();
+            members.usable().map(|(name, _)| name).eq(&names)
+                && members.hosts.len() == names.len()
+                && running.host.configuration.number() == number
+        };
+        wait("the hosts do not agree", || self.deployment.running().all(agrees));
+    }
+
+    fn publish_change(&self) -> ConfigNumber {
+        let patch = json!({"domains": {"swaileh": {"region": "amman"}}});
+        let change = Change::Patch { base: ConfigNumber(1), patch };
+        let store = StoreClient::new(self.deployment.standin.store_address());
+        let pause = &mut |pause: yuccanotch_core::clock::Millis| thread::sleep(pause.to_duration());
+        let published = drive(Publisher::new(PatchId(2), change), &store, pause);
+        assert_eq!(published, Published::Accepted(ConfigNumber(2)));
+        ConfigNumber(2)
+    }
+
+    fn assert_serves(&self, host: SocketAddr) {
+        let stock = self.caller.plain(host, "GET", "/ordering/stock?item=kraft-90", None, "");
+        assert_eq!(stock.expect("idempotent work is served").status, 200);
+        let chat = self.caller.chat(host, "assistant", "Quote 5000 brown bags.", 16, None);
+        assert!(!chat.expect("a model request is served").tokens.is_empty());
+    }
+
+    fn confirm(&self, host: SocketAddr, key: &str) -> Result<PlainAnswer, CallError> {
+        self.caller.plain(host, "POST", "/ordering/confirmations", Some(key), BODY)
+    }
+
+    /// Sends a call to a host of each side at the same time.
+    fn confirm_on_both_sides(&self, key: &str) {
+        let cut = self.side(true).next().expect("a host").callers;
+        let other = self.side(false).next().expect("a host").callers;
+        thread::scope(|scope| {
+            for host in [cut, other] {
+                scope.spawn(move || self.assert_answered_or_unknown(host, key));
+            }
+        });
+        assert!(self.runs(key) <= 1, "{key} ran {} times", self.runs(key));
+    }
+
+    fn assert_answered_or_unknown(&self, host: SocketAddr, key: &str) {
+        match self.confirm(host, key) {
+            Ok(answer) => assert_eq!(answer.status, 200),
+            Err(CallError::Refused(problem)) => {
+                assert_eq!(problem.outcome, Outcome::Unknown, "{problem:?}");
+            }
+            Err(other) => panic!("{other:?}"),
+        }
+    }
+
+    /// Every host gives the same answer in the end and the call ran once, or all say `unknown`.
+    fn assert_settles(&self, key: &str) {
+        let hosts: Vec<SocketAddr> = self.deployment.running().map(|r| r.callers).collect();
+        let mut settled: Vec<Option<PlainAnswer>> = Vec::new();
+        for host in hosts {
+            wait("the call does not settle", || match self.confirm(host, key) {
+                Ok(answer) => {
+                    settled.push(Some(answer));
+                    true
+                }
+                Err(CallError::Refused(problem)) if problem.retry_after_ms.is_some() => false,
+                Err(CallError::Refused(problem)) => {
+                    assert_eq!(problem.outcome, Outcome::Unknown, "{problem:?}");
+                    settled.push(None);
+                    true
+                }
+                Err(other) => panic!("{other:?}"),
+            });
+        }
+        assert!(settled.iter().all(|answer| *answer == settled[0]), "{settled:?}");
+        match &settled[0] {
+            Some(_) => assert_eq!(self.runs(key), 1),
+            None => assert!(self.runs(key) <= 1),
+        }
+    }
+
+    fn runs(&self, key: &str) -> usize {
+        let calls = self.deployment.standin.record().calls;
+        calls.iter().filter(|call| call.key.as_deref() == Some(key)).count()
+    }
+}
+
+fn wait(failure: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..PATIENCE.as_millis() / POLL.as_millis() {
+        if holds() {
+            return;
+        }
+        thread::sleep(POLL);
+    }
+    panic!("{failure}");
+}
+
+/// Cuts, serves on both sides, changes the configuration, heals, and expects agreement.
+fn serves_and_agrees_after(partition: &Partition) {
+    let bench = Bench::start();
+    bench.set_cut(partition, true);
+    bench.confirm_on_both_sides("order-early");
+    bench.wait_until_cut_off(partition);
+    for running in bench.deployment.running() {
+        bench.assert_serves(running.callers);
+    }
+    bench.confirm_on_both_sides("order-late");
+    let number = bench.publish_change();
+    bench.set_cut(partition, false);
+    bench.wait_for_agreement(number);
+    for key in ["order-early", "order-late"] {
+        bench.assert_settles(key);
+    }
+    bench.deployment.stop();
+}
+
+#[test]
+fn a_domain_cut_from_one_other_serves_and_agrees_after_healing() {
+    let domains = &OTHERS[..1];
+    serves_and_agrees_after(&Partition { domains, directions: &BOTH, platform: false });
+}
+
+#[test]
+fn a_domain_cut_from_all_others_serves_and_agrees_after_healing() {
+    serves_and_agrees_after(&Partition { domains: &OTHERS, directions: &BOTH, platform: false });
+}
+
+#[test]
+fn a_domain_cut_from_the_platform_serves_and_agrees_after_healing() {
+    serves_and_agrees_after(&Partition { domains: &[], directions: &[], platform: true });
+}
+
+#[test]
+fn a_domain_cut_from_all_others_and_the_platform_serves_and_agrees_after_healing() {
+    serves_and_agrees_after(&Partition { domains: &OTHERS, directions: &BOTH, platform: true });
+}
+
+#[test]
+fn a_domain_that_is_heard_but_does_not_hear_serves_and_agrees_after_healing() {
+    let directions = &[Direction::From];
+    serves_and_agrees_after(&Partition { domains: &OTHERS, directions, platform: false });
+}
