Measure the first spread apart from the steady state

Cause: slopes measured after a warm-up of 25 s, so large rows still held the first spread.

Mechanism unchanged.

--- a/crates/check/src/cmd_slopes.rs
+++ b/crates/check/src/cmd_slopes.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
+use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -14,6 +16,8 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
@@ -54,15 +58,20 @@
 
 Options:
     --seconds N    Seconds measured for each size [default: 8]
+    --warm-up N    Seconds before that, for the first spread [default: 80]
     -h, --help     Prints this text.
 
+All sizes are measured at once, each in a process of its own. The first spread
+is complete when every host holds a load and the holdings of every server.
+
 Backend servers are synthetic: each observation brings a changed load. The
 bytes of observations and of the host list are worked out from the size of
 one report and one entry.
 ";
 
 const DEFAULT_SECONDS: u64 = 8;
-const WARM_UP: Duration = Duration::from_secs(25);
+const DEFAULT_WARM_UP: u64 = 80;
+const WINDOW: Duration = Duration::from_secs(1);
 const DOMAINS: usize = 2;
 const TICK: Duration = Duration::from_millis(100);
 const CALL_TIMEOUT: Millis = Millis(1_000);
@@ -115,7 +124,7 @@
 }
 
 /// Cost of one host.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 struct Cost {
     hosts: f64,
     servers: f64,
@@ -124,6 +133,18 @@
     bytes_per_s: f64,
     calls_per_s: f64,
     stale_ms: f64,
+    first: FirstSpread,
+}
+
+/// The first spread of loads and holdings.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+struct FirstSpread {
+    /// Seconds until it was complete; `None` when the warm-up ended before.
+    complete_s: Option<f64>,
+    /// Mean bytes per second and host until then.
+    bytes_per_s: f64,
+    /// Most bytes per second and host in one window.
+    peak_bytes_per_s: f64,
 }
 
 /// Runs the command.
@@ -133,34 +154,77 @@
 /// Returns an error when the command line is wrong or a host does not start.
 pub fn run(mut parser: lexopt::Parser) -> CliResult<()> {
     let mut seconds = DEFAULT_SECONDS;
+    let mut warm_up = DEFAULT_WARM_UP;
+    let mut size = None;
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
+            Arg::Long("warm-up") => warm_up = parser.value()?.parse()?,
+            // Given to the processes that this command starts.
+            Arg::Long("size") => {
+                size = Some((parser.value()?.parse()?, parser.value()?.parse()?));
+            }
             Arg::Long("help") | Arg::Short('h') => {
-                outln!("{}", USAGE.trim());
+                println!("{}", USAGE.trim());
                 return Ok(());
             }
             _ => return Err(arg.unexpected().into()),
         }
     }
-    outln!("hosts servers  cpu%/host  rss MB/host  bytes/s/host  calls/s/host  mean age ms");
-    let mut costs = Vec::new();
-    for (hosts, servers) in SIZES {
-        let cost = measure(hosts, servers, Duration::from_secs(seconds))?;
-        outln!(
-            "{hosts:5} {servers:7}  {:9.3}  {:11.2}  {:12.0}  {:12.1}  {:11.0}",
-            cost.cpu_percent,
-            cost.rss_mb,
-            cost.bytes_per_s,
-            cost.calls_per_s,
-            cost.stale_ms
-        );
-        costs.push(cost);
+    if let Some((hosts, servers)) = size {
+        let spans = (Duration::from_secs(warm_up), Duration::from_secs(seconds));
+        let cost = measure(hosts, servers, spans.0, spans.1)?;
+        println!("{}", serde_json::to_string(&cost).map_err(failed)?);
+        return Ok(());
+    }
+    let costs = measure_all(warm_up, seconds)?;
+    println!("hosts servers  cpu%/host  rss MB/host  bytes/s/host  calls/s/host  mean age ms  first spread s  bytes/s/host  peak");
+    for cost in &costs {
+        print_row(cost);
     }
     work_out(&costs);
     Ok(())
 }
 
+fn failed(e: impl std::fmt::Display) -> CliError {
+    CliError::Failed(e.to_string())
+}
+
+/// Measures each size in a process of its own, all at the same time.
+fn measure_all(warm_up: u64, seconds: u64) -> CliResult<Vec<Cost>> {
+    let program = std::env::current_exe().map_err(failed)?;
+    let mut running = Vec::new();
+    for (hosts, servers) in SIZES {
+        let mut command = Command::new(&program);
+        command.arg("slopes").arg("--size").arg(hosts.to_string()).arg(servers.to_string());
+        command.arg("--warm-up").arg(warm_up.to_string());
+        command.arg("--seconds").arg(seconds.to_string());
+        running.push(command.stdout(Stdio::piped()).spawn().map_err(failed)?);
+    }
+    let mut costs = Vec::new();
+    for process in running {
+        let output = process.wait_with_output().map_err(failed)?;
+        costs.push(serde_json::from_slice(&output.stdout).map_err(failed)?);
+    }
+    Ok(costs)
+}
+
+fn print_row(cost: &Cost) {
+    let complete = cost.first.complete_s.map_or("open".to_owned(), |s| format!("{s:.1}"));
+    println!(
+        "{:5} {:7}  {:9.3}  {:11.2}  {:12.0}  {:12.1}  {:11.0}  {complete:>14}  {:12.0}  {:.0}",
+        cost.hosts,
+        cost.servers,
+        cost.cpu_percent,
+        cost.rss_mb,
+        cost.bytes_per_s,
+        cost.calls_per_s,
+        cost.stale_ms,
+        cost.first.bytes_per_s,
+        cost.first.peak_bytes_per_s
+    );
+}
+
 fn work_out(costs: &[Cost]) {
     let at_target = |value: fn(&Cost) -> f64| {
         let (base, per_host, per_server) = fit(costs, value);
@@ -172,7 +236,7 @@
     };
     print("cpu percent of a core", |cost| cost.cpu_percent, "2");
     print("memory MB", |cost| cost.rss_mb, "32");
-    print("link bytes/s", |cost| cost.bytes_per_s, "29000");
+    print("link bytes/s after the warm-up", |cost| cost.bytes_per_s, "29000");
     let report = serde_json::to_vec(&report("server-0", 0, 20)).map_or(0, |json| json.len());
     let observed = OBSERVERS * TARGET_SERVERS / TARGET_HOSTS;
     let observation = observed * (report as f64 + HTTP_CALL_BYTES);
@@ -206,7 +270,7 @@
     (mv - per_host * mh - per_server * ms, per_host, per_server)
 }
 
-fn measure(hosts: usize, servers: usize, span: Duration) -> CliResult<Cost> {
+fn measure(hosts: usize, servers: usize, warm_up: Duration, span: Duration) -> CliResult<Cost> {
     let rss_before = rss_bytes();
     let declared: Vec<DeclaredServer> =
         (0..servers).map(|i| DeclaredServer { name: server_name(i), domain: domain(i) }).collect();
@@ -226,7 +290,9 @@
     let list = host_list(&nodes);
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     let mut loads: BTreeMap<ServerName, u32> = BTreeMap::new();
-    drive(&nodes, &list, &mut rng, &mut loads, WARM_UP);
+    let first = first_spread(&nodes, servers, warm_up, |window| {
+        drive(&nodes, &list, &mut rng, &mut loads, window);
+    });
     let before = (cpu_ticks(), bytes(&nodes), calls(&nodes));
     drive(&nodes, &list, &mut rng, &mut loads, span);
     let seconds = span.as_secs_f64();
@@ -239,9 +305,45 @@
         bytes_per_s: (bytes(&nodes) - before.1) as f64 / each,
         calls_per_s: (calls(&nodes) - before.2) as f64 / each,
         stale_ms: mean_age(&nodes),
+        first,
     })
 }
 
+/// Runs the warm-up window by window and watches the first spread.
+fn first_spread(
+    nodes: &[Arc<Node>],
+    servers: usize,
+    warm_up: Duration,
+    mut drive: impl FnMut(Duration),
+) -> FirstSpread {
+    let mut first = FirstSpread::default();
+    let hosts = nodes.len() as f64;
+    let start = Instant::now();
+    let mut before = bytes(nodes);
+    let initial = before;
+    while start.elapsed() < warm_up {
+        drive(WINDOW);
+        let after = bytes(nodes);
+        let rate = (after - before) as f64 / hosts / WINDOW.as_secs_f64();
+        first.peak_bytes_per_s = first.peak_bytes_per_s.max(rate);
+        before = after;
+        if first.complete_s.is_none() {
+            let elapsed = start.elapsed().as_secs_f64();
+            first.bytes_per_s = (after - initial) as f64 / hosts / elapsed;
+            if nodes.iter().all(|node| knows_all(node, servers)) {
+                first.complete_s = Some(elapsed);
+            }
+        }
+    }
+    first
+}
+
+fn knows_all(node: &Node, servers: usize) -> bool {
+    let guard = node.node.lock().expect("no panic");
+    let known = guard.servers().filter(|(_, record)| record.report.is_some()).count();
+    known == servers
+}
+
 fn domain(index: usize) -> DomainName {
     DomainName::new(&format!("domain-{}", index % DOMAINS))
 }
