--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -57,17 +57,33 @@
     }
 }
 
+/// Renders the counters with those of the links, which count for themselves.
+fn metrics(host: &Host) -> String {
+    let figures = host.peers.figures();
+    let set = |name, value| host.telemetry.counter_at(name, "", value);
+    set("yuccanotch_link_bytes_in_total", figures.bytes_in);
+    set("yuccanotch_link_bytes_out_total", figures.bytes_out);
+    set("yuccanotch_link_connects_total", figures.connects);
+    set("yuccanotch_link_accepts_total", figures.accepts);
+    set("yuccanotch_link_calls_total", figures.calls);
+    set("yuccanotch_link_failed_calls_total", figures.failed_calls);
+    set("yuccanotch_link_served_total", figures.served);
+    set("yuccanotch_link_dropped_sends_total", figures.dropped_sends);
+    for (fault, count) in &figures.faults {
+        host.telemetry.counter_at("yuccanotch_link_faults_total", fault.as_str(), *count);
+    }
+    host.telemetry.render()
+}
+
 fn answer(host: &Arc<Host>, req: Request) {
     let answer = match (req.method(), req.url()) {
         (Method::Get, "/healthz") => {
             let (status, text) = host.health();
             Answer::text(status, text)
         }
-        (Method::Get, "/metrics") => Answer {
-            status: 200,
-            content_type: "text/plain; version=0.0.4",
-            body: host.telemetry.render(),
-        },
+        (Method::Get, "/metrics") => {
+            Answer { status: 200, content_type: "text/plain; version=0.0.4", body: metrics(host) }
+        }
         _ => operators::answer(host, &req),
     };
     let mut response = Response::from_string(answer.body).with_status_code(answer.status);
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -107,6 +107,15 @@
         counter.increment(n);
     }
 
+    /// Brings the counter `name` up to `value`, which is counted elsewhere.
+    pub fn counter_at(&self, name: &'static str, label: &str, value: u64) {
+        let mut others = self.others.lock().expect("no panic while counting");
+        let counter = others
+            .entry((name, label.to_owned()))
+            .or_insert_with(|| register(&self.recorder, name, label));
+        counter.absolute(value);
+    }
+
     /// Sets the gauge `name`.
     pub fn gauge(&self, name: &'static str, value: f64) {
         let mut gauges = self.gauges.lock().expect("no panic while counting");
