Keep a configuration whole when the store goes back

Change: the publisher writes its chunks again where they are gone once its manifest is known to be current, also when it learns that by settling a lost answer. A recovery reads only the manifest when chunks are missing. A resumed publication that cannot read the store ends as unknown, not as failed.

New cases: config, orders (a version rolled out by changing issuers) and share (hosts cut apart).

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -47,6 +47,12 @@
     Fleet => ("fleet", crate::fleet_case::run),
     /// Quarantine: a poison request stops after two servers and innocent ones finish.
     Quarantine => ("quarantine", crate::quarantine_case::run),
+    /// Operators, hosts and a store under faults: nothing accepted reverts.
+    Config => ("config", crate::config_case::run),
+    /// Orders: a model stays served while a version is rolled out.
+    Orders => ("orders", crate::orders_case::run),
+    /// Shares: the hosts together stay within twice a limit.
+    Share => ("share", crate::share_case::run),
     /// Rendezvous hashing: a member's leaving moves only its own keys.
     Rendezvous => ("rendezvous", crate::rendezvous_case::run),
     /// Admission: limits, bounds, single verdicts, deadlines.
--- /dev/null
+++ b/crates/check/src/config_case.rs
@@ -0,0 +1,563 @@
+//! Randomised case: operators, hosts and a store under faults.
+//!
+//! Operators race with patches; the store loses calls and answers, is away, and may go back to an
+//! old copy; hosts restart; peers send chunks with other bytes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::adopter::AdoptAction;
+use yuccanotch_core::config::adopter::AdoptEvent;
+use yuccanotch_core::config::adopter::Adopter;
+use yuccanotch_core::config::adopter::Source;
+use yuccanotch_core::config::call::Procedure;
+use yuccanotch_core::config::call::Step;
+use yuccanotch_core::config::call::StoreAnswer;
+use yuccanotch_core::config::call::StoreCall;
+use yuccanotch_core::config::collect::Collector;
+use yuccanotch_core::config::document::Document;
+use yuccanotch_core::config::floor::FloorRaiser;
+use yuccanotch_core::config::manifest::Floor;
+use yuccanotch_core::config::manifest::Manifest;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::manifest::MANIFEST_KEY;
+use yuccanotch_core::config::messages::WireChunk;
+use yuccanotch_core::config::publisher::Change;
+use yuccanotch_core::config::publisher::Published;
+use yuccanotch_core::config::publisher::Publisher;
+use yuccanotch_core::config::reader::Chunks;
+use yuccanotch_core::config::reader::Reader;
+use yuccanotch_core::config::ConfigError;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::store::StoreError;
+use yuccanotch_core::store::Versioned;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+const STEPS: usize = 400;
+const HEALED_ROUNDS: usize = 40;
+const MAX_OPERATORS: usize = 4;
+
+type Keys = BTreeMap<String, Versioned>;
+
+/// A store that loses calls and answers; a lost call may take effect later.
+#[derive(Default)]
+struct FakeStore {
+    keys: Keys,
+    copy: Option<Keys>,
+    late: Vec<StoreCall>,
+    away: bool,
+    /// Each manifest that was ever current: number and patch.
+    history: BTreeSet<(ConfigNumber, PatchId)>,
+}
+
+impl FakeStore {
+    fn apply(&mut self, call: &StoreCall) -> StoreAnswer {
+        match call {
+            StoreCall::Get(key) => StoreAnswer::Value(self.keys.get(key).cloned()),
+            StoreCall::List(prefix) => {
+                let keys = self.keys.iter().filter(|(key, _)| key.starts_with(prefix.as_str()));
+                StoreAnswer::Keys(keys.map(|(key, found)| (key.clone(), found.version)).collect())
+            }
+            StoreCall::Delete { key, expect } => match self.check(key, *expect) {
+                Ok(_) => {
+                    self.keys.remove(key);
+                    StoreAnswer::Deleted
+                }
+                Err(e) => StoreAnswer::Failed(e),
+            },
+            StoreCall::Swap { key, expect, value } => match self.check(key, *expect) {
+                Ok(current) => {
+                    let version = current.next();
+                    self.keys.insert(key.clone(), Versioned { version, value: value.clone() });
+                    self.note(key, value);
+                    StoreAnswer::Written(version)
+                }
+                Err(e) => StoreAnswer::Failed(e),
+            },
+        }
+    }
+
+    fn check(&self, key: &str, expect: KeyVersion) -> Result<KeyVersion, StoreError> {
+        let current = self.keys.get(key).map_or(KeyVersion(0), |found| found.version);
+        if current == expect {
+            Ok(current)
+        } else {
+            Err(StoreError::Conflict(current))
+        }
+    }
+
+    fn note(&mut self, key: &str, value: &[u8]) {
+        if key == MANIFEST_KEY {
+            if let Ok(manifest) = Manifest::decode(value) {
+                self.history.insert((manifest.number, manifest.patch));
+            }
+        }
+    }
+
+    fn call(&mut self, call: &StoreCall, faults: bool, rng: &mut Pcg64Mcg) -> StoreAnswer {
+        if !faults {
+            return self.apply(call);
+        }
+        if self.away {
+            return StoreAnswer::Failed(StoreError::Refused(503));
+        }
+        match rng.random_range(0..100) {
+            0..5 => StoreAnswer::Failed(StoreError::AnswerLost),
+            5..10 => {
+                self.late.push(call.clone());
+                StoreAnswer::Failed(StoreError::AnswerLost)
+            }
+            10..15 => {
+                self.apply(call);
+                StoreAnswer::Failed(StoreError::AnswerLost)
+            }
+            15..18 => StoreAnswer::Failed(StoreError::Unreachable),
+            _ => self.apply(call),
+        }
+    }
+
+    fn manifest(&self) -> Option<Manifest> {
+        Manifest::decode(&self.keys.get(MANIFEST_KEY)?.value).ok()
+    }
+}
+
+struct Operator {
+    publisher: Publisher,
+    answer: Option<StoreAnswer>,
+}
+
+struct FakeHost {
+    name: HostName,
+    adopter: Adopter,
+    pending: Vec<AdoptAction>,
+}
+
+struct World<'a> {
+    rng: Pcg64Mcg,
+    trace: &'a mut Trace,
+    store: FakeStore,
+    hosts: Vec<FakeHost>,
+    operators: Vec<Operator>,
+    /// Patches that were told not to be accepted.
+    refused: BTreeSet<PatchId>,
+    collector: Option<(Collector, Option<StoreAnswer>)>,
+    now: Millis,
+    next_id: u64,
+    faults: bool,
+    restores: bool,
+    restored: bool,
+}
+
+/// Runs the case.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let restores = rng.random_bool(0.5);
+    let count = rng.random_range(2..=5);
+    let host = |i| FakeHost {
+        name: HostName::new(&format!("entry-{i}")),
+        adopter: Adopter::new(),
+        pending: Vec::new(),
+    };
+    let mut world = World {
+        rng,
+        trace,
+        store: FakeStore::default(),
+        hosts: (0..count).map(host).collect(),
+        operators: Vec::new(),
+        refused: BTreeSet::new(),
+        collector: None,
+        now: Millis(0),
+        next_id: 1,
+        faults: false,
+        restores,
+        restored: false,
+    };
+    world.publish_whole(Change::First(first_document()))?;
+    world.faults = true;
+    for _ in 0..STEPS {
+        world.step()?;
+        world.check()?;
+    }
+    world.heal()
+}
+
+fn first_document() -> Document {
+    let domains = json!({"domains": {"d-0": {"region": "r"}, "d-x": {"region": "r"}}});
+    Document::try_from(domains).expect("the document is an object of objects")
+}
+
+impl World<'_> {
+    fn step(&mut self) -> CaseResult {
+        self.now = self.now + Millis(self.rng.random_range(1..200));
+        match self.rng.random_range(0..100) {
+            0..8 => self.start_operator(),
+            8..45 => self.step_operator()?,
+            45..55 => self.watch(),
+            55..62 => self.gossip(),
+            62..82 => self.step_host()?,
+            82..86 => self.tick()?,
+            86..88 => self.restart_host(),
+            88..92 => self.step_collector(),
+            92..94 => self.store.away = !self.store.away,
+            94..97 => self.late_call(),
+            97..98 if self.restores => self.copy_or_restore(),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn fresh_id(&mut self) -> PatchId {
+        self.next_id += 1;
+        PatchId(self.next_id)
+    }
+
+    fn start_operator(&mut self) {
+        if self.operators.len() >= MAX_OPERATORS {
+            return;
+        }
+        let id = self.fresh_id();
+        let current = self.store.manifest().map_or(0, |manifest| manifest.number.0);
+        let lag = if self.rng.random_bool(0.2) { 1 } else { 0 };
+        let base = ConfigNumber(current.saturating_sub(lag));
+        let patch = json!({"domains": {format!("d-{id}"): {"region": "r"}, "d-x": null}});
+        self.trace.add(format!("operator {id} patches {base}"));
+        let publisher = Publisher::new(id, Change::Patch { base, patch });
+        self.operators.push(Operator { publisher, answer: None });
+    }
+
+    fn step_operator(&mut self) -> CaseResult {
+        if self.operators.is_empty() {
+            return Ok(());
+        }
+        let i = self.rng.random_range(0..self.operators.len());
+        let operator = &mut self.operators[i];
+        match operator.publisher.next(operator.answer.take()) {
+            Step::Call { call, .. } => {
+                let answer = self.store.call(&call, self.faults, &mut self.rng);
+                operator.answer = Some(answer);
+                Ok(())
+            }
+            Step::Done(outcome) => {
+                let id = operator.publisher.id();
+                self.operators.swap_remove(i);
+                self.end(id, &outcome)
+            }
+        }
+    }
+
+    fn end(&mut self, id: PatchId, outcome: &Published) -> CaseResult {
+        self.trace.add(format!("operator {id} ends with {outcome:?}"));
+        match outcome {
+            Published::Accepted(number) if !self.store.history.contains(&(*number, id)) => {
+                Err(format!("patch {id} was told accepted as {number} and is not"))
+            }
+            Published::Stale { .. }
+            | Published::Failed(_)
+            | Published::Invalid(_)
+            | Published::Behind { .. }
+            | Published::Empty
+            | Published::Unchanged(_) => {
+                self.refused.insert(id);
+                Ok(())
+            }
+            Published::Accepted(_) | Published::Unknown => Ok(()),
+        }
+    }
+
+    fn on_event(&mut self, i: usize, event: AdoptEvent) -> CaseResult {
+        let host = &mut self.hosts[i];
+        let before = host.adopter.number();
+        for action in host.adopter.on_event(self.now, event) {
+            match action {
+                AdoptAction::Adopt(active) => {
+                    self.trace.add(format!("{} adopts {}", host.name, active.number));
+                    if active.number <= before {
+                        return Err(format!("{} went from {before} back", host.name));
+                    }
+                    if !self.store.history.contains(&(active.number, active.patch())) {
+                        return Err(format!("{} was never accepted", active.number));
+                    }
+                }
+                other => host.pending.push(other),
+            }
+        }
+        Ok(())
+    }
+
+    fn step_host(&mut self) -> CaseResult {
+        let i = self.rng.random_range(0..self.hosts.len());
+        if self.hosts[i].pending.is_empty() {
+            return Ok(());
+        }
+        let action = self.hosts[i].pending.remove(0);
+        match action {
+            AdoptAction::FetchManifest(from) => {
+                let manifest = self.manifest_of(&from);
+                let event = match manifest {
+                    Some(manifest) => AdoptEvent::Manifest { from, manifest },
+                    None => AdoptEvent::Failed { from },
+                };
+                self.on_event(i, event)
+            }
+            AdoptAction::FetchChunks { from, chunks } => {
+                let mut found = Vec::new();
+                for chunk in &chunks {
+                    let bytes = match &from {
+                        Source::Store => self.chunk_in_store(&chunk.key()),
+                        Source::Peer(peer) => self.chunk_of_peer(peer, &chunk.digest),
+                    };
+                    found.extend(bytes.map(|bytes| WireChunk { digest: chunk.digest, bytes }));
+                }
+                self.on_event(i, AdoptEvent::Chunks { from, chunks: found })
+            }
+            AdoptAction::RaiseFloor(number) => {
+                let floor = Floor { number, host: self.hosts[i].name.clone() };
+                let raised = self.run(FloorRaiser::new(floor));
+                self.trace.add(format!("floor {number}: {raised}"));
+                Ok(())
+            }
+            AdoptAction::Report(_) | AdoptAction::Adopt(_) => Ok(()),
+        }
+    }
+
+    fn run<P: Procedure>(&mut self, mut procedure: P) -> P::Outcome {
+        let mut answer = None;
+        loop {
+            match procedure.next(answer.take()) {
+                Step::Call { call, .. } => {
+                    answer = Some(self.store.call(&call, self.faults, &mut self.rng));
+                }
+                Step::Done(outcome) => return outcome,
+            }
+        }
+    }
+
+    fn manifest_of(&mut self, from: &Source) -> Option<Option<Manifest>> {
+        match from {
+            Source::Store => {
+                let call = StoreCall::Get(MANIFEST_KEY.to_owned());
+                match self.store.call(&call, self.faults, &mut self.rng) {
+                    StoreAnswer::Value(found) => {
+                        Some(found.and_then(|found| Manifest::decode(&found.value).ok()))
+                    }
+                    _ => None,
+                }
+            }
+            Source::Peer(peer) => {
+                if self.faults && self.rng.random_bool(0.1) {
+                    return None;
+                }
+                let active = self.peer(peer)?.adopter.active();
+                Some(active.map(|active| active.manifest().clone()))
+            }
+        }
+    }
+
+    fn peer(&self, name: &HostName) -> Option<&FakeHost> {
+        self.hosts.iter().find(|host| host.name == *name)
+    }
+
+    fn chunk_in_store(&mut self, key: &str) -> Option<Vec<u8>> {
+        let call = StoreCall::Get(key.to_owned());
+        match self.store.call(&call, self.faults, &mut self.rng) {
+            StoreAnswer::Value(found) => found.map(|found| found.value),
+            _ => None,
+        }
+    }
+
+    fn chunk_of_peer(
+        &mut self,
+        peer: &HostName,
+        digest: &yuccanotch_core::digest::Digest,
+    ) -> Option<Vec<u8>> {
+        let spoilt = self.faults && self.rng.random_bool(0.05);
+        let active = self.peer(peer)?.adopter.active()?;
+        let mut bytes = active.chunks().get(digest)?.to_vec();
+        if spoilt {
+            bytes.push(b' ');
+        }
+        Some(bytes)
+    }
+
+    fn watch(&mut self) {
+        let i = self.rng.random_range(0..self.hosts.len());
+        self.hosts[i].pending.push(AdoptAction::FetchManifest(Source::Store));
+    }
+
+    fn gossip(&mut self) {
+        let names: Vec<usize> = (0..self.hosts.len()).collect();
+        let (Some(&to), Some(&from)) = (names.choose(&mut self.rng), names.choose(&mut self.rng))
+        else {
+            return;
+        };
+        self.hear(to, from);
+    }
+
+    fn hear(&mut self, to: usize, from: usize) {
+        if to == from {
+            return;
+        }
+        let number = self.hosts[from].adopter.number();
+        let event = AdoptEvent::Heard { from: self.hosts[from].name.clone(), number };
+        let actions = self.hosts[to].adopter.on_event(self.now, event);
+        self.hosts[to].pending.extend(actions);
+    }
+
+    fn tick(&mut self) -> CaseResult {
+        let i = self.rng.random_range(0..self.hosts.len());
+        self.on_event(i, AdoptEvent::Tick)
+    }
+
+    fn restart_host(&mut self) {
+        let i = self.rng.random_range(0..self.hosts.len());
+        self.trace.add(format!("{} restarts", self.hosts[i].name));
+        self.hosts[i].adopter = Adopter::new();
+        self.hosts[i].pending.clear();
+    }
+
+    fn step_collector(&mut self) {
+        // A collector that is paused over a restore may delete chunks of the old copy.
+        if self.restores {
+            return;
+        }
+        let (mut collector, answer) =
+            self.collector.take().unwrap_or_else(|| (Collector::new(), None));
+        if let Step::Call { call, .. } = collector.next(answer) {
+            let answer = self.store.call(&call, self.faults, &mut self.rng);
+            self.collector = Some((collector, Some(answer)));
+        }
+    }
+
+    fn late_call(&mut self) {
+        if !self.store.late.is_empty() {
+            let i = self.rng.random_range(0..self.store.late.len());
+            let call = self.store.late.swap_remove(i);
+            self.store.apply(&call);
+        }
+    }
+
+    fn copy_or_restore(&mut self) {
+        match self.store.copy.take() {
+            Some(copy) => {
+                self.trace.add("the store goes back to its copy");
+                self.store.keys = copy;
+                self.store.late.clear();
+                self.restored = true;
+            }
+            None => self.store.copy = Some(self.store.keys.clone()),
+        }
+    }
+
+    fn check(&self) -> CaseResult {
+        let refused = |(_, patch): &&(ConfigNumber, PatchId)| self.refused.contains(patch);
+        if let Some((number, patch)) = self.store.history.iter().find(refused) {
+            return Err(format!("patch {patch} was told refused and is accepted as {number}"));
+        }
+        if self.restored {
+            return Ok(());
+        }
+        let numbers: BTreeSet<ConfigNumber> =
+            self.store.history.iter().map(|(number, _)| *number).collect();
+        if numbers.len() != self.store.history.len() {
+            return Err("two patches were accepted under one number".to_owned());
+        }
+        Ok(())
+    }
+
+    fn publish_whole(&mut self, change: Change) -> CaseResult {
+        let id = self.fresh_id();
+        let outcome = self.run(Publisher::new(id, change));
+        self.end(id, &outcome)?;
+        match outcome {
+            Published::Accepted(_) => Ok(()),
+            other => Err(format!("a patch without faults ended with {other:?}")),
+        }
+    }
+
+    /// Ends all faults and checks that all hosts come to one configuration.
+    fn heal(&mut self) -> CaseResult {
+        self.faults = false;
+        while !self.operators.is_empty() {
+            self.step_operator()?;
+        }
+        let late = std::mem::take(&mut self.store.late);
+        late.iter().for_each(|call| {
+            self.store.apply(call);
+        });
+        self.check()?;
+        self.recover()?;
+        let base = self.store.manifest().map(|manifest| manifest.number).unwrap_or_default();
+        let patch = json!({"domains": {"d-last": {"region": "r"}}});
+        self.publish_whole(Change::Patch { base, patch })?;
+        for _ in 0..HEALED_ROUNDS {
+            self.healed_round()?;
+        }
+        self.converged()
+    }
+
+    /// Does what operators do when the store is behind the hosts.
+    fn recover(&mut self) -> CaseResult {
+        let is_incomplete =
+            matches!(self.run(Reader::new(Chunks::new())), Err(ConfigError::MissingChunk(_)));
+        let highest = self.hosts.iter().max_by_key(|host| host.adopter.number());
+        let active = highest.and_then(|host| host.adopter.active());
+        let (number, document) = match active {
+            Some(active) => (active.number, active.document().map_err(|e| e.to_string())?),
+            None => (ConfigNumber(0), first_document()),
+        };
+        if is_incomplete && self.restored {
+            self.trace.add("chunks were lost with the store's latest state");
+            return self.publish_whole(Change::Recovery { highest: number, document });
+        }
+        let stored = self.store.manifest();
+        let marked = stored.as_ref().and_then(Manifest::behind);
+        let in_store = stored.map(|manifest| manifest.number).unwrap_or_default();
+        let held = number.max(marked.unwrap_or_default());
+        if held <= in_store {
+            return Ok(());
+        }
+        self.publish_whole(Change::Recovery { highest: held, document })
+    }
+
+    fn healed_round(&mut self) -> CaseResult {
+        self.now = self.now + Millis(1_500);
+        for i in 0..self.hosts.len() {
+            self.on_event(i, AdoptEvent::Tick)?;
+            self.hosts[i].pending.push(AdoptAction::FetchManifest(Source::Store));
+            for from in 0..self.hosts.len() {
+                self.hear(i, from);
+            }
+        }
+        for _ in 0..self.hosts.len() * 16 {
+            self.step_host()?;
+        }
+        Ok(())
+    }
+
+    fn converged(&mut self) -> CaseResult {
+        let stored = self
+            .run(Reader::new(Chunks::new()))
+            .map_err(|e| format!("the store can't be read: {e}"))?
+            .ok_or("the store is empty")?;
+        for host in &self.hosts {
+            let held = host.adopter.active().map(|active| (active.number, active.patch()));
+            if held != Some((stored.manifest.number, stored.manifest.patch)) {
+                return Err(format!(
+                    "{} holds {held:?}, the store {}",
+                    host.name, stored.manifest.number
+                ));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -20,13 +20,16 @@
 mod cmd_route_bench;
 mod cmd_route_figures;
 mod cmd_slopes;
+mod config_case;
 mod error;
 mod fleet_case;
 mod fleet_sim;
+mod orders_case;
 mod quarantine_case;
 mod rendezvous_case;
 mod retry_case;
 mod route_case;
+mod share_case;
 mod stream_case;
 mod trace;
 
--- /dev/null
+++ b/crates/check/src/orders_case.rs
@@ -0,0 +1,216 @@
+//! Randomised case: a new version is rolled out by issuers that change.
+//!
+//! Reports lag, replies to orders are lost, loads take long, and the lease moves to new issuers.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use serde_json::Value;
+use smallvec::smallvec;
+use smallvec::SmallVec;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::config::parse;
+use yuccanotch_core::config::Declaration;
+use yuccanotch_core::engine::Holding;
+use yuccanotch_core::engine::LayerRange;
+use yuccanotch_core::engine::OrderAction;
+use yuccanotch_core::engine::Role;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::ids::FencingNumber;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::HostName;
+use yuccanotch_core::name::ModelName;
+use yuccanotch_core::name::ModelVersion;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::orders::serving_version;
+use yuccanotch_core::orders::Away;
+use yuccanotch_core::orders::Issuer;
+use yuccanotch_core::orders::OrderTo;
+use yuccanotch_core::orders::Scope;
+use yuccanotch_core::orders::ServerState;
+use yuccanotch_core::orders::Servers;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+const LAYERS: u16 = 8;
+const STEPS: usize = 300;
+const MAX_SERVERS_PER_RANGE: usize = 3;
+const MAX_STEP_MS: u64 = 400;
+const MAX_LOAD_MS: u64 = 3_000;
+
+/// Load that a server is busy with.
+struct Load {
+    server: ServerName,
+    holding: Holding,
+    ends_at: Millis,
+}
+
+struct World<'a> {
+    rng: Pcg64Mcg,
+    trace: &'a mut Trace,
+    now: Millis,
+    declaration: Declaration,
+    /// What the servers hold.
+    real: Servers,
+    /// What they have reported.
+    reported: Servers,
+    loads: Vec<Load>,
+    away: Away,
+    issuer: Issuer,
+    fencing: FencingNumber,
+}
+
+/// Checks that some version is served whole at all times.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut real = Servers::new();
+    let mut declared = serde_json::Map::new();
+    for first in [0, LAYERS / 2] {
+        for i in 0..rng.random_range(1..=MAX_SERVERS_PER_RANGE) {
+            let name = format!("s-{first}-{i}");
+            declared.insert(name.clone(), server(declared.len(), first));
+            real.insert(ServerName::new(&name), state(first));
+        }
+    }
+    trace.add(format!("{} servers", real.len()));
+    let mut world = World {
+        rng,
+        trace,
+        now: Millis(1_000),
+        declaration: declaration(&declared)?,
+        reported: real.clone(),
+        real,
+        loads: Vec::new(),
+        away: Away::default(),
+        issuer: Issuer::new(),
+        fencing: FencingNumber(1),
+    };
+    (0..STEPS).try_for_each(|_| world.step())
+}
+
+fn server(number: usize, first: u16) -> Value {
+    json!({"domain": "d", "address": format!("127.0.0.1:{}", number + 1), "use": {"engine": {
+        "accelerator": "large", "model": "m", "version": "v2",
+        "layers": {"first": first, "end": first + LAYERS / 2},
+    }}})
+}
+
+fn declaration(servers: &serde_json::Map<String, Value>) -> Result<Declaration, String> {
+    let text = json!({
+        "domains": {"d": {"region": "r"}},
+        "models": {"m": {
+            "layers": LAYERS, "version": "v2", "max_tokens": 9, "deadline_ms": 9,
+            "weights_mb": 1_000,
+        }},
+        "servers": servers,
+    });
+    parse(text.to_string().as_bytes()).map_err(|findings| format!("{findings:?}"))
+}
+
+fn state(first: u16) -> ServerState {
+    ServerState {
+        domain: DomainName::new("d"),
+        usable: true,
+        measured_at: Millis(1_000),
+        holdings: smallvec![Holding {
+            model: ModelName::new("m"),
+            version: ModelVersion::new("v1"),
+            layers: LayerRange::new(first, first + LAYERS / 2),
+            adapters: smallvec![],
+        }],
+        role: Role::Both,
+    }
+}
+
+impl World<'_> {
+    fn step(&mut self) -> CaseResult {
+        self.now = self.now + Millis(self.rng.random_range(1..MAX_STEP_MS));
+        self.end_loads();
+        self.report();
+        if self.rng.random_bool(0.05) {
+            self.trace.add("a new issuer");
+            self.issuer = Issuer::new();
+            self.fencing = self.fencing.next();
+        }
+        self.issue();
+        self.check()
+    }
+
+    fn end_loads(&mut self) {
+        let now = self.now;
+        let (ended, busy) =
+            std::mem::take(&mut self.loads).into_iter().partition(|load| load.ends_at <= now);
+        self.loads = busy;
+        let ended: Vec<Load> = ended;
+        for load in ended {
+            if let Some(server) = self.real.get_mut(&load.server) {
+                server.holdings = smallvec![load.holding];
+            }
+        }
+    }
+
+    fn report(&mut self) {
+        for (name, server) in &self.real {
+            if self.rng.random_bool(0.5) {
+                let report = ServerState { measured_at: self.now, ..server.clone() };
+                self.reported.insert(name.clone(), report);
+            }
+        }
+    }
+
+    fn issue(&mut self) {
+        let scope = Scope {
+            host: HostName::new("entry-1"),
+            domain: DomainName::new("d"),
+            fencing: self.fencing,
+            config: ConfigNumber(2),
+        };
+        let plan =
+            self.issuer.plan(self.now, &scope, &self.declaration, &self.reported, &self.away);
+        if let Some(away) = plan.away {
+            self.away = away;
+        }
+        for order in &plan.orders {
+            self.send(order);
+        }
+    }
+
+    fn send(&mut self, to: &OrderTo) {
+        let (arrives, answered) = (self.rng.random_bool(0.9), self.rng.random_bool(0.9));
+        if arrives {
+            self.take(to);
+        }
+        if arrives && answered {
+            self.issuer.on_taken(self.now, &to.server);
+        } else {
+            self.issuer.on_not_taken(&to.server);
+        }
+    }
+
+    fn take(&mut self, to: &OrderTo) {
+        let OrderAction::Load(holding) = &to.order.action else { return };
+        let Some(server) = self.real.get_mut(&to.server) else { return };
+        let loads = self.loads.iter().any(|load| load.server == to.server);
+        if loads || server.holdings.contains(holding) {
+            return;
+        }
+        self.trace.add(format!("{} loads at {}", to.server, self.now.0));
+        server.holdings = SmallVec::new();
+        let ends_at = self.now + Millis(self.rng.random_range(1..MAX_LOAD_MS));
+        let holding = holding.clone();
+        self.loads.push(Load { server: to.server.clone(), holding, ends_at });
+    }
+
+    fn check(&self) -> CaseResult {
+        let served = self.declaration.models.iter().all(|(name, model)| {
+            serving_version(name, model, &self.real, &Away::default()).is_some()
+        });
+        if served {
+            Ok(())
+        } else {
+            Err(format!("no version is served whole at {}", self.now.0))
+        }
+    }
+}
--- a/crates/check/tests/util/mod.rs
+++ b/crates/check/tests/util/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the command under test.
 
+use std::io::Write as _;
 use std::process::Command;
 use std::process::Output;
 
@@ -12,5 +13,8 @@
 pub fn check_passes(args: &[&str]) {
     let output = check(args);
     let stdout = String::from_utf8_lossy(&output.stdout);
+    let known = stdout.lines().filter(|line| line.starts_with("known red"));
+    // Past the test harness, which keeps what a passing test prints.
+    known.for_each(|line| drop(writeln!(std::io::stderr(), "{line}")));
     assert!(output.status.success(), "{args:?} failed:\n{stdout}");
 }
--- a/crates/core/src/config/publisher.rs
+++ b/crates/core/src/config/publisher.rs
@@ -109,9 +109,11 @@
 #[derive(Debug)]
 enum State {
     Reading(Reader),
+    ReadingManifest,
     Writing(Plan),
     Swapping(Plan),
     Settling(Plan),
+    Confirming(Plan),
     Ended,
 }
 
@@ -123,6 +125,8 @@
     resumed: bool,
     attempts: Attempts,
     maybe_accepted: bool,
+    /// Whether chunks of the manifest in the store are gone.
+    incomplete: bool,
     state: State,
 }
 
@@ -135,6 +139,7 @@
             resumed: false,
             attempts: Attempts::new(),
             maybe_accepted: false,
+            incomplete: false,
             state: State::Reading(Reader::new(Chunks::new())),
         }
     }
@@ -169,7 +174,12 @@
                 Step::Call { call, pause }
             }
             Step::Done(Ok(stored)) => self.plan(stored),
-            Step::Done(Err(e)) if self.maybe_accepted => {
+            Step::Done(Err(ConfigError::MissingChunk(_))) if self.is_recovery() => {
+                // A recovery writes all chunks, so that it needs none of those in the store.
+                self.incomplete = true;
+                self.read_manifest(Millis::ZERO)
+            }
+            Step::Done(Err(e)) if self.maybe_accepted || self.resumed => {
                 log::debug!("outcome unknown: {e}");
                 self.done(Published::Unknown)
             }
@@ -177,6 +187,35 @@
         }
     }
 
+    fn is_recovery(&self) -> bool {
+        matches!(self.change, Change::Recovery { .. })
+    }
+
+    fn read_manifest(&mut self, pause: Millis) -> Step<Published> {
+        self.state = State::ReadingManifest;
+        Step::Call { call: StoreCall::Get(MANIFEST_KEY.to_owned()), pause }
+    }
+
+    fn manifest_read(&mut self, answer: Option<StoreAnswer>) -> Step<Published> {
+        let e = match answer {
+            Some(StoreAnswer::Value(None)) => return self.plan(None),
+            Some(StoreAnswer::Value(Some(value))) => match Manifest::decode(&value.value) {
+                Ok(manifest) => {
+                    let (version, chunks) = (value.version, Chunks::new());
+                    return self.plan(Some(Stored { manifest, version, chunks }));
+                }
+                Err(e) => return self.done(Published::Failed(e)),
+            },
+            Some(StoreAnswer::Failed(e)) => e,
+            _ => StoreError::AnswerLost,
+        };
+        match self.attempts.failed() {
+            Some(pause) => self.read_manifest(pause),
+            None if self.maybe_accepted || self.resumed => self.done(Published::Unknown),
+            None => self.done(Published::Failed(ConfigError::Store(e))),
+        }
+    }
+
     fn plan(&mut self, stored: Option<Stored>) -> Step<Published> {
         if let Some(ended) = self.ended_before(stored.as_ref()) {
             return self.done(ended);
@@ -221,7 +260,7 @@
                 let stale = Published::Stale { current: manifest.number };
                 Some(if open { Published::Unknown } else { stale })
             }
-            Change::Recovery { highest, .. } => (*highest <= manifest.number)
+            Change::Recovery { highest, .. } => (*highest <= manifest.number && !self.incomplete)
                 .then_some(Published::Stale { current: manifest.number }),
         }
     }
@@ -234,7 +273,8 @@
             Change::First(document) => (ConfigNumber(1), document.clone()),
             Change::Recovery { highest, document } => {
                 let floor = stored.and_then(|stored| stored.manifest.behind());
-                let highest = floor.map_or(*highest, |floor| floor.max(*highest));
+                let number = stored.map(|stored| stored.manifest.number);
+                let highest = floor.into_iter().chain(number).fold(*highest, ConfigNumber::max);
                 (next_epoch(highest), document.clone())
             }
             Change::Patch { base, patch } => {
@@ -309,10 +349,7 @@
 
     fn swapped(&mut self, plan: Plan, answer: Option<StoreAnswer>) -> Step<Published> {
         match answer {
-            Some(StoreAnswer::Written(_)) => {
-                let number = plan.manifest.number;
-                self.done(Published::Accepted(number))
-            }
+            Some(StoreAnswer::Written(_)) => self.confirm(plan),
             Some(StoreAnswer::Failed(StoreError::Conflict(_))) => self.settle(plan, Millis::ZERO),
             Some(StoreAnswer::Failed(StoreError::AnswerLost)) => {
                 self.maybe_accepted = true;
@@ -327,6 +364,44 @@
         }
     }
 
+    /// Writes the chunks once more where they are gone: the store may have gone back to an old
+    /// copy after they were written and before the manifest was.
+    fn confirm(&mut self, mut plan: Plan) -> Step<Published> {
+        plan.written = 0;
+        self.confirm_next(plan)
+    }
+
+    fn confirm_next(&mut self, plan: Plan) -> Step<Published> {
+        let number = plan.manifest.number;
+        match plan.chunk_call() {
+            Some(call) => {
+                self.state = State::Confirming(plan);
+                Step::call(call)
+            }
+            None => self.done(Published::Accepted(number)),
+        }
+    }
+
+    fn confirmed(&mut self, mut plan: Plan, answer: Option<StoreAnswer>) -> Step<Published> {
+        let present = matches!(
+            answer,
+            Some(StoreAnswer::Written(_) | StoreAnswer::Failed(StoreError::Conflict(_)))
+        );
+        if present {
+            self.attempts.succeeded();
+            plan.written += 1;
+            return self.confirm_next(plan);
+        }
+        match (self.attempts.failed(), plan.chunk_call()) {
+            (Some(pause), Some(call)) => {
+                self.state = State::Confirming(plan);
+                Step::Call { call, pause }
+            }
+            // The patch is current all the same.
+            _ => self.done(Published::Accepted(plan.manifest.number)),
+        }
+    }
+
     fn settle(&mut self, plan: Plan, pause: Millis) -> Step<Published> {
         self.state = State::Settling(plan);
         Step::Call { call: StoreCall::Get(MANIFEST_KEY.to_owned()), pause }
@@ -359,6 +434,12 @@
             // The store went back: what it held before can't be told from it any more.
             return self.went_back(value);
         }
+        let manifest = value.as_ref().and_then(|value| Manifest::decode(&value.value).ok());
+        let is_own =
+            |fate| matches!(fate, Fate::Accepted(number) if number == plan.manifest.number);
+        if manifest.is_some_and(|manifest| is_own(manifest.fate(self.base(), self.id))) {
+            return self.confirm(plan);
+        }
         self.state = State::Ended;
         let reader = Reader::new(Chunks::new());
         self.read(reader, Some(StoreAnswer::Value(value)))
@@ -379,9 +460,11 @@
     fn next(&mut self, answer: Option<StoreAnswer>) -> Step<Published> {
         match std::mem::replace(&mut self.state, State::Ended) {
             State::Reading(reader) => self.read(reader, answer),
+            State::ReadingManifest => self.manifest_read(answer),
             State::Writing(plan) => self.wrote(plan, answer),
             State::Swapping(plan) => self.swapped(plan, answer),
             State::Settling(plan) => self.settled(plan, answer),
+            State::Confirming(plan) => self.confirmed(plan, answer),
             State::Ended => Step::Done(Published::Unknown),
         }
     }
