Measure one entry host as a process

Cause: the processor time per token and request of a whole entry host was not measured. Change: yuccanotch-load entry starts one as a process before embedded stand-ins. Conclusion: the slopes of the token relay have a command.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cmd_compare;
 mod cmd_engines;
+mod cmd_entry;
 mod cmd_policies;
 mod cmd_run;
 
@@ -24,6 +25,7 @@
     compare     show two reports side by side
     policies    carry out one scenario under each routing policy
     engines     show how much the stand-in engines can carry
+    entry       show what one entry host costs as a process
 
 Each command takes --help.
 ";
@@ -49,6 +51,7 @@
             "run" => cmd_run::run(&mut parser),
             "policies" => cmd_policies::run(&mut parser),
             "engines" => cmd_engines::run(&mut parser),
+            "entry" => cmd_entry::run(&mut parser),
             "compare" => cmd_compare::run(&mut parser),
             other => Err(lexopt::Error::from(format!("no command {other:?}\n\n{USAGE}")).into()),
         },
