Observe servers of a failure domain that has no live entry host

Cause: only hosts of a server's own failure domain observed it, so that a domain whose entry hosts were all gone lost its servers to everybody: one entry host before three domains refused no_chain. Change: two of all live hosts observe the servers of a domain without a live host. Conclusion: entry hosts and backend servers of a domain can fail apart.

--- a/crates/core/src/fleet/duties.rs
+++ b/crates/core/src/fleet/duties.rs
@@ -19,6 +19,7 @@
 use crate::engine::HostList;
 use crate::engine::LoadReport;
 use crate::ids::Incarnation;
+use crate::name::DomainName;
 use crate::name::HostName;
 use crate::name::ServerName;
 
@@ -41,22 +42,40 @@
         ahead < count
     }
 
+    /// Returns whether this host observes a server of `domain`.
+    ///
+    /// Two hosts of its own domain do, or two of all hosts when that domain has no live host. A
+    /// host that has just started may not know the others yet and waits.
+    fn is_observer(&self, now: Millis, server: &ServerName, domain: &DomainName) -> bool {
+        let key = fast_hash(server.as_str().as_bytes());
+        if *domain == self.identity.domain {
+            return self.is_chosen(key, OBSERVERS);
+        }
+        if now < self.started + self.timing.domain_timeout {
+            return false;
+        }
+        let alive = || self.members.iter().filter(|m| m.update.state == MemberState::Alive);
+        if alive().any(|member| member.update.domain == *domain) {
+            return false;
+        }
+        let own = rendezvous_weight(key, self.identity.host.as_str());
+        let others = alive().filter(|member| member.update.host != self.identity.host);
+        let weights = others.map(|member| rendezvous_weight(key, member.update.host.as_str()));
+        weights.filter(|weight| *weight > own).count() < OBSERVERS
+    }
+
     pub(super) fn tick_observations(&mut self, now: Millis) {
         if now < self.next_due {
             return;
         }
-        let own = &self.identity.domain;
         let candidates: Vec<_> = self
             .servers
             .iter()
-            .filter(|(_, record)| record.domain == *own)
+            .filter(|(name, record)| self.is_observer(now, name, &record.domain))
             .map(|(name, _)| name.clone())
             .collect();
         let mut chosen = BTreeMap::new();
         for name in candidates {
-            if !self.is_chosen(fast_hash(name.as_str().as_bytes()), OBSERVERS) {
-                continue;
-            }
             let period = self.timing.observe_period.0;
             let first = || now + Millis(self.rng.random_range(0..=period / 4));
             let mut at = self.observe_at.get(&name).copied().unwrap_or_else(first);
--- a/crates/core/src/fleet/node.rs
+++ b/crates/core/src/fleet/node.rs
@@ -115,6 +115,7 @@
     pub(super) list_slot: u64,
     pub(super) observe_at: BTreeMap<ServerName, Millis>,
     pub(super) next_due: Millis,
+    pub(super) started: Millis,
 }
 
 impl FleetNode {
@@ -141,6 +142,7 @@
             list_slot: 0,
             observe_at: BTreeMap::new(),
             next_due: now,
+            started: now,
         };
         node.announce(now);
         node.actions.push(FleetAction::ReadHostList);
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -211,3 +211,25 @@
     assert_eq!(early.before(early.age_of(late)), late);
     assert_eq!(early.age_of(late).span(), Millis::ZERO);
 }
+
+#[test]
+fn servers_of_a_domain_without_hosts_are_observed_from_elsewhere() {
+    let mut alone = node("host-1");
+    let name = ServerName::from("engine-1");
+    let far = DeclaredServer { name: name.clone(), domain: "marka".into() };
+    alone.on_event(TICK, FleetEvent::Declared(vec![far]));
+    let observes = |node: &mut FleetNode, from: u64| {
+        (from..from + 49).any(|tick| {
+            let actions = node.on_event(Millis(tick * TICK.0), FleetEvent::Tick);
+            actions
+                .iter()
+                .any(|action| matches!(action, FleetAction::Observe(server) if *server == name))
+        })
+    };
+    assert!(!observes(&mut alone, 0), "it has just started");
+    assert!(observes(&mut alone, 50), "nobody else can observe it");
+    let marka =
+        MemberUpdate { domain: "marka".into(), ..update("host-2", 9, 1, MemberState::Alive) };
+    sync(&mut alone, Millis(11_000), vec![marka]);
+    assert!(!observes(&mut alone, 111), "its own domain has a host again");
+}
--- a/crates/load/src/cmd_entry.rs
+++ b/crates/load/src/cmd_entry.rs
@@ -196,7 +196,9 @@
         let caller = Caller::new(key, TIMEOUT);
         while let Err(e) = caller.chat(self.callers, MODEL, "ready?", 1, None) {
             if start.elapsed() > READY {
-                return Err(LoadError::Standin(format!("the entry host does not become ready: {e}")));
+                return Err(LoadError::Standin(format!(
+                    "the entry host does not become ready: {e}"
+                )));
             }
             thread::sleep(Duration::from_millis(50));
         }
