Tell no caller that a request in flight has not run

Ruled out: a kept connection that loses its request (the log shows the send and no end). Change: a sent request counts as possibly run until its attempt ends; the listener closes with the host. Test: a_request_in_flight_at_its_deadline_is_not_said_to_be_unrun failed before.

--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -51,6 +51,7 @@
     repeat: Repeat,
     attempts_left: u8,
     unsent: u8,
+    in_flight: bool,
     may_have_run: bool,
     begun: bool,
 }
@@ -62,6 +63,7 @@
             repeat,
             attempts_left: max_attempts.max(1),
             unsent: 0,
+            in_flight: false,
             may_have_run: false,
             begun: false,
         }
@@ -70,6 +72,7 @@
     /// Notes that the request is about to be written to a server.
     pub fn on_send(&mut self) {
         self.attempts_left = self.attempts_left.saturating_sub(1);
+        self.in_flight = true;
     }
 
     /// Notes that the head of an answer went to the caller.
@@ -80,7 +83,7 @@
 
     /// Returns whether any server may have begun to run the request.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run
+        self.may_have_run || self.in_flight
     }
 
     /// Returns whether the caller has the head of an answer.
@@ -94,6 +97,7 @@
             self.unsent += 1;
             self.attempts_left = self.attempts_left.saturating_add(1);
         }
+        self.in_flight = false;
         let ran = !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined);
         self.may_have_run |= ran;
         let repeatable = !self.may_have_run || self.repeat.allows_rerun();
@@ -119,7 +123,7 @@
     pub fn refusal(&self) -> Next {
         if self.begun {
             Next::BreakOff
-        } else if self.may_have_run {
+        } else if self.may_have_run() {
             Next::Unknown
         } else {
             Next::Refuse
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -1,1 +1,134 @@
+//! Tests of forwarding decisions.
 
+use yare::parameterized;
+
+use super::budget::BudgetLimits;
+use super::budget::RetryBudget;
+use super::events::EventError;
+use super::events::EventSplitter;
+use super::health::Health;
+use super::outcome::AttemptEnd;
+use super::outcome::Chances;
+use super::outcome::Next;
+use super::outcome::Outcome;
+use super::routes::Repeat;
+use crate::clock::Millis;
+use crate::name::ServerName;
+
+const YES: Chances = Chances { budget: true, time: true };
+const NO_BUDGET: Chances = Chances { budget: false, time: true };
+
+#[parameterized(
+    not_sent = { Repeat::Never, AttemptEnd::NotSent, Next::Retry },
+    declined = { Repeat::Never, AttemptEnd::Declined, Next::Retry },
+    broken = { Repeat::Never, AttemptEnd::Broken, Next::Unknown },
+    silent = { Repeat::Never, AttemptEnd::Silent, Next::Unknown },
+    failed = { Repeat::Never, AttemptEnd::Failed, Next::PassOn },
+    safe_broken = { Repeat::Safe, AttemptEnd::Broken, Next::Retry },
+    safe_failed = { Repeat::Safe, AttemptEnd::Failed, Next::Retry },
+    resumable_broken = { Repeat::Resumable, AttemptEnd::Broken, Next::Retry },
+)]
+fn a_request_is_repeated_only_if_it_cannot_have_run_or_may_run_again(
+    repeat: Repeat,
+    end: AttemptEnd,
+    expected: Next,
+) {
+    let mut outcome = Outcome::new(repeat, 2);
+    outcome.on_send();
+    assert_eq!(outcome.on_end(end, YES), expected);
+}
+
+#[test]
+fn a_request_in_flight_at_its_deadline_is_not_said_to_be_unrun() {
+    let mut outcome = Outcome::new(Repeat::Never, 1);
+    assert_eq!(outcome.refusal(), Next::Refuse);
+    outcome.on_send();
+    assert_eq!(outcome.refusal(), Next::Unknown);
+}
+
+#[test]
+fn a_declined_request_may_be_refused_after_it() {
+    let mut outcome = Outcome::new(Repeat::Never, 1);
+    outcome.on_send();
+    assert_eq!(outcome.on_end(AttemptEnd::Declined, YES), Next::Refuse);
+}
+
+#[test]
+fn a_request_that_broke_once_is_never_refused_as_unrun() {
+    let mut outcome = Outcome::new(Repeat::Safe, 2);
+    outcome.on_send();
+    assert_eq!(outcome.on_end(AttemptEnd::Broken, YES), Next::Retry);
+    outcome.on_send();
+    assert_eq!(outcome.on_end(AttemptEnd::Declined, YES), Next::Unknown);
+}
+
+#[test]
+fn a_repeat_needs_the_budget_but_a_request_that_never_left_does_not() {
+    let mut outcome = Outcome::new(Repeat::Safe, 3);
+    outcome.on_send();
+    assert_eq!(outcome.on_end(AttemptEnd::NotSent, NO_BUDGET), Next::Retry);
+    outcome.on_send();
+    assert_eq!(outcome.on_end(AttemptEnd::Broken, NO_BUDGET), Next::Unknown);
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_is_broken_off() {
+    let mut outcome = Outcome::new(Repeat::Never, 2);
+    outcome.on_send();
+    outcome.on_begun();
+    assert_eq!(outcome.on_end(AttemptEnd::Broken, YES), Next::BreakOff);
+}
+
+#[test]
+fn connections_that_never_come_about_do_not_repeat_for_ever() {
+    let mut outcome = Outcome::new(Repeat::Safe, 1);
+    let repeats = (0..20)
+        .take_while(|_| {
+            outcome.on_send();
+            outcome.on_end(AttemptEnd::NotSent, YES) == Next::Retry
+        })
+        .count();
+    assert!(repeats < 10, "{repeats} repeats");
+}
+
+#[test]
+fn a_cut_event_is_held_back_and_the_stream_goes_on_after_the_last_whole_one() {
+    let mut events = EventSplitter::new(None);
+    let whole = events.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("events in order");
+    assert_eq!(&whole.bytes[..], b"id: 1\ndata: a\n\n");
+    assert!(events.has_part());
+    events.restart();
+    let whole = events.push(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n").expect("events in order");
+    assert_eq!(whole.count, 2);
+    assert_eq!(events.last(), Some(3));
+}
+
+#[test]
+fn events_that_the_caller_has_are_dropped_and_a_gap_is_an_error() {
+    let mut events = EventSplitter::new(Some(4));
+    let whole = events.push(b"id: 3\n\nid: 4\n\nid: 5\n\n").expect("events in order");
+    assert_eq!(&whole.bytes[..], b"id: 5\n\n");
+    assert_eq!(events.push(b"id: 7\n\n").err(), Some(EventError::Gap));
+}
+
+#[test]
+fn repeats_stay_within_this_hosts_share() {
+    let limits = BudgetLimits { ratio: 0.2, slack: 100.0, window: Millis(10_000) };
+    let mut budget = RetryBudget::new(limits);
+    for ms in 0..100 {
+        budget.on_request(Millis(ms));
+    }
+    let taken = (0..100).filter(|_| budget.take(Millis(200), 10)).count();
+    assert!((15..=30).contains(&taken), "{taken} repeats of 100 requests");
+    assert!(budget.take(Millis(20_000), 10), "the window slides");
+}
+
+#[test]
+fn a_suspicion_of_another_host_ends_by_itself_and_is_not_passed_on() {
+    let server = ServerName::new("s");
+    let mut health = Health::default();
+    health.on_told(Millis(0), &server, Millis(400));
+    assert!(!health.is_usable(Millis(100), &server));
+    assert_eq!(health.suspects(Millis(100)).count(), 0);
+    assert!(health.is_usable(Millis(500), &server));
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -74,10 +74,18 @@
     }
 }
 
-/// Accepts callers' connections for the life of the process.
+/// Accepts callers' connections until the process closes.
+///
+/// A connection that is refused lets its caller go to another host at once.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+    let closing = gateway.stop.closing();
+    tokio::pin!(closing);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closing => return,
+        };
+        let Ok((stream, _)) = accepted else {
             time::sleep(std::time::Duration::from_millis(10)).await;
             continue;
         };
