--- a/crates/core/src/forward/health.rs
+++ b/crates/core/src/forward/health.rs
@@ -7,6 +7,10 @@
 
 /// How long a first suspicion lasts when nothing confirms it.
 const FIRST_SPAN: Millis = Millis(500);
+/// The time in which a fault comes to count half.
+const FAULT_HALF_LIFE: Millis = Millis(3_000);
+/// How long a server that declined a request is left alone.
+const DECLINED_SPAN: Millis = Millis(250);
 /// The longest span of a suspicion.
 const LONGEST_SPAN: Millis = Millis(8_000);
 /// The time without a failure after which earlier ones no longer count.
@@ -18,6 +22,9 @@
     strikes: u32,
     suspect_until: Millis,
     told_until: Millis,
+    busy_until: Millis,
+    faults: f64,
+    faults_at: Millis,
     last_strike: Millis,
     slowness: f64,
 }
@@ -28,12 +35,22 @@
             strikes: 0,
             suspect_until: Millis::ZERO,
             told_until: Millis::ZERO,
+            busy_until: Millis::ZERO,
+            faults: 0.0,
+            faults_at: Millis::ZERO,
             last_strike: Millis::ZERO,
             slowness: 1.0,
         }
     }
 }
 
+impl Belief {
+    fn faults_at(&self, now: Millis) -> f64 {
+        let age = now.since(self.faults_at).0 as f64 / FAULT_HALF_LIFE.0 as f64;
+        self.faults * (-age).exp2()
+    }
+}
+
 /// Beliefs about servers.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -59,6 +76,25 @@
         span
     }
 
+    /// Notes that `server` declined a request: it is full, or has changed what it holds. This says
+    /// nothing against it, so it is left alone for a moment only and other hosts are not told.
+    pub fn on_declined(&mut self, now: Millis, server: &ServerName) {
+        self.beliefs.entry(server.clone()).or_default().busy_until = now + DECLINED_SPAN;
+    }
+
+    /// Notes that `server` spoiled or lost one answer; it goes on serving others, so it is only
+    /// avoided as far as there are better ones.
+    pub fn on_fault(&mut self, now: Millis, server: &ServerName) {
+        let belief = self.beliefs.entry(server.clone()).or_default();
+        belief.faults = belief.faults_at(now) + 1.0;
+        belief.faults_at = now;
+    }
+
+    /// Returns the recent faults of `server`, the older the less.
+    pub fn faults(&self, now: Millis, server: &ServerName) -> f64 {
+        self.beliefs.get(server).map_or(0.0, |b| b.faults_at(now))
+    }
+
     /// Notes that another host suspects `server` for `span`.
     pub fn on_told(&mut self, now: Millis, server: &ServerName, span: Millis) {
         let belief = self.beliefs.entry(server.clone()).or_default();
@@ -86,7 +122,9 @@
 
     /// Returns whether `server` may get work.
     pub fn is_usable(&self, now: Millis, server: &ServerName) -> bool {
-        self.beliefs.get(server).is_none_or(|b| now >= b.suspect_until && now >= b.told_until)
+        self.beliefs
+            .get(server)
+            .is_none_or(|b| now >= b.suspect_until.max(b.told_until).max(b.busy_until))
     }
 
     /// Returns by what factor `server` is slow.
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -5,5 +5,6 @@
 pub mod load;
 pub mod path;
 pub mod plan;
+pub mod roster;
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -16,9 +16,11 @@
 /// The cost of one more part in the own failure domain, in ms a token.
 const HOP_MS: f64 = 0.6;
 /// The cost of a hop between failure domains, in ms a token: its bytes are dear and share a pipe.
-const CROSS_HOP_MS: f64 = 25.0;
+const CROSS_HOP_MS: f64 = 4.0;
 /// The cost of a first part outside the host's failure domain, in ms a token.
 const AWAY_MS: f64 = 0.5;
+/// The cost of a recent fault of a first part, in ms a token.
+const FAULT_MS: f64 = 1.0;
 /// The part of a server's memory that chains may fill.
 const FILL: f64 = 0.92;
 /// The part of the slots of a first part that chains may fill.
@@ -41,6 +43,8 @@
     pub load: Load,
     /// The factor by which it is slower than its kind, 1 or more.
     pub slowness: f64,
+    /// Answers that it spoiled or lost lately as the first part of chains.
+    pub faults: f64,
 }
 
 /// What a request needs of a chain.
@@ -63,6 +67,28 @@
 const UNREACHED: Reached =
     Reached { cost: f64::INFINITY, holder: usize::MAX, from: 0, before: usize::MAX };
 
+/// Why no chain was found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NoChain {
+    /// The first layer that has no usable holder with room.
+    pub layer: u16,
+    /// Holders of that layer, with room or without.
+    pub holders: u32,
+}
+
+/// Finds the layer that keeps a request from a chain.
+pub fn lacking(profile: &EngineProfile, holders: &[Holder], need: Need<'_>) -> NoChain {
+    let has_room = |layer: u16| {
+        holders
+            .iter()
+            .filter(|h| h.layers.from <= layer && layer < h.layers.to)
+            .any(|h| Candidate::new(profile, h, need).is_some())
+    };
+    let layer = (0..profile.layers).find(|&l| !has_room(l)).unwrap_or(profile.layers);
+    let holds = |h: &&Holder| h.layers.from <= layer && layer < h.layers.to;
+    NoChain { layer, holders: holders.iter().filter(holds).count() as u32 }
+}
+
 /// Chooses the cheapest chain with room for `need` through `holders`, if there is one.
 pub fn choose(profile: &EngineProfile, holders: &[Holder], need: Need<'_>) -> Option<Chain> {
     let usable: SmallVec<[Candidate<'_>; 48]> =
@@ -87,7 +113,7 @@
                 if cuts[to] > candidate.layers.to {
                     break;
                 }
-                let total = cost + candidate.cost(profile, cuts[to] - cuts[at], at == 0);
+                let total = cost + candidate.cost(profile, cuts[to] - cuts[at]);
                 let slot = &mut best[to * width + domain];
                 if total < slot.cost {
                     *slot = Reached { cost: total, holder: index, from: cuts[at], before };
@@ -109,6 +135,7 @@
 ) -> Option<(f64, usize)> {
     if at == 0 {
         let away = if candidate.holder.domain == *need.domain { 0.0 } else { AWAY_MS };
+        let away = away + FAULT_MS * candidate.holder.faults;
         return candidate.may_be_first.then_some((away, usize::MAX));
     }
     let mut found: Option<(f64, usize)> = None;
@@ -172,7 +199,7 @@
         })
     }
 
-    fn cost(&self, profile: &EngineProfile, layers: u16, _first: bool) -> f64 {
+    fn cost(&self, profile: &EngineProfile, layers: u16) -> f64 {
         let load = self.holder.load;
         let active = f64::from(load.active) + 1.0;
         let held = f64::from(self.holder.layers.len().max(1));
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -1,8 +1,8 @@
 //! Planner: which layers each model server holds.
 //!
-//! Each failure domain gets a chain of its own out of its fastest servers; the others hold second
-//! copies of the ranges that are slowest to replace. A plan keeps what servers hold already, and
-//! changes it only where a layer has no holder.
+//! Each failure domain gets a chain of its own over all its servers, since room for requests binds
+//! before speed does. Afterwards a plan keeps what servers hold; gaps are closed by empty servers and
+//! by holders of second copies.
 
 use std::collections::BTreeMap;
 
@@ -12,8 +12,12 @@
 use crate::placement::engine::EngineProfile;
 use crate::placement::engine::LayerRange;
 
-/// The least room for requests that a chain is planned with, in tokens.
+/// The least room with which a group counts as able to hold a whole model, in tokens.
 const LEAST_TOKENS: f64 = 8_000.0;
+/// The room that a server keeps when it takes a second copy, as a part of the usual.
+const COPY_PART: f64 = 1.2;
+/// The room that a chain is laid with at first, as a part of the usual.
+const CHAIN_PART: f64 = 1.0;
 /// Steps of the search for the room that fits.
 const ROOM_STEPS: u32 = 40;
 
@@ -36,8 +40,10 @@
 /// Plans the layers of `cards`; servers that keep what they hold are in the plan too.
 pub fn plan(profile: &EngineProfile, cards: &[Card]) -> Plan {
     let mut out = Plan::new();
-    for group in groups(profile, cards) {
-        plan_group(profile, &group, &mut out);
+    for cards in groups(profile, cards) {
+        let mut group = Group::new(profile, cards);
+        group.arrange();
+        group.write(&mut out);
     }
     out
 }
@@ -67,157 +73,191 @@
     group.iter().map(|c| u32::from(profile.layers_with_room(&c.kind, tokens))).sum()
 }
 
-fn plan_group(profile: &EngineProfile, group: &[&Card], out: &mut Plan) {
-    let mut cards: Vec<&Card> = group.to_vec();
-    cards.sort_by(|a, b| a.kind.pace.total_cmp(&b.kind.pace).then_with(|| a.server.cmp(&b.server)));
-    let mut held: Vec<Option<LayerRange>> = cards.iter().map(|c| c.holds).collect();
-    if held.iter().all(Option::is_none) {
-        lay_chain(profile, &cards, &mut held);
-    } else {
-        fill_gaps(profile, &cards, &mut held);
-    }
-    lay_copies(profile, &cards, &mut held);
-    for (card, range) in cards.iter().zip(held) {
-        if let Some(range) = range {
-            out.insert(card.server.clone(), range);
-        }
-    }
+/// The servers of one failure domain and what each is to hold.
+struct Group<'a> {
+    profile: &'a EngineProfile,
+    cards: Vec<&'a Card>,
+    held: Vec<Option<LayerRange>>,
 }
 
-/// Lays one chain over the fastest cards that have the usual room.
-fn lay_chain(profile: &EngineProfile, cards: &[&Card], held: &mut [Option<LayerRange>]) {
-    let layers = u32::from(profile.layers);
-    let count = (1..=cards.len())
-        .find(|&n| layers_at(profile, &cards[..n], profile.usual_tokens) >= layers)
-        .unwrap_or(cards.len());
-    let chosen = &cards[..count];
-    let tokens = most_room(profile, chosen);
-    let mut widths: Vec<u16> =
-        chosen.iter().map(|c| profile.layers_with_room(&c.kind, tokens)).collect();
-    trim(profile, chosen, &mut widths);
-    let mut at = 0;
-    for (index, width) in widths.iter().enumerate() {
-        if *width > 0 {
-            held[index] = Some(LayerRange::new(at, at + width));
-            at += width;
-        }
+impl<'a> Group<'a> {
+    fn new(profile: &'a EngineProfile, mut cards: Vec<&'a Card>) -> Self {
+        cards.sort_by(|a, b| {
+            a.kind.pace.total_cmp(&b.kind.pace).then_with(|| a.server.cmp(&b.server))
+        });
+        let held = cards.iter().map(|c| c.holds).collect();
+        Self { profile, cards, held }
     }
-}
 
-/// Finds the most tokens for which the cards still hold all layers.
-fn most_room(profile: &EngineProfile, cards: &[&Card]) -> f64 {
-    let layers = u32::from(profile.layers);
-    let mut low = 0.0;
-    let mut high = 100.0 * profile.usual_tokens.max(LEAST_TOKENS);
-    for _ in 0..ROOM_STEPS {
-        let middle = f64::midpoint(low, high);
-        if layers_at(profile, cards, middle) >= layers {
-            low = middle;
-        } else {
-            high = middle;
+    fn write(&self, out: &mut Plan) {
+        for (card, range) in self.cards.iter().zip(&self.held) {
+            if let Some(range) = range {
+                out.insert(card.server.clone(), *range);
+            }
         }
     }
-    low
-}
 
-/// Takes layers beyond one whole model off the servers with the least room.
-fn trim(profile: &EngineProfile, cards: &[&Card], widths: &mut [u16]) {
-    let mut extra =
-        widths.iter().map(|&w| u32::from(w)).sum::<u32>().saturating_sub(u32::from(profile.layers));
-    while extra > 0 {
-        let tightest = (0..cards.len()).filter(|&i| widths[i] > 0).min_by(|&a, &b| {
-            let room = |i: usize| profile.room(&cards[i].kind, widths[i]);
-            room(a).total_cmp(&room(b))
-        });
-        let Some(index) = tightest else {
+    fn arrange(&mut self) {
+        if self.held.iter().all(Option::is_none) {
+            self.lay_chain();
             return;
-        };
-        widths[index] -= 1;
-        extra -= 1;
+        }
+        self.close_gaps();
+        self.lay_copies();
     }
-}
 
-/// Gives layers without a holder to empty servers first, then to holders of second copies.
-fn fill_gaps(profile: &EngineProfile, cards: &[&Card], held: &mut [Option<LayerRange>]) {
-    while let Some(gap) = first_gap(profile, held) {
-        let Some(index) = best_for_gap(profile, cards, held, gap) else {
-            return;
-        };
-        let width = most_layers(profile, &cards[index].kind).min(gap.len());
-        held[index] = Some(LayerRange::new(gap.from, gap.from + width));
+    fn room(&self, index: usize, layers: u16) -> f64 {
+        self.profile.room(&self.cards[index].kind, layers)
     }
-}
 
-fn most_layers(profile: &EngineProfile, kind: &CardKind) -> u16 {
-    let usual = profile.layers_with_room(kind, profile.usual_tokens);
-    usual.max(profile.layers_with_room(kind, LEAST_TOKENS).min(1))
-}
+    fn most_layers(&self, index: usize, tokens: f64) -> u16 {
+        self.profile.layers_with_room(&self.cards[index].kind, tokens)
+    }
 
-fn first_gap(profile: &EngineProfile, held: &[Option<LayerRange>]) -> Option<LayerRange> {
-    let holders = holders_by_layer(profile, held);
-    let from = holders.iter().position(|&n| n == 0)?;
-    let len = holders[from..].iter().take_while(|&&n| n == 0).count();
-    Some(LayerRange::new(from as u16, (from + len) as u16))
-}
+    /// Lays one chain over the fastest cards with enough room, the same for each.
+    fn lay_chain(&mut self) {
+        let enough = CHAIN_PART * self.profile.usual_tokens;
+        let layers = u32::from(self.profile.layers);
+        let count = (1..=self.cards.len())
+            .find(|&n| layers_at(self.profile, &self.cards[..n], enough) >= layers)
+            .unwrap_or(self.cards.len());
+        let tokens = self.most_room(count);
+        let mut widths: Vec<u16> = (0..count).map(|i| self.most_layers(i, tokens)).collect();
+        self.trim(&mut widths);
+        let mut at = 0;
+        for (index, width) in widths.iter().enumerate() {
+            self.held[index] = (*width > 0).then(|| LayerRange::new(at, at + width));
+            at += width;
+        }
+    }
 
-fn holders_by_layer(profile: &EngineProfile, held: &[Option<LayerRange>]) -> Vec<u32> {
-    let mut holders = vec![0; usize::from(profile.layers)];
-    for range in held.iter().flatten() {
-        for layer in range.from..range.to.min(profile.layers) {
-            holders[usize::from(layer)] += 1;
+    /// Finds the most tokens for which the first `count` cards still hold all layers.
+    fn most_room(&self, count: usize) -> f64 {
+        let layers = u32::from(self.profile.layers);
+        let mut low = 0.0;
+        let mut high = 100.0 * self.profile.usual_tokens.max(LEAST_TOKENS);
+        for _ in 0..ROOM_STEPS {
+            let middle = f64::midpoint(low, high);
+            if layers_at(self.profile, &self.cards[..count], middle) >= layers {
+                low = middle;
+            } else {
+                high = middle;
+            }
         }
+        low
     }
-    holders
-}
 
-fn best_for_gap(
-    profile: &EngineProfile,
-    cards: &[&Card],
-    held: &[Option<LayerRange>],
-    gap: LayerRange,
-) -> Option<usize> {
-    let holders = holders_by_layer(profile, held);
-    let spare = |i: usize| match held[i] {
-        None => true,
-        Some(r) => (r.from..r.to.min(profile.layers)).all(|l| holders[usize::from(l)] > 1),
-    };
-    (0..cards.len()).filter(|&i| spare(i) && most_layers(profile, &cards[i].kind) > 0).min_by_key(
-        |&i| {
-            let short = gap.len().saturating_sub(most_layers(profile, &cards[i].kind));
-            (held[i].is_some(), short, i)
-        },
-    )
-}
+    /// Takes layers beyond one whole model off the servers with the least room.
+    fn trim(&self, widths: &mut [u16]) {
+        let total: u32 = widths.iter().map(|&w| u32::from(w)).sum();
+        for _ in 0..total.saturating_sub(u32::from(self.profile.layers)) {
+            let tightest = (0..widths.len())
+                .filter(|&i| widths[i] > 0)
+                .min_by(|&a, &b| self.room(a, widths[a]).total_cmp(&self.room(b, widths[b])));
+            if let Some(index) = tightest {
+                widths[index] -= 1;
+            }
+        }
+    }
 
-/// Lets servers that are still empty hold second copies, of the widest single holders first.
-fn lay_copies(profile: &EngineProfile, cards: &[&Card], held: &mut [Option<LayerRange>]) {
-    for index in 0..cards.len() {
-        if held[index].is_some() {
-            continue;
+    fn close_gaps(&mut self) {
+        let mut from = 0;
+        while let Some(gap) = self.gap_after(from) {
+            let closed = self.fill_with_empty(gap) || self.fill_with_copy_holder(gap);
+            if !closed {
+                from = gap.to;
+            }
         }
-        let width = most_layers(profile, &cards[index].kind);
-        if width == 0 {
-            continue;
+    }
+
+    fn gap_after(&self, from: u16) -> Option<LayerRange> {
+        let holders = self.holders();
+        let layers = self.profile.layers;
+        let start = (from..layers).find(|&l| holders[usize::from(l)] == 0)?;
+        let end = (start..layers).find(|&l| holders[usize::from(l)] > 0).unwrap_or(layers);
+        Some(LayerRange::new(start, end))
+    }
+
+    fn holders(&self) -> Vec<u32> {
+        let mut holders = vec![0; usize::from(self.profile.layers)];
+        for range in self.held.iter().flatten() {
+            for layer in range.from..range.to.min(self.profile.layers) {
+                holders[usize::from(layer)] += 1;
+            }
         }
-        if let Some(range) = weakest_range(profile, held, width) {
-            held[index] = Some(range);
+        holders
+    }
+
+    /// Lets the empty server that covers most of the gap take it; the smallest of equal ones.
+    fn fill_with_empty(&mut self, gap: LayerRange) -> bool {
+        let empty = (0..self.cards.len()).filter(|&i| self.held[i].is_none());
+        self.fill_with(gap, empty.collect())
+    }
+
+    /// Lets a server whose layers all have another holder take the gap.
+    fn fill_with_copy_holder(&mut self, gap: LayerRange) -> bool {
+        let holders = self.holders();
+        let spare = |range: LayerRange| {
+            (range.from..range.to.min(self.profile.layers)).all(|l| holders[usize::from(l)] > 1)
+        };
+        let spares = (0..self.cards.len()).filter(|&i| self.held[i].is_some_and(spare));
+        self.fill_with(gap, spares.collect())
+    }
+
+    fn fill_with(&mut self, gap: LayerRange, indexes: Vec<usize>) -> bool {
+        let covers = |i: usize| self.most_layers(i, self.profile.usual_tokens).min(gap.len());
+        let best = indexes.into_iter().filter(|&i| covers(i) > 0).max_by(|&a, &b| {
+            let size = |i: usize| self.cards[i].kind.size_mb;
+            covers(a).cmp(&covers(b)).then_with(|| size(b).total_cmp(&size(a)))
+        });
+        let Some(index) = best else {
+            return false;
+        };
+        self.held[index] = Some(LayerRange::new(gap.from, gap.from + covers(index)));
+        true
+    }
+
+    /// Lets servers that are still empty hold second copies where room is tightest.
+    fn lay_copies(&mut self) {
+        for index in 0..self.cards.len() {
+            if self.held[index].is_none() {
+                let tokens = COPY_PART * self.profile.usual_tokens;
+                let width = self.most_layers(index, tokens).min(self.profile.layers);
+                if width > 0 {
+                    self.held[index] = Some(self.tightest_window(width));
+                }
+            }
         }
     }
-}
 
-/// Finds the range whose layers have the fewest holders, and among these the one in the widest part.
-fn weakest_range(
-    profile: &EngineProfile,
-    held: &[Option<LayerRange>],
-    width: u16,
-) -> Option<LayerRange> {
-    let holders = holders_by_layer(profile, held);
-    let widest = held
-        .iter()
-        .flatten()
-        .filter(|r| (r.from..r.to).any(|l| holders.get(usize::from(l)) == Some(&1)))
-        .max_by_key(|r| (r.len(), std::cmp::Reverse(r.from)))?;
-    let from = (widest.from..widest.to).find(|&l| holders[usize::from(l)] == 1)?;
-    let to = (from + width).min(widest.to);
-    Some(LayerRange::new(from, to))
+    fn tightest_window(&self, width: u16) -> LayerRange {
+        let need = self.layer_need();
+        let weight =
+            |from: u16| -> f64 { need[usize::from(from)..usize::from(from + width)].iter().sum() };
+        let from = (0..=self.profile.layers - width)
+            .max_by(|&a, &b| weight(a).total_cmp(&weight(b)).then(b.cmp(&a)))
+            .unwrap_or(0);
+        LayerRange::new(from, from + width)
+    }
+
+    /// Returns for each layer how much it lacks room; the tightest layers weigh most by far.
+    fn layer_need(&self) -> Vec<f64> {
+        let usual = self.profile.usual_tokens.max(LEAST_TOKENS);
+        let need = |room: f64| (usual / (room + 0.05 * usual)).powi(3);
+        self.layer_rooms().into_iter().map(need).collect()
+    }
+
+    /// Returns the room of each layer, over all its holders.
+    fn layer_rooms(&self) -> Vec<f64> {
+        let mut rooms = vec![0.0; usize::from(self.profile.layers)];
+        for (index, range) in self.held.iter().enumerate() {
+            let Some(range) = range else {
+                continue;
+            };
+            for layer in range.from..range.to.min(self.profile.layers) {
+                rooms[usize::from(layer)] += self.room(index, range.len());
+            }
+        }
+        rooms
+    }
 }
--- /dev/null
+++ b/crates/core/src/placement/roster.rs
@@ -0,0 +1,68 @@
+//! Which failure domains the planner may act on: those whose servers have stopped coming and going.
+//!
+//! A partition or a store outage makes many entries lapse that come back within seconds; a plan made
+//! meanwhile would move layers for nothing.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::name::DomainName;
+use crate::name::ServerName;
+
+/// How long the servers of a domain must stay the same before the first plan.
+const FIRST_SETTLED: Millis = Millis(1_300);
+/// How long they must stay the same afterwards.
+const SETTLED: Millis = Millis(500);
+/// How long they must stay the same when many are missing at once.
+const MANY_SETTLED: Millis = Millis(3_500);
+/// The part of the servers of a domain whose absence counts as many.
+const MANY_PART: f64 = 0.25;
+
+#[derive(Debug, Default)]
+struct Domain {
+    servers: BTreeSet<ServerName>,
+    changed_at: Millis,
+    settled_count: usize,
+    planned: bool,
+}
+
+/// What the planner knows of the coming and going of servers.
+#[derive(Debug, Default)]
+pub struct Roster {
+    domains: HashMap<DomainName, Domain>,
+}
+
+impl Roster {
+    /// Takes in the servers of a domain that count now.
+    pub fn look(&mut self, now: Millis, domain: &DomainName, servers: BTreeSet<ServerName>) {
+        let known = self.domains.entry(domain.clone()).or_default();
+        if known.servers != servers {
+            known.servers = servers;
+            known.changed_at = now;
+        }
+    }
+
+    /// Returns whether the servers of `domain` may be planned now; `holds` tells that some of them
+    /// hold layers.
+    pub fn is_settled(&mut self, now: Millis, domain: &DomainName, holds: bool) -> bool {
+        let Some(known) = self.domains.get_mut(domain) else {
+            return false;
+        };
+        known.planned |= holds;
+        let missing = known.settled_count.saturating_sub(known.servers.len());
+        let many = missing as f64 > MANY_PART * known.settled_count as f64;
+        let wait = if !known.planned {
+            FIRST_SETTLED
+        } else if many {
+            MANY_SETTLED
+        } else {
+            SETTLED
+        };
+        let settled = now.since(known.changed_at) >= wait;
+        if settled {
+            known.settled_count = known.servers.len();
+        }
+        settled
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -168,6 +168,10 @@
     async fn drive(&mut self) {
         loop {
             let Some(target) = self.wait_for_target().await else {
+                let lacks = self.gateway.traffic.lacking(&self.service, self.tokens());
+                self.gateway
+                    .journal
+                    .line(Event::AttemptEnded, &[("id", &self.id()), ("lacks", &lacks)]);
                 self.why = "no_room";
                 let next = self.outcome.refusal();
                 self.finish_without(next, None, StatusCode::BAD_GATEWAY).await;
@@ -177,6 +181,9 @@
                 return;
             };
             self.why = why;
+            if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
+                self.gateway.traffic.fault(target.server());
+            }
             self.gateway.journal.line(
                 Event::AttemptEnded,
                 &[("id", &self.id()), ("server", target.server()), ("why", &why)],
@@ -297,7 +304,6 @@
                     return Err(without(AttemptEnd::NotSent, "closed"));
                 }
                 Ok(Err(SendError::Broken(_))) => {
-                    self.gateway.traffic.suspect(target.server(), "broken");
                     return Err(without(AttemptEnd::Broken, "broken"));
                 }
                 Err(_) => {
@@ -341,10 +347,7 @@
             return Some(without(AttemptEnd::Broken, "other_answer"));
         }
         if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-            match reply.at_fault {
-                Some(address) => traffic.suspect_address(address, "declined"),
-                None => traffic.suspect(target.server(), "declined"),
-            }
+            traffic.declined(target.server(), reply.at_fault);
             return Some(without(AttemptEnd::Declined, "declined"));
         }
         let unusable = !reply.sealed || reply.encoded || reply.id.is_none();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -63,6 +63,7 @@
 struct News {
     from: Peer,
     version: u64,
+    revision: u64,
     issuer: bool,
     loads: Vec<LoadRow>,
     suspects: Vec<SuspectRow>,
@@ -81,6 +82,7 @@
     heard: Option<Millis>,
     added: Millis,
     version: u64,
+    revision: u64,
     issuer: bool,
 }
 
@@ -105,14 +107,15 @@
             .any(|k| k.issuer && k.heard.is_some_and(|at| now.since(at) < SILENCE))
     }
 
-    /// Returns the control addresses of hosts that hold a newer configuration than `version`.
-    pub fn ahead_of(&self, now: Millis, version: u64) -> Vec<SocketAddrV4> {
+    /// Returns the control address of the host that knows most beyond `revision` of the store.
+    pub fn ahead_of(&self, now: Millis, revision: u64) -> Option<SocketAddrV4> {
         self.known
             .borrow()
             .values()
-            .filter(|k| k.version > version && k.heard.is_some_and(|at| now.since(at) < SILENCE))
+            .filter(|k| k.heard.is_some_and(|at| now.since(at) < SILENCE))
+            .filter(|k| k.revision > revision)
+            .max_by_key(|k| k.revision)
             .map(|k| k.peer.control)
-            .collect()
     }
 
     /// Returns all hosts known.
@@ -122,8 +125,14 @@
 
     /// Adds a host that was heard of.
     pub fn add(&self, now: Millis, peer: Peer) {
-        let known =
-            Known { peer: peer.clone(), heard: None, added: now, version: 0, issuer: false };
+        let known = Known {
+            peer: peer.clone(),
+            heard: None,
+            added: now,
+            version: 0,
+            revision: 0,
+            issuer: false,
+        };
         self.known.borrow_mut().entry(peer.gossip).or_insert(known);
     }
 }
@@ -218,6 +227,7 @@
     News {
         from: own_peer(gateway),
         version: gateway.views.configuration().map_or(0, |c| c.version),
+        revision: gateway.views.revision(),
         issuer: gateway.is_issuer.get(),
         loads,
         suspects,
@@ -232,6 +242,7 @@
     }
     let host = news.from.host.clone();
     note_peer(gateway, now, &news);
+    gateway.views.on_peer_revision(news.revision);
     for peer in news.hosts {
         if peer.gossip != gateway.settings.gossip {
             gateway.peers.add(now, peer);
@@ -267,12 +278,14 @@
         heard: None,
         added: now,
         version: 0,
+        revision: 0,
         issuer: false,
     });
     let back = entry.heard.is_none_or(|at| now.since(at) >= SILENCE);
     entry.peer = news.from.clone();
     entry.heard = Some(now);
     entry.version = news.version;
+    entry.revision = news.revision;
     entry.issuer = news.issuer;
     if back {
         gateway
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -308,14 +308,13 @@
     }
 }
 
-/// Takes over a configuration that another host has already and the store does not give.
+/// Takes over what another host knows already while the store does not answer this one.
 async fn follow_newer(gateway: &Gateway) {
-    let version = gateway.views.configuration().map_or(0, |c| c.version);
     if gateway.store.lost_since().is_none() {
         return;
     }
-    let ahead = gateway.peers.ahead_of(gateway.clock.now(), version);
-    if let Some(&address) = ahead.first() {
+    let revision = gateway.views.revision();
+    if let Some(address) = gateway.peers.ahead_of(gateway.clock.now(), revision) {
         snapshot::take(gateway, address).await;
     }
 }
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -1,5 +1,6 @@
 //! Gives orders to model servers, under a lease of the store and its fencing number.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,12 +13,14 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerState;
+use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::placement::engine::EngineProfile;
 use yuccanotch_core::placement::engine::LayerRange;
 use yuccanotch_core::placement::plan;
 use yuccanotch_core::placement::plan::Card;
 use yuccanotch_core::placement::plan::Plan;
+use yuccanotch_core::placement::roster::Roster;
 
 use crate::edge::Order;
 use crate::edge::OrderReply;
@@ -38,8 +41,6 @@
 const LOOK: Duration = Duration::from_millis(150);
 /// The shortest and longest pause before a host tries to become the issuer, in ms.
 const TRY_MS: (u64, u64) = (150, 900);
-/// How long the list of servers must not have grown before the first plan.
-const SETTLED: Millis = Millis(1_300);
 /// The time after which an order without effect is given again.
 const REPEAT: Millis = Millis(2_500);
 
@@ -103,7 +104,7 @@
 
 async fn serve(gateway: &Rc<Gateway>, mut term: Term) {
     let mut given: HashMap<ServerName, Given> = HashMap::new();
-    let mut settled = Settled::default();
+    let mut roster = Roster::default();
     let mut next_renewal = gateway.clock.now() + RENEW;
     loop {
         if gateway.stop.is_stopping() {
@@ -122,44 +123,24 @@
                 Err(_) => next_renewal = now + Millis(RENEW.0 / 4),
             }
         }
-        if settled.look(gateway) && !place(gateway, &term, &mut given).await {
+        if !place(gateway, &term, &mut roster, &mut given).await {
             return;
         }
         time::sleep(LOOK).await;
     }
 }
 
-/// Tells when the list of servers has stopped growing after the start.
-#[derive(Debug, Default)]
-struct Settled {
-    count: usize,
-    since: Millis,
-    done: bool,
-}
-
-impl Settled {
-    fn look(&mut self, gateway: &Gateway) -> bool {
-        let now = gateway.clock.now();
-        let servers = gateway.views.servers();
-        if servers.iter().any(|e| layers_of(e).is_some()) {
-            self.done = true;
-        }
-        if servers.len() > self.count {
-            self.count = servers.len();
-            self.since = now;
-        }
-        let still = self.count > 0 && now.since(self.since) >= SETTLED;
-        self.done |= still;
-        self.done
-    }
-}
-
 fn layers_of(entry: &ServerEntry) -> Option<LayerRange> {
     entry.engine.as_ref()?.layers.filter(|l| !l.is_empty())
 }
 
 /// Gives the orders that bring servers to the plan; returns whether the issuer may go on.
-async fn place(gateway: &Rc<Gateway>, term: &Term, given: &mut HashMap<ServerName, Given>) -> bool {
+async fn place(
+    gateway: &Rc<Gateway>,
+    term: &Term,
+    roster: &mut Roster,
+    given: &mut HashMap<ServerName, Given>,
+) -> bool {
     let Some(configuration) = gateway.views.configuration() else {
         return true;
     };
@@ -171,7 +152,8 @@
         if profile.layers == 0 {
             continue;
         }
-        let cards = cards(gateway, service, profile, given);
+        let mut cards = cards(gateway, service, profile, given);
+        keep_settled(gateway.clock.now(), roster, &mut cards);
         let plan = plan::plan(profile, &cards);
         for (entry, layers) in due(gateway, service, &plan, given) {
             let gateway = gateway.clone();
@@ -198,6 +180,19 @@
     go_on
 }
 
+/// Leaves out the cards of domains whose servers come and go.
+fn keep_settled(now: Millis, roster: &mut Roster, cards: &mut Vec<Card>) {
+    let domains: BTreeSet<DomainName> = cards.iter().map(|c| c.domain.clone()).collect();
+    for domain in domains {
+        let own = || cards.iter().filter(|c| c.domain == domain);
+        roster.look(now, &domain, own().map(|c| c.server.clone()).collect());
+        let holds = own().any(|c| c.holds.is_some());
+        if !roster.is_settled(now, &domain, holds) {
+            cards.retain(|c| c.domain != domain);
+        }
+    }
+}
+
 fn cards(
     gateway: &Gateway,
     service: &Service,
@@ -205,12 +200,10 @@
     given: &HashMap<ServerName, Given>,
 ) -> Vec<Card> {
     let now = gateway.clock.now();
-    let health = gateway.traffic.health.borrow();
     let servers = gateway.views.servers();
     servers
         .iter()
         .filter(|e| e.service == service.name && e.state == ServerState::Ready)
-        .filter(|e| health.is_usable(now, &e.id))
         .filter_map(|e| {
             let kind = profile.kind(&e.engine.as_ref()?.kind)?.clone();
             let ordered = given.get(&e.id).filter(|g| now.since(g.at) < REPEAT).map(|g| g.layers);
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -43,6 +43,8 @@
     pub configuration: Vec<u8>,
     /// Keys and values of the list of servers.
     pub servers: Vec<(String, Vec<u8>)>,
+    /// The store's revision up to which changes are known.
+    pub revision: u64,
     /// The hosts known.
     pub hosts: Vec<Peer>,
 }
@@ -90,6 +92,7 @@
     let snapshot = Snapshot {
         configuration: gateway.views.configuration_value().to_vec(),
         servers: gateway.views.server_values(),
+        revision: gateway.views.revision(),
         hosts,
     };
     bincode::serde::encode_to_vec(&snapshot, bincode::config::standard())
@@ -114,7 +117,10 @@
     if !snapshot.configuration.is_empty() {
         gateway.views.on_configuration(&Bytes::from(snapshot.configuration), "host");
     }
-    gateway.views.on_peer_servers(&snapshot.servers);
+    if snapshot.revision > gateway.views.revision() {
+        gateway.views.on_peer_servers(&snapshot.servers);
+        gateway.views.on_revision(snapshot.revision);
+    }
     true
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -24,6 +24,8 @@
 
 /// The longest wait for an answer to a call that is answered at once.
 const ANSWER: Duration = Duration::from_millis(1_000);
+/// The longest wait for a watch's answer after the time that it may wait itself.
+const WATCH_SLACK: Duration = Duration::from_millis(400);
 /// The longest answer.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -66,7 +68,7 @@
     pub async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         self.calls.set(self.calls.get() + 1);
         let limit = match call {
-            StoreCall::Watch { wait, .. } => wait.to_duration() + ANSWER,
+            StoreCall::Watch { wait, .. } => wait.to_duration() + WATCH_SLACK,
             _ => ANSWER,
         };
         let result = match time::timeout(limit, self.exchange(call)).await {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -32,6 +32,9 @@
 /// The cost of a server in another failure domain, in requests in progress.
 const AWAY_REQUESTS: f64 = 2.0;
 
+/// The cost of a recent fault of a server, in requests in progress.
+const FAULT_REQUESTS: f64 = 2.0;
+
 /// The servers that a request goes to.
 #[derive(Clone, Debug)]
 pub enum Target {
@@ -125,6 +128,17 @@
         path::choose(profile, &holders, need).map(Target::Chain)
     }
 
+    /// Describes what keeps a request of `service` from being sent.
+    pub fn lacking(&self, service: &Service, tokens: f64) -> String {
+        let Some(profile) = &service.engine else {
+            return "no server".to_owned();
+        };
+        let holders = self.holders(service, profile);
+        let need = Need { domain: &self.domain, tokens };
+        let lack = path::lacking(profile, &holders, need);
+        format!("layer {} of {} holders", lack.layer, lack.holders)
+    }
+
     fn holders(&self, service: &Service, profile: &EngineProfile) -> Vec<Holder> {
         let now = self.clock.now();
         let health = self.health.borrow();
@@ -144,6 +158,7 @@
                     layers: engine.layers?,
                     load: loads.on(&e.id),
                     slowness: health.slowness(&e.id),
+                    faults: health.faults(now, &e.id),
                 })
             })
             .collect()
@@ -160,7 +175,8 @@
             let away = if e.domain == self.domain { 0.0 } else { AWAY_REQUESTS };
             let suspect = if health.is_usable(now, &e.id) { 0.0 } else { 1e3 };
             let again = if tried.contains(&e.id) { 1e6 } else { 0.0 };
-            active + away + suspect + again
+            let faults = FAULT_REQUESTS * health.faults(now, &e.id);
+            active + away + suspect + again + faults
         };
         servers
             .iter()
@@ -212,12 +228,26 @@
 
     /// Notes a failure of the server at `address`.
     pub fn suspect_address(&self, address: SocketAddrV4, why: &str) {
-        let id = self.views.servers().iter().find(|e| e.address == address).map(|e| e.id.clone());
-        if let Some(id) = id {
+        if let Some(id) = self.server_at(address) {
             self.suspect(&id, why);
         }
     }
 
+    /// Notes that a server declined a request: the one at `at_fault`, or else the one asked.
+    pub fn declined(&self, asked: &ServerName, at_fault: Option<SocketAddrV4>) {
+        let id = at_fault.and_then(|a| self.server_at(a)).unwrap_or_else(|| asked.clone());
+        self.health.borrow_mut().on_declined(self.clock.now(), &id);
+    }
+
+    fn server_at(&self, address: SocketAddrV4) -> Option<ServerName> {
+        self.views.servers().iter().find(|e| e.address == address).map(|e| e.id.clone())
+    }
+
+    /// Notes that a server spoiled or lost an answer.
+    pub fn fault(&self, server: &ServerName) {
+        self.health.borrow_mut().on_fault(self.clock.now(), server);
+    }
+
     /// Notes that a server did its work.
     pub fn sound(&self, server: &ServerName) {
         if self.health.borrow_mut().on_success(self.clock.now(), server) {
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -29,6 +29,9 @@
     servers: RefCell<ServerList>,
     server_values: RefCell<BTreeMap<String, Bytes>>,
     servers_read: Cell<bool>,
+    revision: Cell<u64>,
+    ahead: Cell<u64>,
+    ahead_seen: Notify,
     /// Told of each change of the servers.
     pub changed: Notify,
 }
@@ -45,6 +48,9 @@
             servers: RefCell::default(),
             server_values: RefCell::default(),
             servers_read: Cell::new(false),
+            revision: Cell::new(0),
+            ahead: Cell::new(0),
+            ahead_seen: Notify::new(),
             changed: Notify::new(),
         })
     }
@@ -115,11 +121,8 @@
         self.server_values.borrow().iter().map(|(k, v)| (k.clone(), v.to_vec())).collect()
     }
 
-    /// Takes in a list that another host holds; what is known from the store stays.
+    /// Takes in a list that another host holds.
     pub fn on_peer_servers(&self, values: &[(String, Vec<u8>)]) {
-        if self.servers_read.get() {
-            return;
-        }
         let entries = values.iter().filter_map(|(k, v)| self.read_entry(k, v)).collect();
         self.servers.borrow_mut().on_list(self.clock.now(), entries);
         self.changed.notify_waiters();
@@ -164,6 +167,29 @@
         self.changed.notify_waiters();
     }
 
+    /// Notes the store's revision up to which changes are known.
+    pub fn on_revision(&self, revision: u64) {
+        self.revision.set(self.revision.get().max(revision));
+    }
+
+    /// Returns the store's revision up to which changes are known.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Notes that another host knows changes up to `revision`.
+    pub fn on_peer_revision(&self, revision: u64) {
+        let behind = self.revision.get();
+        if revision > behind && self.ahead.replace(revision) > behind {
+            self.ahead_seen.notify_waiters();
+        }
+    }
+
+    /// Resolves when another host has known more for longer than a round of datagrams.
+    pub async fn behind(&self) {
+        self.ahead_seen.notified().await;
+    }
+
     /// Notes that the store answers again.
     pub fn on_store_back(&self) {
         self.servers.borrow_mut().on_store_back(self.clock.now());
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -15,8 +15,11 @@
 use crate::store::StoreClient;
 use crate::views::Views;
 
-/// The longest wait of a watch: a connection that fell silent is noticed after it.
-const WAIT: Millis = Millis(3_000);
+/// The longest wait of a watch: a connection that fell silent is noticed after it, or earlier when
+/// another host has seen a later revision.
+const WAIT: Millis = Millis(2_000);
+/// The time that a watch has before it may be cut short because another host is ahead.
+const HEAD_START: Duration = Duration::from_millis(700);
 /// The pause after each batch of changes, in which further ones gather into one call.
 const GATHER: Duration = Duration::from_millis(150);
 /// The shortest and longest pause after a failed call, in ms.
@@ -46,6 +49,7 @@
     if let Some(item) = store.get(&keys.configuration).await? {
         views.on_configuration(&item.value, "store");
     }
+    views.on_revision(as_of);
     Ok(as_of)
 }
 
@@ -55,17 +59,20 @@
     loop {
         let was_lost = store.lost_since().is_some();
         let call = StoreCall::Watch { prefix: String::new(), after, wait: WAIT };
-        match store.call(&call).await {
+        let answer = tokio::select! {
+            answer = store.call(&call) => answer,
+            () = falls_behind(views) => continue,
+        };
+        match answer {
             Ok(StoreReply::Events { events, as_of }) => {
                 if was_lost {
                     views.on_store_back();
                 }
                 backoff.reset();
                 let busy = !events.is_empty();
-                for event in events {
-                    apply(views, keys, event);
-                }
+                apply_all(views, keys, events);
                 after = after.max(as_of);
+                views.on_revision(after);
                 if busy {
                     time::sleep(GATHER).await;
                 }
@@ -76,11 +83,30 @@
     }
 }
 
+/// Resolves when the watch in progress lags behind what other hosts have seen.
+async fn falls_behind(views: &Views) {
+    time::sleep(HEAD_START).await;
+    views.behind().await;
+}
+
+/// Applies a batch of changes; of several configurations only the last one counts.
+fn apply_all(views: &Views, keys: &StoreKeys, events: Vec<StoreEvent>) {
+    let mut configuration = None;
+    for event in events {
+        match event {
+            StoreEvent::Put(item) if item.key == keys.configuration => {
+                configuration = Some(item.value);
+            }
+            other => apply(views, keys, other),
+        }
+    }
+    if let Some(value) = configuration {
+        views.on_configuration(&value, "store");
+    }
+}
+
 fn apply(views: &Views, keys: &StoreKeys, event: StoreEvent) {
     match event {
-        StoreEvent::Put(item) if item.key == keys.configuration => {
-            views.on_configuration(&item.value, "store");
-        }
         StoreEvent::Put(item) if item.key.starts_with(&keys.servers) => views.on_server_put(&item),
         StoreEvent::Removed { key } if key.starts_with(&keys.servers) => {
             views.on_server_removed(&key);
