Keep streams in the host's own failure domain while it has room; tests of placement

Cause: a cut of a domain stalled every stream that other domains had sent into it; the first plan left spare servers empty until a second one. Change: a first part elsewhere costs 2.5 ms a token instead of 0.5; spares are laid at once; a gap may be closed with 0.6 of the usual room. Streams note their longest gap.

--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -18,7 +18,7 @@
 /// The cost of a hop between failure domains, in ms a token: its bytes are dear and share a pipe.
 const CROSS_HOP_MS: f64 = 4.0;
 /// The cost of a first part outside the host's failure domain, in ms a token.
-const AWAY_MS: f64 = 0.5;
+const AWAY_MS: f64 = 2.5;
 /// The cost of a recent fault of a first part, in ms a token.
 const FAULT_MS: f64 = 1.0;
 /// The part of a server's memory that chains may fill.
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -14,6 +14,8 @@
 
 /// The least room with which a group counts as able to hold a whole model, in tokens.
 const LEAST_TOKENS: f64 = 8_000.0;
+/// The least room that a server keeps when it closes a gap, as a part of the usual.
+const GAP_PART: f64 = 0.6;
 /// The room that a server keeps when it takes a second copy, as a part of the usual.
 const COPY_PART: f64 = 1.2;
 /// The room that a chain is laid with at first, as a part of the usual.
@@ -100,7 +102,6 @@
     fn arrange(&mut self) {
         if self.held.iter().all(Option::is_none) {
             self.lay_chain();
-            return;
         }
         self.close_gaps();
         self.lay_copies();
@@ -205,7 +206,8 @@
     }
 
     fn fill_with(&mut self, gap: LayerRange, indexes: Vec<usize>) -> bool {
-        let covers = |i: usize| self.most_layers(i, self.profile.usual_tokens).min(gap.len());
+        let tokens = GAP_PART * self.profile.usual_tokens;
+        let covers = |i: usize| self.most_layers(i, tokens).min(gap.len());
         let best = indexes.into_iter().filter(|&i| covers(i) > 0).max_by(|&a, &b| {
             let size = |i: usize| self.cards[i].kind.size_mb;
             covers(a).cmp(&covers(b)).then_with(|| size(b).total_cmp(&size(a)))
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -1,1 +1,329 @@
+//! Tests of placement and of the choice of chains.
 
+use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use smallvec::smallvec;
+use smallvec::SmallVec;
+use yare::parameterized;
+
+use super::chain::Chain;
+use super::chain::ChainError;
+use super::chain::Part;
+use super::engine::CardKind;
+use super::engine::EngineProfile;
+use super::engine::LayerRange;
+use super::load::Load;
+use super::load::Loads;
+use super::load::LOAD_LIFE;
+use super::path;
+use super::path::Holder;
+use super::path::Need;
+use super::plan::plan;
+use super::plan::Card;
+use super::plan::Plan;
+use super::roster::Roster;
+use crate::clock::Millis;
+use crate::name::DomainName;
+use crate::name::HostName;
+use crate::name::ServerName;
+
+const LAYERS: u16 = 80;
+
+fn kind(name: &str) -> CardKind {
+    let (size_mb, pace, read_factor) = match name {
+        "big" => (72_000.0, 2.4, 3.2),
+        "small" => (14_400.0, 5.3, 7.9),
+        _ => (21_600.0, 16.0, 8.2),
+    };
+    CardKind { name: name.to_owned(), size_mb, pace, read_factor }
+}
+
+fn profile() -> EngineProfile {
+    EngineProfile {
+        layers: LAYERS,
+        layer_mb: 1_750.0,
+        token_bytes: 590_000.0,
+        usual_tokens: 100_000.0,
+        step_ms: 1.02,
+        per_seq_ms: 0.004_59,
+        context_ms_per_k: 0.006_15,
+        read_per_s: 164_000.0,
+        slots: 192,
+        stride: 4,
+        usual_prompt: 775.0,
+        usual_answer: 220.0,
+        report_lag_ms: 200.0,
+        loads_at_once: 6,
+        load_ms: 14_000.0,
+        kinds: vec![kind("big"), kind("small"), kind("slow")],
+    }
+}
+
+fn card(domain: &str, kind_name: &str, index: usize) -> Card {
+    Card {
+        server: ServerName::new(&format!("{domain}-{kind_name}-{index}")),
+        domain: DomainName::new(domain),
+        kind: kind(kind_name),
+        holds: None,
+    }
+}
+
+fn domain_cards(domain: &str, big: usize, small: usize, slow: usize) -> Vec<Card> {
+    let of = |name: &'static str, count: usize| {
+        let domain = domain.to_owned();
+        (0..count).map(move |i| card(&domain, name, i))
+    };
+    of("big", big).chain(of("small", small)).chain(of("slow", slow)).collect()
+}
+
+fn fleet() -> Vec<Card> {
+    let mut cards = domain_cards("a", 2, 4, 4);
+    cards.extend(domain_cards("b", 1, 6, 6));
+    cards.extend(domain_cards("c", 1, 10, 4));
+    cards
+}
+
+fn holding(mut cards: Vec<Card>, plan: &Plan) -> Vec<Card> {
+    for card in &mut cards {
+        card.holds = plan.get(&card.server).copied();
+    }
+    cards
+}
+
+fn uncovered(cards: &[Card], plan: &Plan, domain: &str) -> Vec<u16> {
+    let held: Vec<LayerRange> = cards
+        .iter()
+        .filter(|c| c.domain.as_str() == domain)
+        .filter_map(|c| plan.get(&c.server).copied())
+        .collect();
+    (0..LAYERS).filter(|&l| !held.iter().any(|r| r.from <= l && l < r.to)).collect()
+}
+
+#[parameterized(a = { "a" }, b = { "b" }, c = { "c" })]
+fn the_first_plan_gives_each_domain_a_whole_model(domain: &str) {
+    let cards = fleet();
+    assert_eq!(uncovered(&cards, &plan(&profile(), &cards), domain), Vec::<u16>::new());
+}
+
+#[test]
+fn no_server_is_planned_beyond_its_memory_and_each_keeps_room_for_requests() {
+    let cards = fleet();
+    let plan = plan(&profile(), &cards);
+    for card in &cards {
+        if let Some(range) = plan.get(&card.server) {
+            let room = profile().room(&card.kind, range.len());
+            assert!(room >= 50_000.0, "{} has room for {room} tokens", card.server);
+        }
+    }
+}
+
+#[test]
+fn a_plan_that_servers_hold_stays_as_it_is() {
+    let cards = fleet();
+    let first = plan(&profile(), &cards);
+    assert_eq!(plan(&profile(), &holding(cards, &first)), first);
+}
+
+#[parameterized(
+    small = { "b-small-3" },
+    big = { "b-big-0" },
+    slow = { "b-slow-0" },
+)]
+fn after_the_loss_of_one_server_its_domain_is_whole_again_and_the_others_stay(lost: &str) {
+    let cards = fleet();
+    let first = plan(&profile(), &cards);
+    let mut left = holding(cards, &first);
+    left.retain(|c| c.server.as_str() != lost);
+    let second = plan(&profile(), &left);
+    assert_eq!(uncovered(&left, &second, "b"), Vec::<u16>::new());
+    let moved = left.iter().filter(|c| c.holds != second.get(&c.server).copied());
+    let moved: Vec<&str> = moved.map(|c| c.server.as_str()).collect();
+    assert!(moved.len() <= 4, "moved {moved:?}");
+    assert!(moved.iter().all(|s| s.starts_with("b-")), "moved {moved:?}");
+}
+
+#[test]
+fn a_server_that_comes_back_empty_gets_layers() {
+    let cards = fleet();
+    let first = plan(&profile(), &cards);
+    let mut back = holding(cards, &first);
+    for card in &mut back {
+        if card.server.as_str() == "c-small-1" {
+            card.holds = None;
+        }
+    }
+    let second = plan(&profile(), &back);
+    assert_eq!(uncovered(&back, &second, "c"), Vec::<u16>::new());
+    assert!(second.contains_key("c-small-1"));
+}
+
+#[test]
+fn domains_too_small_for_a_model_hold_one_together() {
+    let mut cards = domain_cards("a", 1, 0, 0);
+    cards.extend(domain_cards("b", 1, 2, 0));
+    cards.extend(domain_cards("c", 1, 0, 1));
+    let plan = plan(&profile(), &cards);
+    let total: u16 = plan.values().map(|r| r.len()).sum();
+    assert!(total >= LAYERS, "{total} layers");
+}
+
+fn address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, u8::try_from(index).expect("few servers")), 80)
+}
+
+fn holders(cards: &[Card], plan: &Plan) -> Vec<Holder> {
+    cards
+        .iter()
+        .enumerate()
+        .filter_map(|(index, card)| {
+            Some(Holder {
+                server: card.server.clone(),
+                address: address(index),
+                domain: card.domain.clone(),
+                kind: card.kind.clone(),
+                layers: *plan.get(&card.server)?,
+                load: Load::default(),
+                slowness: 1.0,
+                faults: 0.0,
+            })
+        })
+        .collect()
+}
+
+fn planned_holders() -> Vec<Holder> {
+    let cards = fleet();
+    let plan = plan(&profile(), &cards);
+    holders(&cards, &plan)
+}
+
+fn choose_for(holders: &[Holder], domain: &str) -> Option<Chain> {
+    let domain = DomainName::new(domain);
+    path::choose(&profile(), holders, Need { domain: &domain, tokens: 1_000.0 })
+}
+
+fn domains_of(chain: &Chain) -> BTreeSet<&str> {
+    chain.parts().iter().map(|p| &p.server.as_str()[..1]).collect()
+}
+
+#[parameterized(a = { "a" }, b = { "b" }, c = { "c" })]
+fn on_a_calm_day_a_chain_stays_inside_one_domain(domain: &str) {
+    let chain = choose_for(&planned_holders(), domain).expect("a chain");
+    assert_eq!(domains_of(&chain).len(), 1);
+}
+
+#[test]
+fn a_lost_layer_range_is_borrowed_from_another_domain() {
+    let mut holders = planned_holders();
+    holders.retain(|h| !(h.domain.as_str() != "a" && h.layers.from <= 40 && 40 < h.layers.to));
+    for holder in &mut holders {
+        if holder.domain.as_str() == "a" && holder.layers.from == 0 {
+            holder.load.first = 192.0;
+        }
+    }
+    let chain = choose_for(&holders, "b").expect("a chain");
+    assert!(domains_of(&chain).len() > 1, "{chain:?}");
+}
+
+#[test]
+fn a_full_server_is_passed_by() {
+    let mut holders = planned_holders();
+    let first = choose_for(&holders, "c").expect("a chain");
+    let full = first.parts()[2].server.clone();
+    for holder in &mut holders {
+        if holder.server == full {
+            holder.load.token_layers = 1e9;
+        }
+    }
+    let second = choose_for(&holders, "c").expect("another chain");
+    assert!(second.parts().iter().all(|p| p.server != full));
+}
+
+#[test]
+fn a_slow_server_is_avoided_when_a_sound_one_holds_its_layers() {
+    let mut holders = planned_holders();
+    let first = choose_for(&holders, "a").expect("a chain");
+    let slow = first.parts()[3].server.clone();
+    for holder in &mut holders {
+        if holder.server == slow {
+            holder.slowness = 60.0;
+        }
+    }
+    let second = choose_for(&holders, "a").expect("another chain");
+    assert!(second.parts().iter().all(|p| p.server != slow));
+}
+
+#[test]
+fn without_a_holder_of_a_layer_there_is_no_chain_and_the_layer_is_named() {
+    let mut holders = planned_holders();
+    holders.retain(|h| !(h.layers.from <= 33 && 33 < h.layers.to));
+    assert_eq!(choose_for(&holders, "a"), None);
+    let domain = DomainName::new("a");
+    let lack = path::lacking(&profile(), &holders, Need { domain: &domain, tokens: 1.0 });
+    assert!(lack.layer <= 33 && lack.holders == 0, "{lack:?}");
+}
+
+fn part(index: usize, from: u16, to: u16) -> Part {
+    Part {
+        server: ServerName::new(&index.to_string()),
+        address: address(index),
+        layers: LayerRange::new(from, to),
+    }
+}
+
+#[parameterized(
+    gap = { smallvec![part(1, 0, 40), part(2, 41, 80)], ChainError::NotInOrder },
+    overlap = { smallvec![part(1, 0, 41), part(2, 40, 80)], ChainError::NotInOrder },
+    order = { smallvec![part(1, 40, 80), part(2, 0, 40)], ChainError::NotInOrder },
+    short = { smallvec![part(1, 0, 79)], ChainError::NotInOrder },
+    twice = { smallvec![part(1, 0, 40), part(1, 40, 80)], ChainError::ServerTwice },
+    empty = { smallvec![], ChainError::Empty },
+)]
+fn parts_that_do_not_run_each_layer_once_in_order_are_no_chain(
+    parts: SmallVec<[Part; 12]>,
+    expected: ChainError,
+) {
+    assert_eq!(Chain::new(parts, LAYERS), Err(expected));
+}
+
+#[test]
+fn loads_of_other_hosts_count_until_they_fall_silent() {
+    let chain = Chain::new(smallvec![part(1, 0, 80)], LAYERS).expect("a chain");
+    let server = ServerName::new("1");
+    let mut loads = Loads::default();
+    loads.start(&chain, 100.0);
+    let theirs = Load { active: 2.0, token_layers: 500.0, first: 2.0 };
+    loads.on_peer(Millis(0), HostName::new("h"), vec![(server.clone(), theirs)]);
+    assert_eq!(loads.on(&server).active, 3.0);
+    loads.end(&chain, 100.0);
+    assert_eq!(loads.on(&server).token_layers, 500.0);
+    loads.on_tick(LOAD_LIFE);
+    assert_eq!(loads.on(&server), Load::default());
+}
+
+fn names(count: usize) -> BTreeSet<ServerName> {
+    (0..count).map(|i| ServerName::new(&i.to_string())).collect()
+}
+
+#[test]
+fn a_domain_is_planned_once_its_servers_stop_coming() {
+    let domain = DomainName::new("a");
+    let mut roster = Roster::default();
+    roster.look(Millis(0), &domain, names(3));
+    roster.look(Millis(600), &domain, names(10));
+    assert!(!roster.is_settled(Millis(1_500), &domain, false));
+    assert!(roster.is_settled(Millis(1_900), &domain, false));
+}
+
+#[test]
+fn a_domain_that_vanishes_and_comes_back_is_left_alone_meanwhile() {
+    let domain = DomainName::new("a");
+    let mut roster = Roster::default();
+    roster.look(Millis(0), &domain, names(10));
+    assert!(roster.is_settled(Millis(2_000), &domain, true));
+    roster.look(Millis(3_000), &domain, names(4));
+    assert!(!roster.is_settled(Millis(5_000), &domain, true));
+    roster.look(Millis(6_000), &domain, names(10));
+    assert!(roster.is_settled(Millis(6_600), &domain, true));
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -81,6 +81,9 @@
     chunks: Option<ChunkSender>,
     events: EventSplitter,
     version: Option<u64>,
+    last_event: Millis,
+    longest_gap: Millis,
+    chain: String,
     why: &'static str,
 }
 
@@ -141,6 +144,9 @@
             head_tx: Some(head_tx),
             chunks: None,
             version: None,
+            last_event: started,
+            longest_gap: Millis::ZERO,
+            chain: String::new(),
             why: "",
         }
     }
@@ -421,6 +427,7 @@
                 return without(AttemptEnd::Broken, "stream_order");
             };
             if whole.count > 0 {
+                self.note_event();
                 self.begin(&head);
                 if let Some(chunks) = &self.chunks {
                     chunks.send(whole.bytes).await;
@@ -500,15 +507,24 @@
         }
     }
 
-    fn note_sent(&self, target: &Target) {
+    fn note_sent(&mut self, target: &Target) {
         let left = self.due.since(self.gateway.clock.now());
-        let chain = describe(target);
+        self.chain = describe(target);
         self.gateway.journal.line(
             Event::RequestSent,
-            &[("id", &self.id()), ("chain", &chain), ("left_ms", &left.0)],
+            &[("id", &self.id()), ("chain", &self.chain), ("left_ms", &left.0)],
         );
     }
 
+    /// Takes the time of events that go to the caller; the first gap is the time to the first one.
+    fn note_event(&mut self) {
+        let now = self.gateway.clock.now();
+        if self.outcome.has_begun() {
+            self.longest_gap = self.longest_gap.max(now.since(self.last_event));
+        }
+        self.last_event = now;
+    }
+
     fn note_done(&self, status: StatusCode) {
         let ms = self.gateway.clock.now().since(self.started);
         self.gateway.journal.line(
@@ -519,6 +535,8 @@
                 ("status", &status.as_u16()),
                 ("why", &self.why),
                 ("ms", &ms.0),
+                ("gap_ms", &self.longest_gap.0),
+                ("chain", &self.chain),
             ],
         );
     }
