Move streams off lost parts without a new attempt

Cause: a stream whose chain lost a part waited 450 ms and began anew elsewhere, reading all its tokens through all layers, on its last attempt. Change: after 120 ms of silence the first server is asked what it waits for (one question for all requests of the host); the request moves to a chain with the same first part, whose other parts keep their memory; silent chains that still work have their servers asked for their pace, and slow ones are avoided and told to other hosts.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -101,6 +101,8 @@
     CallerLeft = 2104, Info, "caller left";
     /// A request was turned away before it was sent.
     RequestTurnedAway = 2105, Info, "request turned away";
+    /// A request goes on through other servers.
+    RequestMoved = 2106, Info, "request moved";
     /// A server is believed to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
     /// A server is believed sound again.
--- a/crates/core/src/forward/health.rs
+++ b/crates/core/src/forward/health.rs
@@ -7,6 +7,10 @@
 
 /// How long a first suspicion lasts when nothing confirms it.
 const FIRST_SPAN: Millis = Millis(500);
+/// The factor from which a server counts as slow.
+pub const SLOW: f64 = 1.1;
+/// How long a server counts as slow without news of it.
+const SLOW_SPAN: Millis = Millis(2_500);
 /// The time in which a fault comes to count half.
 const FAULT_HALF_LIFE: Millis = Millis(3_000);
 /// How long a server that declined a request is left alone.
@@ -27,6 +31,7 @@
     faults_at: Millis,
     last_strike: Millis,
     slowness: f64,
+    slow_until: Millis,
 }
 
 impl Default for Belief {
@@ -40,6 +45,7 @@
             faults_at: Millis::ZERO,
             last_strike: Millis::ZERO,
             slowness: 1.0,
+            slow_until: Millis::ZERO,
         }
     }
 }
@@ -113,13 +119,23 @@
         was
     }
 
-    /// Notes by what factor `server` is slow.
-    pub fn on_slowness(&mut self, server: &ServerName, slowness: f64) {
-        if slowness > 1.0 || self.beliefs.contains_key(server) {
-            self.beliefs.entry(server.clone()).or_default().slowness = slowness.max(1.0);
+    /// Notes by what factor `server` is slow, as it says itself or as another host tells.
+    pub fn on_slowness(&mut self, now: Millis, server: &ServerName, slowness: f64) {
+        if slowness > SLOW || self.beliefs.contains_key(server) {
+            let belief = self.beliefs.entry(server.clone()).or_default();
+            belief.slowness = slowness.max(1.0);
+            belief.slow_until = now + SLOW_SPAN;
         }
     }
 
+    /// Returns the servers that are slow, and by what factor.
+    pub fn slow(&self, now: Millis) -> impl Iterator<Item = (&ServerName, f64)> {
+        self.beliefs
+            .iter()
+            .filter(move |(_, b)| b.slowness > SLOW && now < b.slow_until)
+            .map(|(id, b)| (id, b.slowness))
+    }
+
     /// Returns whether `server` may get work.
     pub fn is_usable(&self, now: Millis, server: &ServerName) -> bool {
         self.beliefs
@@ -128,8 +144,8 @@
     }
 
     /// Returns by what factor `server` is slow.
-    pub fn slowness(&self, server: &ServerName) -> f64 {
-        self.beliefs.get(server).map_or(1.0, |b| b.slowness)
+    pub fn slowness(&self, now: Millis, server: &ServerName) -> f64 {
+        self.beliefs.get(server).filter(|b| now < b.slow_until).map_or(1.0, |b| b.slowness)
     }
 
     /// Returns the servers that this host itself leaves alone now, and for how much longer.
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -21,6 +21,11 @@
 const AWAY_MS: f64 = 2.5;
 /// The cost of a recent fault of a first part, in ms a token.
 const FAULT_MS: f64 = 1.0;
+/// The cost of a part that a moving request does not have yet, in ms a token: it has to read all
+/// tokens so far.
+const NEW_PART_MS: f64 = 3.0;
+/// The part of its cost that counts for a part that a moving request keeps.
+const KEPT_PART: f64 = 0.1;
 /// The part of a server's memory that chains may fill.
 const FILL: f64 = 0.92;
 /// The part of the slots of a first part that chains may fill.
@@ -54,6 +59,21 @@
     pub domain: &'a DomainName,
     /// Tokens that the request is expected to hold in the end.
     pub tokens: f64,
+    /// The chain that the request has, when it only changes parts: the first part stays, and parts
+    /// that stay keep their memory.
+    pub now: Option<&'a Chain>,
+}
+
+impl Need<'_> {
+    fn may_begin(&self, holder: &Holder) -> bool {
+        self.now.is_none_or(|chain| chain.first().address == holder.address)
+    }
+
+    fn stays(&self, holder: &Holder, layers: LayerRange) -> bool {
+        self.now.is_some_and(|chain| {
+            chain.parts().iter().any(|p| p.address == holder.address && p.layers == layers)
+        })
+    }
 }
 
 #[derive(Clone, Copy)]
@@ -94,11 +114,12 @@
     let usable: SmallVec<[Candidate<'_>; 48]> =
         holders.iter().filter_map(|h| Candidate::new(profile, h, need)).collect();
     let domains = domain_list(&usable);
-    let cuts = cut_list(&usable, profile.layers);
+    let cuts = cut_list(&usable, profile.layers, need);
     let width = domains.len();
     if width == 0 {
         return None;
     }
+    let new_part = if need.now.is_some() { NEW_PART_MS } else { 0.0 };
     let mut best = vec![UNREACHED; cuts.len() * width];
     for at in 0..cuts.len() {
         for (index, candidate) in usable.iter().enumerate() {
@@ -113,7 +134,13 @@
                 if cuts[to] > candidate.layers.to {
                     break;
                 }
-                let total = cost + candidate.cost(profile, cuts[to] - cuts[at]);
+                let layers = LayerRange::new(cuts[at], cuts[to]);
+                let stays = need.stays(candidate.holder, layers);
+                if at == 0 && need.now.is_some() && !stays {
+                    continue;
+                }
+                let own = candidate.cost(profile, layers.len());
+                let total = cost + if stays { KEPT_PART * own } else { own + new_part };
                 let slot = &mut best[to * width + domain];
                 if total < slot.cost {
                     *slot = Reached { cost: total, holder: index, from: cuts[at], before };
@@ -136,7 +163,8 @@
     if at == 0 {
         let away = if candidate.holder.domain == *need.domain { 0.0 } else { AWAY_MS };
         let away = away + FAULT_MS * candidate.holder.faults;
-        return candidate.may_be_first.then_some((away, usize::MAX));
+        let may = candidate.may_be_first && need.may_begin(candidate.holder);
+        return may.then_some((away, usize::MAX));
     }
     let mut found: Option<(f64, usize)> = None;
     for (d, domain) in domains.iter().enumerate() {
@@ -186,7 +214,8 @@
         let per_layer = need.tokens.max(1.0);
         let free = room * FILL - f64::from(holder.load.token_layers);
         let fits = (free / per_layer).floor().max(0.0) as u16;
-        if fits < holder.layers.len().min(1) || holder.layers.is_empty() {
+        let stays = need.now.is_some_and(|c| c.parts().iter().any(|p| p.server == holder.server));
+        if holder.layers.is_empty() || (fits == 0 && !stays) {
             return None;
         }
         let used = (f64::from(holder.load.token_layers) / room.max(1.0)).min(1.0);
@@ -194,7 +223,7 @@
         Some(Self {
             holder,
             layers: holder.layers,
-            may_be_first: f64::from(holder.load.first) + 1.0 <= slots,
+            may_be_first: stays || f64::from(holder.load.first) + 1.0 <= slots,
             pressure: 1.0 / (1.05 - used),
         })
     }
@@ -225,7 +254,7 @@
     domains.iter().position(|d| **d == candidate.holder.domain).unwrap_or(0)
 }
 
-fn cut_list(usable: &[Candidate<'_>], layers: u16) -> SmallVec<[u16; 48]> {
+fn cut_list(usable: &[Candidate<'_>], layers: u16, need: Need<'_>) -> SmallVec<[u16; 48]> {
     let mut cuts: SmallVec<[u16; 48]> = SmallVec::new();
     cuts.push(0);
     cuts.push(layers);
@@ -233,6 +262,9 @@
         cuts.push(candidate.layers.from);
         cuts.push(candidate.layers.to.min(layers));
     }
+    if let Some(chain) = need.now {
+        cuts.extend(chain.parts().iter().map(|p| p.layers.to));
+    }
     cuts.sort_unstable();
     cuts.dedup();
     cuts
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -200,7 +200,7 @@
 
 fn choose_for(holders: &[Holder], domain: &str) -> Option<Chain> {
     let domain = DomainName::new(domain);
-    path::choose(&profile(), holders, Need { domain: &domain, tokens: 1_000.0 })
+    path::choose(&profile(), holders, Need { domain: &domain, tokens: 1_000.0, now: None })
 }
 
 fn domains_of(chain: &Chain) -> BTreeSet<&str> {
@@ -260,10 +260,35 @@
     holders.retain(|h| !(h.layers.from <= 33 && 33 < h.layers.to));
     assert_eq!(choose_for(&holders, "a"), None);
     let domain = DomainName::new("a");
-    let lack = path::lacking(&profile(), &holders, Need { domain: &domain, tokens: 1.0 });
+    let lack =
+        path::lacking(&profile(), &holders, Need { domain: &domain, tokens: 1.0, now: None });
     assert!(lack.layer <= 33 && lack.holders == 0, "{lack:?}");
 }
 
+#[test]
+fn a_chain_that_loses_a_part_keeps_the_others_and_begins_with_the_same_one() {
+    let mut holders = planned_holders();
+    let before = choose_for(&holders, "a").expect("a chain");
+    let lost = before.parts()[3].server.clone();
+    holders.retain(|h| h.server != lost);
+    let domain = DomainName::new("a");
+    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before) };
+    let after = path::choose(&profile(), &holders, need).expect("a chain");
+    assert_eq!(after.first(), before.first());
+    let kept = before.parts().iter().filter(|p| after.parts().contains(p)).count();
+    assert_eq!(kept, before.parts().len() - 1, "{after:?}");
+}
+
+#[test]
+fn a_chain_that_loses_its_first_part_cannot_be_changed() {
+    let mut holders = planned_holders();
+    let before = choose_for(&holders, "a").expect("a chain");
+    holders.retain(|h| h.server != before.first().server);
+    let domain = DomainName::new("a");
+    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before) };
+    assert_eq!(path::choose(&profile(), &holders, need), None);
+}
+
 fn part(index: usize, from: u16, to: u16) -> Part {
     Part {
         server: ServerName::new(&index.to_string()),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,6 +31,7 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::routes::Team;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::placement::chain::Chain;
 
 use crate::answer;
 use crate::answer::AnswerBody;
@@ -38,11 +39,14 @@
 use crate::answer::ChunkSender;
 use crate::edge::CallerRequest;
 use crate::edge::Forward;
+use crate::edge::Order;
+use crate::edge::OrderReply;
 use crate::edge::ServerReply;
 use crate::host::Gateway;
 use crate::pool::Link;
 use crate::pool::Reuse;
 use crate::pool::SendError;
+use crate::traffic::InProgress;
 use crate::traffic::Target;
 
 /// The longest body of an answer that is not a stream, in bytes.
@@ -51,8 +55,17 @@
 const ROOM_WAIT: Millis = Millis(400);
 /// How often a request that waits for room looks again.
 const ROOM_LOOK: Duration = Duration::from_millis(20);
-/// The silence of a model server after which it is asked whether it still works.
-const SILENCE: Duration = Duration::from_millis(450);
+/// The silence before the first event after which a model server is asked whether it works.
+const FIRST_SILENCE: Duration = Duration::from_millis(250);
+/// The silence within a stream after which a model server is asked whether it works; with the time
+/// that a change of the chain takes, the pause stays below what streams are allowed.
+const SILENCE: Duration = Duration::from_millis(120);
+/// The silence after which a server that said that it works is asked again.
+const SILENCE_AGAIN: Duration = Duration::from_millis(240);
+/// The age of a report that still tells what a silent server waits for.
+const STALL_AGE: Millis = Millis(80);
+/// The age of a report that still tells whether a server is slow.
+const PACE_AGE: Millis = Millis(1_500);
 /// The silence of a plain server after which a safe request goes to another one.
 const PLAIN_SILENCE: Duration = Duration::from_millis(350);
 /// When a caller that was turned away may come back, spread over this span.
@@ -84,6 +97,7 @@
     last_event: Millis,
     longest_gap: Millis,
     chain: String,
+    current: Option<Current>,
     why: &'static str,
 }
 
@@ -115,10 +129,20 @@
 
 /// What a silent server is found to do.
 enum Silence {
+    /// It works on the request.
     Working,
+    /// The request goes on through other servers, on the same connection.
+    Moved,
+    /// The request gets no further there.
     Lost,
 }
 
+/// The servers that have the request now.
+struct Current {
+    target: Target,
+    _in_progress: InProgress,
+}
+
 impl Exchange {
     /// Creates the exchange of a request whose answer goes to `head_tx`.
     pub fn new(
@@ -147,6 +171,7 @@
             last_event: started,
             longest_gap: Millis::ZERO,
             chain: String::new(),
+            current: None,
             why: "",
         }
     }
@@ -183,7 +208,9 @@
                 self.finish_without(next, None, StatusCode::BAD_GATEWAY).await;
                 return;
             };
-            let Ended::Without { end, kept, why } = self.attempt(&target).await else {
+            let ended = self.attempt(&target).await;
+            self.current = None;
+            let Ended::Without { end, kept, why } = ended else {
                 return;
             };
             self.why = why;
@@ -239,7 +266,7 @@
 
     async fn attempt(&mut self, target: &Target) -> Ended {
         let gateway = self.gateway.clone();
-        let _in_progress = gateway.traffic.begin(target, self.tokens());
+        self.set_current(target.clone());
         let mut link = match gateway.pool.link(target.address(), Reuse::Allowed).await {
             Ok(link) => link,
             Err(_) => {
@@ -263,11 +290,17 @@
             return ended;
         }
         if self.route.streaming && head.status.is_success() {
-            return self.relay(head, reply, body, link, target).await;
+            return self.relay(head, reply, body, link).await;
         }
         self.take_whole(head, reply, body, link, target).await
     }
 
+    fn set_current(&mut self, target: Target) {
+        self.current = None;
+        let in_progress = self.gateway.traffic.begin(&target, self.tokens());
+        self.current = Some(Current { target, _in_progress: in_progress });
+    }
+
     fn request(&self, target: &Target) -> Request<Full<Bytes>> {
         let now = self.gateway.clock.now();
         let chain = match target {
@@ -298,9 +331,10 @@
     ) -> Result<Response<Incoming>, Ended> {
         let sending = link.send(req);
         tokio::pin!(sending);
+        let mut silence = FIRST_SILENCE;
         loop {
             let limit = match (target, self.route.repeat) {
-                (Target::Chain(_), _) => SILENCE,
+                (Target::Chain(_), _) => silence,
                 (Target::Server { .. }, Repeat::Safe) => PLAIN_SILENCE,
                 (Target::Server { .. }, _) => Duration::MAX,
             };
@@ -313,32 +347,74 @@
                     return Err(without(AttemptEnd::Broken, "broken"));
                 }
                 Err(_) => {
-                    if let Silence::Lost = self.look_at(target).await {
+                    if let Silence::Lost = self.look_at(silence).await {
                         return Err(without(AttemptEnd::Silent, "silent"));
                     }
+                    silence = SILENCE_AGAIN;
                 }
             }
         }
     }
 
     /// Asks a silent model server what it waits for; a plain one counts as lost.
-    async fn look_at(&self, target: &Target) -> Silence {
-        let Target::Chain(chain) = target else {
-            self.gateway.traffic.suspect(target.server(), "silent");
-            return Silence::Lost;
+    async fn look_at(&mut self, silence: Duration) -> Silence {
+        let chain = match self.current.as_ref().map(|c| c.target.clone()) {
+            Some(Target::Chain(chain)) => chain,
+            Some(Target::Server { server, .. }) => {
+                self.gateway.traffic.suspect(&server, "silent");
+                return Silence::Lost;
+            }
+            None => return Silence::Lost,
         };
+        let gateway = self.gateway.clone();
         let first = chain.first();
-        let Some(report) = self.gateway.report(first.address).await else {
-            self.gateway.traffic.suspect(&first.server, "no report");
+        let Some(report) = gateway.recent_report(first.address, STALL_AGE).await else {
+            gateway.traffic.suspect(&first.server, "no report");
             return Silence::Lost;
         };
+        gateway.traffic.slowness(first.address, report.slowness);
         let stalled = report.stalled.iter().find(|(id, _)| **id == *self.id());
-        match stalled {
-            Some((_, address)) => {
-                self.gateway.traffic.suspect_address(*address, "stalled");
-                Silence::Lost
+        let Some((_, address)) = stalled else {
+            if silence == SILENCE_AGAIN {
+                self.look_for_slow(&chain);
             }
-            None => Silence::Working,
+            return Silence::Working;
+        };
+        gateway.traffic.suspect_address(*address, "stalled");
+        self.change_chain(&chain).await
+    }
+
+    /// Moves the request to servers other than the lost ones; those that stay keep their memory.
+    async fn change_chain(&mut self, chain: &Chain) -> Silence {
+        let gateway = self.gateway.clone();
+        let Some(new) = gateway.traffic.rechoose(&self.service, self.tokens(), chain) else {
+            return Silence::Lost;
+        };
+        let first = new.first().clone();
+        let order = Order::Repath { id: self.id(), chain: &new };
+        let reply = gateway.order(&first.server, first.address, &order).await;
+        let outcome = format!("{reply:?}");
+        let target = Target::Chain(new);
+        self.chain = describe(&target);
+        gateway.journal.line(
+            Event::RequestMoved,
+            &[("id", &self.id()), ("chain", &self.chain), ("reply", &outcome)],
+        );
+        if !matches!(reply, Some(OrderReply::Begun | OrderReply::Done)) {
+            return Silence::Lost;
+        }
+        self.set_current(target);
+        Silence::Moved
+    }
+
+    /// Asks the servers of a chain whose events come late how fast they are, in the background.
+    fn look_for_slow(&self, chain: &Chain) {
+        for part in chain.parts() {
+            let gateway = self.gateway.clone();
+            let part = part.clone();
+            tokio::task::spawn_local(async move {
+                gateway.look_at_pace(&part.server, part.address, PACE_AGE).await;
+            });
         }
     }
 
@@ -403,18 +479,22 @@
         reply: ServerReply,
         mut body: Incoming,
         link: Link,
-        target: &Target,
     ) -> Ended {
         self.version = self.version.or(reply.version);
         self.events.restart();
+        let mut silence = if self.events.last().is_some() { SILENCE } else { FIRST_SILENCE };
         loop {
-            let frame = match time::timeout(SILENCE, body.frame()).await {
+            let frame = match time::timeout(silence, body.frame()).await {
                 Ok(frame) => frame,
-                Err(_) => match self.look_at(target).await {
-                    Silence::Working => continue,
-                    Silence::Lost => return without(AttemptEnd::Silent, "stream_silent"),
-                },
+                Err(_) => {
+                    if let Silence::Lost = self.look_at(silence).await {
+                        return without(AttemptEnd::Silent, "stream_silent");
+                    }
+                    silence = SILENCE_AGAIN;
+                    continue;
+                }
             };
+            silence = SILENCE;
             let data = match frame {
                 None => break,
                 Some(Err(_)) => return without(AttemptEnd::Broken, "stream_broken"),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -67,6 +67,7 @@
     issuer: bool,
     loads: Vec<LoadRow>,
     suspects: Vec<SuspectRow>,
+    slow: Vec<SlowRow>,
     hosts: Vec<Peer>,
 }
 
@@ -76,6 +77,13 @@
     ms: u16,
 }
 
+/// A server that this host found slow, and the factor in tenths.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct SlowRow {
+    server: u32,
+    tenths: u16,
+}
+
 #[derive(Debug)]
 struct Known {
     peer: Peer,
@@ -219,6 +227,12 @@
         .suspects(now)
         .map(|(server, span)| SuspectRow { server: short(server), ms: span.0 as u16 })
         .collect();
+    let slow = gateway
+        .reports
+        .slow(now)
+        .into_iter()
+        .map(|(server, factor)| SlowRow { server: short(&server), tenths: (factor * 10.0) as u16 })
+        .collect();
     let hosts = if with_hosts {
         gateway.peers.known.borrow().values().map(|k| k.peer.clone()).collect()
     } else {
@@ -231,6 +245,7 @@
         issuer: gateway.is_issuer.get(),
         loads,
         suspects,
+        slow,
         hosts,
     }
 }
@@ -263,6 +278,12 @@
         })
         .collect();
     gateway.traffic.loads.borrow_mut().on_peer(now, host, loads);
+    for row in news.slow {
+        if let Some(server) = names.get(&row.server) {
+            let factor = f64::from(row.tenths) / 10.0;
+            gateway.traffic.health.borrow_mut().on_slowness(now, server, factor);
+        }
+    }
     for row in news.suspects {
         if let Some(server) = names.get(&row.server) {
             let span = Millis(u64::from(row.ms));
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -42,6 +42,7 @@
 use crate::net;
 use crate::pool::Pool;
 use crate::pool::Reuse;
+use crate::reports::Reports;
 use crate::settings::Settings;
 use crate::snapshot;
 use crate::store::StoreClient;
@@ -57,6 +58,8 @@
 const MAX_ANSWER_BYTES: usize = 256 << 10;
 /// The time between rounds of upkeep.
 const TICK: Duration = Duration::from_millis(100);
+/// The time between questions to servers that were found slow.
+const SLOW_ROUND: Millis = Millis(1_000);
 /// How long a stopping host still takes new connections: the balancer needs two rounds to leave.
 const STILL_OPEN: Millis = Millis(2_600);
 /// The time before the end of the grace at which the process exits.
@@ -113,6 +116,8 @@
     pub views: Rc<Views>,
     /// Routing state.
     pub traffic: Rc<Traffic>,
+    /// What model servers tell of themselves.
+    pub reports: Reports,
     /// Other hosts.
     pub peers: Peers,
     /// The stop of the process.
@@ -153,6 +158,7 @@
             views.clone(),
             settings.repeats,
         );
+        let reports_clock = clock.clone();
         Rc::new(Self {
             settings,
             clock,
@@ -162,6 +168,7 @@
             store,
             views,
             traffic,
+            reports: Reports::new(reports_clock),
             peers: Peers::default(),
             stop: Stop::new(),
             is_issuer: Cell::new(false),
@@ -191,6 +198,23 @@
         self.edge.report(&body).ok()
     }
 
+    /// Returns a model server's state that is at most `age` old.
+    pub async fn recent_report(
+        &self,
+        address: SocketAddrV4,
+        age: Millis,
+    ) -> Option<Rc<EngineReport>> {
+        self.reports.get(address, age, self.report(address)).await
+    }
+
+    /// Asks a model server how slow it is, unless that is known from at most `age` ago.
+    pub async fn look_at_pace(&self, server: &ServerName, address: SocketAddrV4, age: Millis) {
+        if let Some(report) = self.recent_report(address, age).await {
+            self.traffic.slowness(address, report.slowness);
+            self.reports.note_slow(server, report.slowness);
+        }
+    }
+
     /// Gives a model server an order; no answer does not mean that it is not carried out.
     pub async fn order(
         &self,
@@ -277,6 +301,7 @@
 }
 
 async fn keep_up(gateway: Rc<Gateway>) {
+    let mut slow_asked = Millis::ZERO;
     loop {
         time::sleep(TICK).await;
         let now = gateway.clock.now();
@@ -284,6 +309,24 @@
         gateway.traffic.on_tick(now);
         gateway.pool.on_tick();
         gateway.journal.flush();
+        if now.since(slow_asked) >= SLOW_ROUND {
+            slow_asked = now;
+            ask_slow_again(&gateway);
+        }
+    }
+}
+
+/// Asks the servers that this host found slow whether they still are.
+fn ask_slow_again(gateway: &Rc<Gateway>) {
+    for (server, _) in gateway.reports.slow(gateway.clock.now()) {
+        let address = gateway.views.servers().get(&server).map(|e| e.address);
+        let Some(address) = address else {
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            gateway.look_at_pace(&server, address, SLOW_ROUND).await;
+        });
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod journal;
 pub mod net;
 pub mod pool;
+pub mod reports;
 pub mod settings;
 pub mod snapshot;
 pub mod store;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -112,20 +112,27 @@
     /// `tried` are servers that the request has been sent to.
     pub fn choose(&self, service: &Service, tokens: f64, tried: &[ServerName]) -> Option<Target> {
         match &service.engine {
-            Some(profile) => self.choose_chain(service, profile, tokens),
+            Some(profile) => self.choose_chain(service, profile, tokens, None).map(Target::Chain),
             None => self.choose_server(service, tried),
         }
     }
 
+    /// Chooses another chain for a request that has `now`, with the same first part.
+    pub fn rechoose(&self, service: &Service, tokens: f64, now: &Chain) -> Option<Chain> {
+        let profile = service.engine.as_ref()?;
+        self.choose_chain(service, profile, tokens, Some(now)).filter(|chain| chain != now)
+    }
+
     fn choose_chain(
         &self,
         service: &Service,
         profile: &EngineProfile,
         tokens: f64,
-    ) -> Option<Target> {
+        now: Option<&Chain>,
+    ) -> Option<Chain> {
         let holders = self.holders(service, profile);
-        let need = Need { domain: &self.domain, tokens };
-        path::choose(profile, &holders, need).map(Target::Chain)
+        let need = Need { domain: &self.domain, tokens, now };
+        path::choose(profile, &holders, need)
     }
 
     /// Describes what keeps a request of `service` from being sent.
@@ -134,7 +141,7 @@
             return "no server".to_owned();
         };
         let holders = self.holders(service, profile);
-        let need = Need { domain: &self.domain, tokens };
+        let need = Need { domain: &self.domain, tokens, now: None };
         let lack = path::lacking(profile, &holders, need);
         format!("layer {} of {} holders", lack.layer, lack.holders)
     }
@@ -157,7 +164,7 @@
                     kind: profile.kind(&engine.kind)?.clone(),
                     layers: engine.layers?,
                     load: loads.on(&e.id),
-                    slowness: health.slowness(&e.id),
+                    slowness: health.slowness(now, &e.id),
                     faults: health.faults(now, &e.id),
                 })
             })
@@ -239,6 +246,14 @@
         self.health.borrow_mut().on_declined(self.clock.now(), &id);
     }
 
+    /// Notes by what factor the server at `address` says that it is slow.
+    pub fn slowness(&self, address: SocketAddrV4, slowness: f64) {
+        if let Some(id) = self.server_at(address) {
+            let now = self.clock.now();
+            self.health.borrow_mut().on_slowness(now, &id, slowness);
+        }
+    }
+
     fn server_at(&self, address: SocketAddrV4) -> Option<ServerName> {
         self.views.servers().iter().find(|e| e.address == address).map(|e| e.id.clone())
     }
