--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -139,7 +139,7 @@
                 if at == 0 && need.now.is_some() && !stays {
                     continue;
                 }
-                let own = candidate.cost(profile, layers.len());
+                let own = candidate.cost(profile, layers.len(), at == 0);
                 let total = cost + if stays { KEPT_PART * own } else { own + new_part };
                 let slot = &mut best[to * width + domain];
                 if total < slot.cost {
@@ -206,6 +206,7 @@
     layers: LayerRange,
     may_be_first: bool,
     pressure: f64,
+    first_pressure: f64,
 }
 
 impl<'a> Candidate<'a> {
@@ -218,17 +219,19 @@
         if holder.layers.is_empty() || (fits == 0 && !stays) {
             return None;
         }
-        let used = (f64::from(holder.load.token_layers) / room.max(1.0)).min(1.0);
+        let used = f64::from(holder.load.token_layers) / room.max(1.0);
         let slots = f64::from(profile.slots) * SLOT_FILL;
         Some(Self {
             holder,
             layers: holder.layers,
             may_be_first: stays || f64::from(holder.load.first) + 1.0 <= slots,
-            pressure: 1.0 / (1.05 - used),
+            pressure: pressure(used),
+            first_pressure: pressure(f64::from(holder.load.first) / slots.max(1.0)),
         })
     }
 
-    fn cost(&self, profile: &EngineProfile, layers: u16) -> f64 {
+    /// Returns the cost of `layers` layers, in ms a token; `first` tells that the part is the first.
+    fn cost(&self, profile: &EngineProfile, layers: u16, first: bool) -> f64 {
         let load = self.holder.load;
         let active = f64::from(load.active) + 1.0;
         let held = f64::from(self.holder.layers.len().max(1));
@@ -236,10 +239,16 @@
         let step = profile.step(&self.holder.kind, layers, active, context);
         let read = profile.read(&self.holder.kind, layers, profile.usual_prompt)
             / profile.usual_answer.max(1.0);
-        (step + read * active.min(8.0)) * self.holder.slowness * self.pressure
+        let pressure = self.pressure.max(if first { self.first_pressure } else { 1.0 });
+        (step + read * active.min(8.0)) * self.holder.slowness * pressure
     }
 }
 
+/// Returns the factor on the cost of a server of which `used` is the part in use.
+fn pressure(used: f64) -> f64 {
+    1.0 / (1.05 - used.clamp(0.0, 1.0))
+}
+
 fn domain_list<'a>(usable: &[Candidate<'a>]) -> SmallVec<[&'a DomainName; 8]> {
     let mut domains: SmallVec<[&DomainName; 8]> = SmallVec::new();
     for candidate in usable {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -23,7 +23,7 @@
 use crate::net;
 
 /// The longest wait for a connection within a region.
-const CONNECT: Duration = Duration::from_millis(600);
+const CONNECT: Duration = Duration::from_millis(300);
 /// The most idle connections kept to one address.
 const MAX_IDLE: usize = 48;
 /// How long an idle connection is kept when the server does not say.
