Leave servers alone that go on declining; move servers to layers short of room

Change: a server that declines again without having served rests twice as long, up to 2 s, and other hosts are told; a chain's servers are cleared by its first event; the planner moves one server at a time to the layer with the least room in the fleet.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -103,6 +103,8 @@
     RequestTurnedAway = 2105, Info, "request turned away";
     /// A request goes on through other servers.
     RequestMoved = 2106, Info, "request moved";
+    /// A server states that it did not run a request.
+    RequestDeclined = 2107, Info, "request declined";
     /// A server is believed to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
     /// A server is believed sound again.
--- a/crates/core/src/forward/health.rs
+++ b/crates/core/src/forward/health.rs
@@ -15,6 +15,10 @@
 const FAULT_HALF_LIFE: Millis = Millis(3_000);
 /// How long a server that declined a request is left alone.
 const DECLINED_SPAN: Millis = Millis(250);
+/// Doublings of that span for a server that goes on declining.
+const DECLINES_MOST: u32 = 3;
+/// The time without a decline after which earlier ones no longer count.
+const DECLINES_FORGET: Millis = Millis(3_000);
 /// The longest span of a suspicion.
 const LONGEST_SPAN: Millis = Millis(8_000);
 /// The time without a failure after which earlier ones no longer count.
@@ -27,6 +31,7 @@
     suspect_until: Millis,
     told_until: Millis,
     busy_until: Millis,
+    declines: u32,
     faults: f64,
     faults_at: Millis,
     last_strike: Millis,
@@ -41,6 +46,7 @@
             suspect_until: Millis::ZERO,
             told_until: Millis::ZERO,
             busy_until: Millis::ZERO,
+            declines: 0,
             faults: 0.0,
             faults_at: Millis::ZERO,
             last_strike: Millis::ZERO,
@@ -51,6 +57,11 @@
 }
 
 impl Belief {
+    fn tellable_until(&self) -> Millis {
+        let busy = if self.declines > 1 { self.busy_until } else { Millis::ZERO };
+        self.suspect_until.max(busy)
+    }
+
     fn faults_at(&self, now: Millis) -> f64 {
         let age = now.since(self.faults_at).0 as f64 / FAULT_HALF_LIFE.0 as f64;
         self.faults * (-age).exp2()
@@ -82,10 +93,19 @@
         span
     }
 
-    /// Notes that `server` declined a request: it is full, or has changed what it holds. This says
-    /// nothing against it, so it is left alone for a moment only and other hosts are not told.
+    /// Notes that `server` declined a request: it is full, is leaving or has changed what it holds.
+    /// It is left alone for a moment, and longer the more often it declines without serving.
     pub fn on_declined(&mut self, now: Millis, server: &ServerName) {
-        self.beliefs.entry(server.clone()).or_default().busy_until = now + DECLINED_SPAN;
+        let belief = self.beliefs.entry(server.clone()).or_default();
+        if now < belief.busy_until {
+            return;
+        }
+        if now.since(belief.busy_until) > DECLINES_FORGET {
+            belief.declines = 0;
+        }
+        let span = DECLINED_SPAN.0 << belief.declines.min(DECLINES_MOST);
+        belief.declines += 1;
+        belief.busy_until = now + Millis(span);
     }
 
     /// Notes that `server` spoiled or lost one answer; it goes on serving others, so it is only
@@ -114,6 +134,7 @@
         };
         let was = now < belief.suspect_until;
         belief.strikes = 0;
+        belief.declines = 0;
         belief.suspect_until = Millis::ZERO;
         belief.told_until = Millis::ZERO;
         was
@@ -148,11 +169,12 @@
         self.beliefs.get(server).filter(|b| now < b.slow_until).map_or(1.0, |b| b.slowness)
     }
 
-    /// Returns the servers that this host itself leaves alone now, and for how much longer.
+    /// Returns the servers that this host itself leaves alone now, and for how much longer. One that
+    /// declined only once says nothing to others.
     pub fn suspects(&self, now: Millis) -> impl Iterator<Item = (&ServerName, Millis)> {
         self.beliefs
             .iter()
-            .filter(move |(_, b)| now < b.suspect_until)
-            .map(move |(id, b)| (id, b.suspect_until.since(now)))
+            .map(move |(id, b)| (id, b.tellable_until().since(now)))
+            .filter(|(_, span)| *span > Millis::ZERO)
     }
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Placement of model layers on backend servers, and the path of each request through them.
 
+pub mod balance;
 pub mod chain;
 pub mod engine;
 pub mod load;
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -2,12 +2,13 @@
 //!
 //! Each failure domain gets a chain of its own over all its servers, since room for requests binds
 //! before speed does. Afterwards a plan keeps what servers hold; gaps are closed by empty servers and
-//! by holders of second copies.
+//! by holders of second copies, and one server at a time moves to where the fleet lacks room.
 
 use std::collections::BTreeMap;
 
 use crate::name::DomainName;
 use crate::name::ServerName;
+use crate::placement::balance;
 use crate::placement::engine::CardKind;
 use crate::placement::engine::EngineProfile;
 use crate::placement::engine::LayerRange;
@@ -47,6 +48,7 @@
         group.arrange();
         group.write(&mut out);
     }
+    balance::balance(profile, cards, &mut out);
     out
 }
 
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -169,6 +169,38 @@
     assert!(total >= LAYERS, "{total} layers");
 }
 
+fn room_of_layer(cards: &[Card], plan: &Plan, layer: u16) -> f64 {
+    cards
+        .iter()
+        .filter_map(|c| Some((c, *plan.get(&c.server)?)))
+        .filter(|(_, r)| r.from <= layer && layer < r.to)
+        .map(|(c, r)| profile().room(&c.kind, r.len()))
+        .sum()
+}
+
+#[test]
+fn after_lasting_losses_of_the_same_layers_others_come_to_hold_them() {
+    let cards = fleet();
+    let first = plan(&profile(), &cards);
+    let layer = 70;
+    let mut left = holding(cards, &first);
+    let lost = |c: &Card| {
+        c.domain.as_str() != "a" && c.holds.is_some_and(|r| r.from <= layer && layer < r.to)
+    };
+    left.retain(|c| !lost(c));
+    let before = room_of_layer(&left, &holding_plan(&left), layer);
+    for _ in 0..6 {
+        let next = plan(&profile(), &left);
+        left = holding(left, &next);
+    }
+    let after = room_of_layer(&left, &holding_plan(&left), layer);
+    assert!(after >= 2.0 * before, "{before} tokens before, {after} after");
+}
+
+fn holding_plan(cards: &[Card]) -> Plan {
+    cards.iter().filter_map(|c| Some((c.server.clone(), c.holds?))).collect()
+}
+
 fn address(index: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, u8::try_from(index).expect("few servers")), 80)
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -140,6 +140,7 @@
 /// The servers that have the request now.
 struct Current {
     target: Target,
+    sound: bool,
     _in_progress: InProgress,
 }
 
@@ -298,7 +299,7 @@
     fn set_current(&mut self, target: Target) {
         self.current = None;
         let in_progress = self.gateway.traffic.begin(&target, self.tokens());
-        self.current = Some(Current { target, _in_progress: in_progress });
+        self.current = Some(Current { target, sound: false, _in_progress: in_progress });
     }
 
     fn request(&self, target: &Target) -> Request<Full<Bytes>> {
@@ -429,7 +430,16 @@
             return Some(without(AttemptEnd::Broken, "other_answer"));
         }
         if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-            traffic.declined(target.server(), reply.at_fault);
+            let at_fault = traffic.declined(target.server(), reply.at_fault);
+            self.gateway.journal.line(
+                Event::RequestDeclined,
+                &[
+                    ("id", &self.id()),
+                    ("status", &head.status.as_u16()),
+                    ("asked", target.server()),
+                    ("at_fault", &at_fault),
+                ],
+            );
             return Some(without(AttemptEnd::Declined, "declined"));
         }
         let unusable = !reply.sealed || reply.encoded || reply.id.is_none();
@@ -467,7 +477,7 @@
                 why: "server_error",
             };
         }
-        self.gateway.traffic.sound(target.server());
+        self.gateway.traffic.sound_target(target);
         self.why = "answered";
         self.answer_whole(response);
         Ended::Done
@@ -507,6 +517,7 @@
                 return without(AttemptEnd::Broken, "stream_order");
             };
             if whole.count > 0 {
+                self.note_sound();
                 self.note_event();
                 self.begin(&head);
                 if let Some(chunks) = &self.chunks {
@@ -596,6 +607,15 @@
         );
     }
 
+    /// Notes with the first event of an attempt that all servers of its chain do their work.
+    fn note_sound(&mut self) {
+        if let Some(Current { target, sound, .. }) = &mut self.current {
+            if !std::mem::replace(sound, true) {
+                self.gateway.traffic.sound_target(target);
+            }
+        }
+    }
+
     /// Takes the time of events that go to the caller; the first gap is the time to the first one.
     fn note_event(&mut self) {
         let now = self.gateway.clock.now();
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -241,9 +241,11 @@
     }
 
     /// Notes that a server declined a request: the one at `at_fault`, or else the one asked.
-    pub fn declined(&self, asked: &ServerName, at_fault: Option<SocketAddrV4>) {
+    /// Returns which one it was.
+    pub fn declined(&self, asked: &ServerName, at_fault: Option<SocketAddrV4>) -> ServerName {
         let id = at_fault.and_then(|a| self.server_at(a)).unwrap_or_else(|| asked.clone());
         self.health.borrow_mut().on_declined(self.clock.now(), &id);
+        id
     }
 
     /// Notes by what factor the server at `address` says that it is slow.
@@ -263,8 +265,15 @@
         self.health.borrow_mut().on_fault(self.clock.now(), server);
     }
 
-    /// Notes that a server did its work.
-    pub fn sound(&self, server: &ServerName) {
+    /// Notes that the servers of a target did their work.
+    pub fn sound_target(&self, target: &Target) {
+        match target {
+            Target::Server { server, .. } => self.sound(server),
+            Target::Chain(chain) => chain.parts().iter().for_each(|p| self.sound(&p.server)),
+        }
+    }
+
+    fn sound(&self, server: &ServerName) {
         if self.health.borrow_mut().on_success(self.clock.now(), server) {
             self.journal.line(Event::ServerCleared, &[("server", server)]);
         }
