--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -105,6 +105,8 @@
     RequestMoved = 2106, Info, "request moved";
     /// A server states that it did not run a request.
     RequestDeclined = 2107, Info, "request declined";
+    /// An answer that had begun was broken off.
+    AnswerBrokenOff = 2108, Warn, "answer broken off";
     /// A server is believed to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
     /// A server is believed sound again.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -5,6 +5,7 @@
 pub mod events;
 pub mod health;
 pub mod outcome;
+pub mod reason;
 pub mod routes;
 pub mod servers;
 #[cfg(test)]
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -23,6 +23,7 @@
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::reason::Rejection;
 use yuccanotch_core::forward::routes::Limits;
 
 use crate::answer;
@@ -37,40 +38,14 @@
 /// The least buffer that the HTTP library takes for a head, in bytes.
 const LEAST_HEAD_BUFFER: usize = 8 << 10;
 
-/// Why a request is turned away before it is sent to a server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Rejection {
-    Malformed,
-    NoConfiguration,
-    NoRoute,
-    UnknownKey,
-    TooLarge,
-    BodyLate,
-    BodyBroken,
-}
-
-impl Rejection {
-    fn status(self) -> StatusCode {
-        match self {
-            Self::Malformed | Self::BodyBroken => StatusCode::BAD_REQUEST,
-            Self::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
-            Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::UnknownKey => StatusCode::UNAUTHORIZED,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::BodyLate => StatusCode::REQUEST_TIMEOUT,
-        }
-    }
-
-    fn reason(self) -> &'static str {
-        match self {
-            Self::Malformed => "malformed",
-            Self::NoConfiguration => "no_configuration",
-            Self::NoRoute => "no_route",
-            Self::UnknownKey => "unknown_key",
-            Self::TooLarge => "too_large",
-            Self::BodyLate => "body_late",
-            Self::BodyBroken => "body_broken",
-        }
+fn status(rejection: Rejection) -> StatusCode {
+    match rejection {
+        Rejection::Malformed | Rejection::BodyBroken => StatusCode::BAD_REQUEST,
+        Rejection::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
+        Rejection::NoRoute => StatusCode::NOT_FOUND,
+        Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
+        Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Rejection::BodyLate => StatusCode::REQUEST_TIMEOUT,
     }
 }
 
@@ -202,11 +177,12 @@
 }
 
 fn reject(gateway: &Gateway, caller: &CallerRequest, rejection: Rejection) -> Response<AnswerBody> {
-    let status = rejection.status();
+    let status = status(rejection);
+    gateway.counters.turned_away(rejection);
     let id = caller.id.as_deref();
     gateway.journal.line(
         Event::RequestTurnedAway,
-        &[("id", &id.unwrap_or("")), ("status", &status.as_u16()), ("why", &rejection.reason())],
+        &[("id", &id.unwrap_or("")), ("status", &status.as_u16()), ("why", &rejection)],
     );
     let mut fields: HeaderMap = gateway.edge.own_fields(id);
     if status == StatusCode::SERVICE_UNAVAILABLE {
--- /dev/null
+++ b/crates/gateway/src/counters.rs
@@ -0,0 +1,194 @@
+//! Counters, gauges and latency histograms of one host, as text on its metrics address.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics::Counter;
+use metrics::Gauge;
+use metrics::Histogram;
+use metrics::Key;
+use metrics::Label;
+use metrics::Level;
+use metrics::Metadata;
+use metrics::Recorder;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use metrics_exporter_prometheus::PrometheusRecorder;
+use tokio::net::TcpListener;
+use tokio::time;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::forward::reason::EndReason;
+use yuccanotch_core::forward::reason::Rejection;
+
+use crate::answer::AnswerBody;
+use crate::host::Gateway;
+
+const METADATA: Metadata<'static> = Metadata::new("yuccanotch", Level::INFO, None);
+
+/// Upper bounds of the latency histograms, in ms.
+const BUCKETS_MS: [f64; 10] =
+    [25.0, 50.0, 100.0, 200.0, 250.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 20_000.0];
+
+/// The values that a host counts.
+pub struct Counters {
+    recorder: PrometheusRecorder,
+    handle: PrometheusHandle,
+    requests: HashMap<EndReason, Counter>,
+    attempts: HashMap<EndReason, Counter>,
+    retries: HashMap<EndReason, Counter>,
+    turned_away: HashMap<Rejection, Counter>,
+    sent: Counter,
+    moves: Counter,
+    moves_refused: Counter,
+    first: Histogram,
+    gap: Histogram,
+}
+
+impl Counters {
+    /// Creates values that stand at zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the bounds of the histograms are refused.
+    pub fn new() -> Result<Self, BuildError> {
+        let recorder = PrometheusBuilder::new().set_buckets(&BUCKETS_MS)?.build_recorder();
+        let handle = recorder.handle();
+        let by_end = |name| -> HashMap<EndReason, Counter> {
+            let of = |r: &EndReason| (*r, counter(&recorder, name, Some(r.as_str())));
+            EndReason::ALL.iter().map(of).collect()
+        };
+        let histogram = |name| recorder.register_histogram(&Key::from_static_name(name), &METADATA);
+        Ok(Self {
+            requests: by_end("yuccanotch_requests_total"),
+            attempts: by_end("yuccanotch_attempt_ends_total"),
+            retries: by_end("yuccanotch_retries_total"),
+            turned_away: Rejection::ALL
+                .iter()
+                .map(|r| {
+                    let name = "yuccanotch_turned_away_total";
+                    (*r, counter(&recorder, name, Some(r.as_str())))
+                })
+                .collect(),
+            sent: counter(&recorder, "yuccanotch_attempts_total", None),
+            moves: counter(&recorder, "yuccanotch_moves_total", None),
+            moves_refused: counter(&recorder, "yuccanotch_moves_refused_total", None),
+            first: histogram("yuccanotch_first_event_ms"),
+            gap: histogram("yuccanotch_longest_gap_ms"),
+            recorder,
+            handle,
+        })
+    }
+
+    /// Counts a request that goes to a server.
+    pub fn sent(&self) {
+        self.sent.increment(1);
+    }
+
+    /// Counts the end of an attempt; `again` tells that another one follows.
+    pub fn attempt(&self, reason: EndReason, again: bool) {
+        add(&self.attempts, reason);
+        if again {
+            add(&self.retries, reason);
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn request(&self, reason: EndReason) {
+        add(&self.requests, reason);
+    }
+
+    /// Counts a request that was not let in.
+    pub fn turned_away(&self, reason: Rejection) {
+        if let Some(counter) = self.turned_away.get(&reason) {
+            counter.increment(1);
+        }
+    }
+
+    /// Counts a change of a request's chain.
+    pub fn moved(&self, taken: bool) {
+        if taken {
+            self.moves.increment(1);
+        } else {
+            self.moves_refused.increment(1);
+        }
+    }
+
+    /// Notes the time to the first event and the longest gap between events.
+    pub fn stream(&self, first: Millis, gap: Millis) {
+        self.first.record(first.0 as f64);
+        self.gap.record(gap.0 as f64);
+    }
+
+    fn gauge(&self, name: &'static str, value: f64) {
+        let gauge: Gauge = self.recorder.register_gauge(&Key::from_static_name(name), &METADATA);
+        gauge.set(value);
+    }
+
+    fn render(&self, gateway: &Gateway) -> String {
+        let now = gateway.clock.now();
+        let version = gateway.views.configuration().map_or(0, |c| c.version);
+        let lost = gateway.store.lost_since().map_or(Millis::ZERO, |at| now.since(at));
+        self.gauge("yuccanotch_configuration_version", version as f64);
+        self.gauge("yuccanotch_store_revision", gateway.views.revision() as f64);
+        self.gauge("yuccanotch_store_lost_ms", lost.0 as f64);
+        self.gauge("yuccanotch_store_calls", gateway.store.calls() as f64);
+        self.gauge("yuccanotch_servers", gateway.views.servers().len() as f64);
+        self.gauge("yuccanotch_hosts", gateway.hosts() as f64);
+        self.gauge("yuccanotch_requests_active", gateway.active() as f64);
+        self.gauge("yuccanotch_caller_connections", gateway.connections.get() as f64);
+        self.gauge("yuccanotch_log_lines_dropped", gateway.journal.dropped() as f64);
+        self.gauge("yuccanotch_is_issuer", f64::from(u8::from(gateway.is_issuer.get())));
+        let suspects = gateway.traffic.health.borrow().suspects(now).count();
+        self.gauge("yuccanotch_servers_suspected", suspects as f64);
+        self.handle.render()
+    }
+}
+
+fn add(counters: &HashMap<EndReason, Counter>, reason: EndReason) {
+    if let Some(counter) = counters.get(&reason) {
+        counter.increment(1);
+    }
+}
+
+fn counter(
+    recorder: &PrometheusRecorder,
+    name: &'static str,
+    reason: Option<&'static str>,
+) -> Counter {
+    let labels: Vec<Label> =
+        reason.map(|r| Label::from_static_parts("reason", r)).into_iter().collect();
+    let key = Key::from_parts(name, labels);
+    let counter = recorder.register_counter(&key, &METADATA);
+    counter.increment(0);
+    counter
+}
+
+/// Answers questions for the values for the life of the process.
+pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let asked = gateway.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let text = asked.counters.render(&asked);
+            async move { Ok::<_, Infallible>(Response::new(AnswerBody::whole(Bytes::from(text)))) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(async move {
+            // The reader asks again on another connection.
+            let _ = connection.await;
+        });
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,6 +26,7 @@
 use yuccanotch_core::forward::outcome::Chances;
 use yuccanotch_core::forward::outcome::Next;
 use yuccanotch_core::forward::outcome::Outcome;
+use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::routes::Repeat;
 use yuccanotch_core::forward::routes::Route;
 use yuccanotch_core::forward::routes::Service;
@@ -96,11 +97,12 @@
     chunks: Option<ChunkSender>,
     events: EventSplitter,
     version: Option<u64>,
+    first_event: Millis,
     last_event: Millis,
     longest_gap: Millis,
     chain: String,
     current: Option<Current>,
-    why: &'static str,
+    why: EndReason,
 }
 
 /// The parts of a request that has been let in.
@@ -126,7 +128,7 @@
     /// The caller has its final answer.
     Done,
     /// There is no usable answer; `kept` is the server's own failure, if it is whole.
-    Without { end: AttemptEnd, kept: Option<Response<Bytes>>, why: &'static str },
+    Without { end: AttemptEnd, kept: Option<Response<Bytes>>, why: EndReason },
 }
 
 /// What a silent server is found to do.
@@ -171,11 +173,12 @@
             head_tx: Some(head_tx),
             chunks: None,
             version: None,
+            first_event: Millis::ZERO,
             last_event: started,
             longest_gap: Millis::ZERO,
             chain: String::new(),
             current: None,
-            why: "",
+            why: EndReason::Deadline,
         }
     }
 
@@ -189,10 +192,14 @@
             ended = time::timeout(left, self.drive()) => Some(ended),
         };
         match ended {
-            None => self.note(Event::CallerLeft, "gone"),
+            None => {
+                self.why = EndReason::CallerGone;
+                self.gateway.counters.request(self.why);
+                self.note(Event::CallerLeft);
+            }
             Some(Ok(())) => {}
             Some(Err(_)) => {
-                self.why = "deadline";
+                self.why = EndReason::Deadline;
                 let next = self.outcome.refusal();
                 self.finish_without(next, None, StatusCode::GATEWAY_TIMEOUT).await;
             }
@@ -206,7 +213,7 @@
                 self.gateway
                     .journal
                     .line(Event::AttemptEnded, &[("id", &self.id()), ("lacks", &lacks)]);
-                self.why = "no_room";
+                self.why = EndReason::NoRoom;
                 let next = self.outcome.refusal();
                 self.finish_without(next, None, StatusCode::BAD_GATEWAY).await;
                 return;
@@ -226,6 +233,7 @@
             );
             let chances = self.chances(end);
             let next = self.outcome.on_end(end, chances);
+            self.gateway.counters.attempt(why, next == Next::Retry);
             if next != Next::Retry {
                 self.finish_without(next, kept, StatusCode::BAD_GATEWAY).await;
                 return;
@@ -275,7 +283,7 @@
             Err(_) => {
                 gateway.traffic.suspect(target.server(), "connect");
                 self.outcome.on_send();
-                return without(AttemptEnd::NotSent, "connect");
+                return without(AttemptEnd::NotSent, EndReason::Connect);
             }
         };
         self.outcome.on_send();
@@ -307,7 +315,7 @@
     fn request(&self, target: &Target) -> Request<Full<Bytes>> {
         let now = self.gateway.clock.now();
         let chain = match target {
-            Target::Chain(chain) => Some(chain),
+            Target::Chain(chain) => Some(chain.as_ref()),
             Target::Server { .. } => None,
         };
         let forward = Forward {
@@ -344,14 +352,14 @@
             match time::timeout(limit, &mut sending).await {
                 Ok(Ok(response)) => return Ok(response),
                 Ok(Err(SendError::NotSent(_))) => {
-                    return Err(without(AttemptEnd::NotSent, "closed"));
+                    return Err(without(AttemptEnd::NotSent, EndReason::Closed));
                 }
                 Ok(Err(SendError::Broken(_))) => {
-                    return Err(without(AttemptEnd::Broken, "broken"));
+                    return Err(without(AttemptEnd::Broken, EndReason::Broken));
                 }
                 Err(_) => {
                     if let Silence::Lost = self.look_at(silence).await {
-                        return Err(without(AttemptEnd::Silent, "silent"));
+                        return Err(without(AttemptEnd::Silent, EndReason::Silent));
                     }
                     silence = SILENCE_AGAIN;
                 }
@@ -397,13 +405,15 @@
         let order = Order::Repath { id: self.id(), chain: &new };
         let reply = gateway.order(&first.server, first.address, &order).await;
         let outcome = format!("{reply:?}");
-        let target = Target::Chain(new);
+        let target = Target::Chain(Rc::new(new));
         self.chain = describe(&target);
         gateway.journal.line(
             Event::RequestMoved,
             &[("id", &self.id()), ("chain", &self.chain), ("reply", &outcome)],
         );
-        if !matches!(reply, Some(OrderReply::Begun | OrderReply::Done)) {
+        let taken = matches!(reply, Some(OrderReply::Begun | OrderReply::Done));
+        gateway.counters.moved(taken);
+        if !taken {
             return Silence::Lost;
         }
         self.set_current(target);
@@ -429,7 +439,7 @@
     ) -> Option<Ended> {
         let traffic = &self.gateway.traffic;
         if reply.id.is_some() && reply.id.as_deref() != self.caller.id.as_deref() {
-            return Some(without(AttemptEnd::Broken, "other_answer"));
+            return Some(without(AttemptEnd::Broken, EndReason::OtherAnswer));
         }
         if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             let at_fault = traffic.declined(target.server(), reply.at_fault);
@@ -442,14 +452,14 @@
                     ("at_fault", &at_fault),
                 ],
             );
-            return Some(without(AttemptEnd::Declined, "declined"));
+            return Some(without(AttemptEnd::Declined, EndReason::Declined));
         }
         let unusable = !reply.sealed || reply.encoded || reply.id.is_none();
         if head.status.is_success() && unusable {
-            return Some(without(AttemptEnd::Broken, "unsealed"));
+            return Some(without(AttemptEnd::Broken, EndReason::Unsealed));
         }
         if head.status.is_server_error() && !reply.sealed {
-            return Some(without(AttemptEnd::Broken, "unsealed_failure"));
+            return Some(without(AttemptEnd::Broken, EndReason::UnsealedFailure));
         }
         None
     }
@@ -463,7 +473,7 @@
         target: &Target,
     ) -> Ended {
         let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
-            return without(AttemptEnd::Broken, "body_broken");
+            return without(AttemptEnd::Broken, EndReason::BodyBroken);
         };
         if !reply.closes {
             self.gateway.pool.give_back(link, reply.keep);
@@ -476,11 +486,11 @@
             return Ended::Without {
                 end: AttemptEnd::Failed,
                 kept: Some(response),
-                why: "server_error",
+                why: EndReason::ServerError,
             };
         }
         self.gateway.traffic.sound_target(target);
-        self.why = "answered";
+        self.why = EndReason::Answered;
         self.answer_whole(response);
         Ended::Done
     }
@@ -500,7 +510,7 @@
                 Ok(frame) => frame,
                 Err(_) => {
                     if let Silence::Lost = self.look_at(silence).await {
-                        return without(AttemptEnd::Silent, "stream_silent");
+                        return without(AttemptEnd::Silent, EndReason::StreamSilent);
                     }
                     silence = SILENCE_AGAIN;
                     continue;
@@ -509,14 +519,14 @@
             silence = SILENCE;
             let data = match frame {
                 None => break,
-                Some(Err(_)) => return without(AttemptEnd::Broken, "stream_broken"),
+                Some(Err(_)) => return without(AttemptEnd::Broken, EndReason::StreamBroken),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
             };
             let Ok(whole) = self.events.push(&data) else {
-                return without(AttemptEnd::Broken, "stream_order");
+                return without(AttemptEnd::Broken, EndReason::StreamOrder);
             };
             if whole.count > 0 {
                 self.note_sound();
@@ -528,13 +538,14 @@
             }
         }
         if self.events.has_part() {
-            return without(AttemptEnd::Broken, "stream_part");
+            return without(AttemptEnd::Broken, EndReason::StreamPart);
         }
         if !reply.closes {
             self.gateway.pool.give_back(link, reply.keep);
         }
         self.begin(&head);
-        self.why = "streamed";
+        self.why = EndReason::Streamed;
+        self.gateway.counters.stream(self.first_event, self.longest_gap);
         self.note_done(head.status);
         if let Some(chunks) = self.chunks.take() {
             chunks.finish();
@@ -578,7 +589,8 @@
                 }
             }
             Next::BreakOff => {
-                self.note(Event::RequestDone, "broken_off");
+                self.gateway.counters.request(self.why);
+                self.note(Event::AnswerBrokenOff);
                 if let Some(chunks) = self.chunks.take() {
                     chunks.break_off().await;
                 }
@@ -603,6 +615,7 @@
     fn note_sent(&mut self, target: &Target) {
         let left = self.due.since(self.gateway.clock.now());
         self.chain = describe(target);
+        self.gateway.counters.sent();
         self.gateway.journal.line(
             Event::RequestSent,
             &[("id", &self.id()), ("chain", &self.chain), ("left_ms", &left.0)],
@@ -623,12 +636,15 @@
         let now = self.gateway.clock.now();
         if self.outcome.has_begun() {
             self.longest_gap = self.longest_gap.max(now.since(self.last_event));
+        } else {
+            self.first_event = now.since(self.started);
         }
         self.last_event = now;
     }
 
     fn note_done(&self, status: StatusCode) {
         let ms = self.gateway.clock.now().since(self.started);
+        self.gateway.counters.request(self.why);
         self.gateway.journal.line(
             Event::RequestDone,
             &[
@@ -643,9 +659,9 @@
         );
     }
 
-    fn note(&self, event: Event, why: &str) {
+    fn note(&self, event: Event) {
         let ms = self.gateway.clock.now().since(self.started);
-        self.gateway.journal.line(event, &[("id", &self.id()), ("why", &why), ("ms", &ms.0)]);
+        self.gateway.journal.line(event, &[("id", &self.id()), ("why", &self.why), ("ms", &ms.0)]);
     }
 }
 
@@ -663,7 +679,7 @@
     }
 }
 
-fn without(end: AttemptEnd, why: &'static str) -> Ended {
+fn without(end: AttemptEnd, why: EndReason) -> Ended {
     Ended::Without { end, kept: None, why }
 }
 
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -30,6 +30,8 @@
 
 use crate::answer::AnswerBody;
 use crate::callers;
+use crate::counters;
+use crate::counters::Counters;
 use crate::edge::Edge;
 use crate::edge::EngineReport;
 use crate::edge::Order;
@@ -116,6 +118,8 @@
     pub views: Rc<Views>,
     /// Routing state.
     pub traffic: Rc<Traffic>,
+    /// Counters and histograms.
+    pub counters: Counters,
     /// What model servers tell of themselves.
     pub reports: Reports,
     /// Other hosts.
@@ -140,7 +144,11 @@
 
 impl Gateway {
     /// Creates the parts of a host.
-    pub fn new(settings: Settings, edge: Rc<dyn Edge>, clock: Clock) -> Rc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the counters cannot be set up.
+    pub fn new(settings: Settings, edge: Rc<dyn Edge>, clock: Clock) -> io::Result<Rc<Self>> {
         let journal = Rc::new(Journal::new(clock.clone()));
         let pool = Pool::new(clock.clone());
         let store = StoreClient::new(
@@ -159,7 +167,7 @@
             settings.repeats,
         );
         let reports_clock = clock.clone();
-        Rc::new(Self {
+        Ok(Rc::new(Self {
             settings,
             clock,
             edge,
@@ -168,13 +176,19 @@
             store,
             views,
             traffic,
+            counters: Counters::new().map_err(io::Error::other)?,
             reports: Reports::new(reports_clock),
             peers: Peers::default(),
             stop: Stop::new(),
             is_issuer: Cell::new(false),
             connections: Cell::new(0),
             active: Rc::default(),
-        })
+        }))
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn active(&self) -> usize {
+        self.active.get()
     }
 
     /// Counts a request in progress until the returned value is dropped.
@@ -256,6 +270,7 @@
     let callers = net::listen(settings.callers)?;
     let ready = net::listen(settings.ready)?;
     let control = net::listen(settings.control)?;
+    let metrics = net::listen(settings.metrics)?;
     let gossip_socket = UdpSocket::bind(SocketAddr::V4(settings.gossip)).await?;
     let mut term = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -267,6 +282,7 @@
     tokio::task::spawn_local(watch::run(gateway.store.clone(), gateway.views.clone(), keys));
     tokio::task::spawn_local(gossip::run(gateway.clone(), gossip_socket));
     tokio::task::spawn_local(snapshot::serve(gateway.clone(), control));
+    tokio::task::spawn_local(counters::serve(gateway.clone(), metrics));
     tokio::task::spawn_local(answer_ready(gateway.clone(), ready));
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod callers;
+pub mod counters;
 pub mod edge;
 pub mod exchange;
 pub mod gossip;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -46,7 +46,7 @@
         address: SocketAddrV4,
     },
     /// A chain of model servers.
-    Chain(Chain),
+    Chain(Rc<Chain>),
 }
 
 impl Target {
@@ -112,7 +112,9 @@
     /// `tried` are servers that the request has been sent to.
     pub fn choose(&self, service: &Service, tokens: f64, tried: &[ServerName]) -> Option<Target> {
         match &service.engine {
-            Some(profile) => self.choose_chain(service, profile, tokens, None).map(Target::Chain),
+            Some(profile) => self
+                .choose_chain(service, profile, tokens, None)
+                .map(|chain| Target::Chain(Rc::new(chain))),
             None => self.choose_server(service, tried),
         }
     }
