--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -34,6 +34,7 @@
 use crate::exchange::Exchange;
 use crate::host::Gateway;
 use crate::net;
+use crate::probe_server;
 
 /// The least buffer that the HTTP library takes for a head, in bytes.
 const LEAST_HEAD_BUFFER: usize = 8 << 10;
@@ -56,14 +57,10 @@
     let closing = gateway.stop.closing();
     tokio::pin!(closing);
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = probe_server::accept(&listener) => stream,
             () = &mut closing => return,
         };
-        let Ok((stream, _)) = accepted else {
-            time::sleep(std::time::Duration::from_millis(10)).await;
-            continue;
-        };
         if gateway.connections.get() >= gateway.settings.sockets / 2 {
             continue;
         }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -1,17 +1,7 @@
 //! Counters, gauges and latency histograms of one host, as text on its metrics address.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
-use std::rc::Rc;
-use std::time::Duration;
-
-use bytes::Bytes;
-use http::Request;
-use http::Response;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+
 use metrics::Counter;
 use metrics::Gauge;
 use metrics::Histogram;
@@ -24,13 +14,10 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use metrics_exporter_prometheus::PrometheusRecorder;
-use tokio::net::TcpListener;
-use tokio::time;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::reason::Rejection;
 
-use crate::answer::AnswerBody;
 use crate::host::Gateway;
 
 const METADATA: Metadata<'static> = Metadata::new("yuccanotch", Level::INFO, None);
@@ -134,7 +121,8 @@
         gauge.set(value);
     }
 
-    fn render(&self, gateway: &Gateway) -> String {
+    /// Writes all values as text.
+    pub fn render(&self, gateway: &Gateway) -> String {
         let now = gateway.clock.now();
         let version = gateway.views.configuration().map_or(0, |c| c.version);
         let lost = gateway.store.lost_since().map_or(Millis::ZERO, |at| now.since(at));
@@ -172,23 +160,3 @@
     counter.increment(0);
     counter
 }
-
-/// Answers questions for the values for the life of the process.
-pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let asked = gateway.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            let text = asked.counters.render(&asked);
-            async move { Ok::<_, Infallible>(Response::new(AnswerBody::whole(Bytes::from(text)))) }
-        });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::task::spawn_local(async move {
-            // The reader asks again on another connection.
-            let _ = connection.await;
-        });
-    }
-}
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -8,16 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
@@ -30,7 +24,6 @@
 
 use crate::answer::AnswerBody;
 use crate::callers;
-use crate::counters;
 use crate::counters::Counters;
 use crate::edge::Edge;
 use crate::edge::EngineReport;
@@ -44,6 +37,7 @@
 use crate::net;
 use crate::pool::Pool;
 use crate::pool::Reuse;
+use crate::probe_server;
 use crate::reports::Reports;
 use crate::settings::Settings;
 use crate::snapshot;
@@ -253,6 +247,14 @@
         Some((head.status, body))
     }
 
+    fn readiness(&self) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+        if !self.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+
     fn is_ready(&self) -> bool {
         !self.stop.is_stopping()
             && self.views.configuration().is_some()
@@ -282,8 +284,12 @@
     tokio::task::spawn_local(watch::run(gateway.store.clone(), gateway.views.clone(), keys));
     tokio::task::spawn_local(gossip::run(gateway.clone(), gossip_socket));
     tokio::task::spawn_local(snapshot::serve(gateway.clone(), control));
-    tokio::task::spawn_local(counters::serve(gateway.clone(), metrics));
-    tokio::task::spawn_local(answer_ready(gateway.clone(), ready));
+    let counted = gateway.clone();
+    tokio::task::spawn_local(probe_server::serve(metrics, move || {
+        Response::new(AnswerBody::whole(Bytes::from(counted.counters.render(&counted))))
+    }));
+    let asked = gateway.clone();
+    tokio::task::spawn_local(probe_server::serve(ready, move || asked.readiness()));
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
     tokio::task::spawn_local(meet_hosts(gateway.clone()));
@@ -377,27 +383,3 @@
         snapshot::take(gateway, address).await;
     }
 }
-
-async fn answer_ready(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let asked = gateway.clone();
-        let service = service_fn(move |_: Request<Incoming>| {
-            let status =
-                if asked.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            async move {
-                let mut response = Response::new(AnswerBody::whole(Bytes::new()));
-                *response.status_mut() = status;
-                Ok::<_, std::convert::Infallible>(response)
-            }
-        });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        tokio::task::spawn_local(async move {
-            // The balancer asks again on another connection.
-            let _ = connection.await;
-        });
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod journal;
 pub mod net;
 pub mod pool;
+pub mod probe_server;
 pub mod reports;
 pub mod settings;
 pub mod snapshot;
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -30,6 +30,7 @@
 use crate::gossip::Peer;
 use crate::host::Gateway;
 use crate::net;
+use crate::probe_server;
 
 /// The longest wait for a snapshot.
 const ANSWER: Duration = Duration::from_millis(800);
@@ -65,10 +66,7 @@
 /// Answers other hosts for the life of the process.
 pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+        let stream = probe_server::accept(&listener).await;
         if net::tune(&stream).is_err() {
             continue;
         }
