--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -135,8 +135,6 @@
     IssuerEnded = 2602, Info, "issuer ended";
     /// An order was sent.
     OrderSent = 2603, Info, "order sent";
-    /// An order was answered, or was not.
-    OrderEnded = 2604, Info, "order ended";
 }
 
 /// Logs `event` with its number and `details`.
--- /dev/null
+++ b/crates/core/tests/forward_properties.rs
@@ -0,0 +1,209 @@
+//! Properties of forwarding and placement over random histories.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prelude::prop_oneof;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::proptest;
+use yuccanotch_core::forward::events::EventSplitter;
+use yuccanotch_core::forward::outcome::AttemptEnd;
+use yuccanotch_core::forward::outcome::Chances;
+use yuccanotch_core::forward::outcome::Next;
+use yuccanotch_core::forward::outcome::Outcome;
+use yuccanotch_core::forward::routes::Repeat;
+use yuccanotch_core::name::DomainName;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::placement::engine::CardKind;
+use yuccanotch_core::placement::engine::EngineProfile;
+use yuccanotch_core::placement::engine::LayerRange;
+use yuccanotch_core::placement::load::Load;
+use yuccanotch_core::placement::path;
+use yuccanotch_core::placement::path::Holder;
+use yuccanotch_core::placement::path::Need;
+use yuccanotch_core::placement::plan::plan;
+use yuccanotch_core::placement::plan::Card;
+
+const LAYERS: u16 = 40;
+
+fn ends() -> impl Strategy<Value = AttemptEnd> {
+    prop_oneof![
+        Just(AttemptEnd::NotSent),
+        Just(AttemptEnd::Declined),
+        Just(AttemptEnd::Broken),
+        Just(AttemptEnd::Failed),
+        Just(AttemptEnd::Silent),
+    ]
+}
+
+fn repeats() -> impl Strategy<Value = Repeat> {
+    prop_oneof![Just(Repeat::Never), Just(Repeat::Safe), Just(Repeat::Resumable)]
+}
+
+fn may_have_run(end: AttemptEnd) -> bool {
+    !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined)
+}
+
+fn kinds() -> Vec<CardKind> {
+    let kind = |name: &str, size_mb, pace| CardKind {
+        name: name.to_owned(),
+        size_mb,
+        pace,
+        read_factor: pace,
+    };
+    vec![kind("big", 36_000.0, 2.0), kind("small", 9_000.0, 5.0), kind("slow", 12_000.0, 16.0)]
+}
+
+fn profile() -> EngineProfile {
+    EngineProfile {
+        layers: LAYERS,
+        layer_mb: 1_000.0,
+        token_bytes: 300_000.0,
+        usual_tokens: 50_000.0,
+        step_ms: 1.0,
+        per_seq_ms: 0.005,
+        context_ms_per_k: 0.006,
+        read_per_s: 160_000.0,
+        slots: 100,
+        stride: 4,
+        usual_prompt: 700.0,
+        usual_answer: 200.0,
+        report_lag_ms: 200.0,
+        loads_at_once: 6,
+        load_ms: 14_000.0,
+        kinds: kinds(),
+    }
+}
+
+fn cards(kinds_of: &[(usize, usize)]) -> Vec<Card> {
+    kinds_of
+        .iter()
+        .enumerate()
+        .map(|(index, &(kind, domain))| Card {
+            server: ServerName::new(&format!("s-{index}")),
+            domain: DomainName::new(&format!("d-{}", domain % 3)),
+            kind: kinds()[kind % 3].clone(),
+            holds: None,
+        })
+        .collect()
+}
+
+fn address(index: usize) -> SocketAddrV4 {
+    let port = 1_000 + u16::try_from(index).expect("few servers");
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), port)
+}
+
+proptest! {
+    #[test]
+    fn no_history_repeats_or_refuses_what_may_have_run(
+        repeat in repeats(),
+        most in 1_u8..5,
+        history in vec((ends(), any::<bool>(), any::<bool>()), 1..12),
+    ) {
+        let mut outcome = Outcome::new(repeat, most);
+        let mut ran = false;
+        let mut sent_to_servers = 0;
+        for (end, budget, time) in history {
+            outcome.on_send();
+            assert_ne!(outcome.refusal(), Next::Refuse, "a request in flight may run");
+            ran |= may_have_run(end);
+            sent_to_servers += u32::from(end != AttemptEnd::NotSent);
+            match outcome.on_end(end, Chances { budget, time }) {
+                Next::Retry => assert!(!ran || repeat.allows_rerun()),
+                Next::Refuse => {
+                    assert!(!ran, "told that it has not run");
+                    break;
+                }
+                Next::PassOn | Next::Unknown | Next::BreakOff => break,
+            }
+        }
+        assert!(sent_to_servers <= u32::from(most));
+    }
+
+    #[test]
+    fn a_stream_cut_anywhere_and_resumed_is_the_whole_stream_once(
+        count in 1_u64..20,
+        cuts in vec((0_usize..400, 1_usize..30), 1..6),
+    ) {
+        let event = |id: u64| format!("id: {id}\ndata: token {id}\n\n").into_bytes();
+        let mut events = EventSplitter::new(None);
+        let mut got = Vec::new();
+        let run = |events: &mut EventSplitter, got: &mut Vec<u8>, cut: usize, chunk: usize| {
+            events.restart();
+            let from = events.last().map_or(1, |last| last + 1);
+            let rest: Vec<u8> = (from..=count).flat_map(event).collect();
+            for piece in rest[..cut.min(rest.len())].chunks(chunk) {
+                got.extend_from_slice(&events.push(piece).expect("events in order").bytes);
+            }
+        };
+        for (cut, chunk) in cuts {
+            run(&mut events, &mut got, cut, chunk);
+        }
+        run(&mut events, &mut got, usize::MAX, 7);
+        let whole: Vec<u8> = (1..=count).flat_map(event).collect();
+        assert_eq!(got, whole);
+        assert!(!events.has_part());
+    }
+
+    #[test]
+    fn no_plan_exceeds_a_servers_memory_whatever_it_held_before(
+        kinds_of in vec((0_usize..3, 0_usize..3), 1..30),
+        lost in vec(any::<bool>(), 30),
+    ) {
+        let profile = profile();
+        let mut cards = cards(&kinds_of);
+        for _ in 0..3 {
+            let plan = plan(&profile, &cards);
+            for card in &mut cards {
+                card.holds = plan.get(&card.server).copied();
+                let layers = card.holds.map_or(0, LayerRange::len);
+                assert!(f64::from(layers) * profile.layer_mb <= card.kind.size_mb);
+                assert!(card.holds.is_none_or(|r| r.to <= LAYERS && !r.is_empty()));
+            }
+            let mut keep = lost.iter();
+            cards.retain(|_| keep.next() != Some(&true));
+        }
+    }
+
+    #[test]
+    fn every_chain_runs_each_layer_once_on_servers_that_hold_it(
+        kinds_of in vec((0_usize..3, 0_usize..3), 1..30),
+        loads in vec(0.0_f32..3e6, 30),
+        tokens in 1.0_f64..5_000.0,
+    ) {
+        let profile = profile();
+        let cards = cards(&kinds_of);
+        let plan = plan(&profile, &cards);
+        let holders: Vec<Holder> = cards
+            .iter()
+            .enumerate()
+            .filter_map(|(index, card)| {
+                Some(Holder {
+                    server: card.server.clone(),
+                    address: address(index),
+                    domain: card.domain.clone(),
+                    kind: card.kind.clone(),
+                    layers: *plan.get(&card.server)?,
+                    load: Load { active: 1.0, token_layers: loads[index], first: 1.0 },
+                    slowness: 1.0,
+                    faults: 0.0,
+                })
+            })
+            .collect();
+        let domain = DomainName::new("d-0");
+        let need = Need { domain: &domain, tokens, now: None };
+        if let Some(chain) = path::choose(&profile, &holders, need) {
+            let mut at = 0;
+            for part in chain.parts() {
+                let holder = holders.iter().find(|h| h.server == part.server).expect("a holder");
+                assert!(holder.layers.covers(part.layers));
+                assert_eq!(part.layers.from, at);
+                at = part.layers.to;
+            }
+            assert_eq!(at, LAYERS);
+        }
+    }
+}
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -21,7 +21,6 @@
 use crate::edge::Forward;
 use crate::edge::ServerReply;
 use crate::exchange::silence::FIRST_SILENCE;
-use crate::exchange::silence::PLAIN_SILENCE;
 use crate::exchange::silence::SILENCE;
 use crate::exchange::silence::SILENCE_AGAIN;
 use crate::exchange::Current;
@@ -108,7 +107,7 @@
         loop {
             let limit = match (target, self.route.repeat) {
                 (Target::Chain(_), _) => silence,
-                (Target::Server { .. }, Repeat::Safe) => PLAIN_SILENCE,
+                (Target::Server { .. }, Repeat::Safe) => self.plain_silence(),
                 (Target::Server { .. }, _) => Duration::MAX,
             };
             match time::timeout(limit, &mut sending).await {
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -25,10 +25,18 @@
 const STALL_AGE: Millis = Millis(80);
 /// The age of a report that still tells whether a server is slow.
 const PACE_AGE: Millis = Millis(1_500);
-/// The silence of a plain server after which a safe request goes to another one.
-pub(super) const PLAIN_SILENCE: Duration = Duration::from_millis(350);
+/// The shortest and longest silence of a plain server after which a safe request goes to another
+/// one, in ms.
+const PLAIN_SILENCE_MS: (u64, u64) = (100, 400);
 
 impl Exchange {
+    /// Returns the silence after which a safe request leaves a plain server: half as long again as
+    /// the route's target, since a sound server answers almost always within that.
+    pub(super) fn plain_silence(&self) -> Duration {
+        let (least, most) = PLAIN_SILENCE_MS;
+        Duration::from_millis((self.route.target.0 * 3 / 2).clamp(least, most))
+    }
+
     /// Asks a silent model server what it waits for; a plain one counts as lost.
     pub(super) async fn look_at(&mut self, silence: Duration) -> Silence {
         let chain = match self.current.as_ref().map(|c| c.target.clone()) {
