List hosts in the store, so that hosts without a live seed find each other

Cause: a host whose seeds are all gone met nobody: it counted itself the only one and would have used the whole budget of repeats. Change: each host lists itself under a lease of 120 s, renewed each 30 s, and reads the others; watches bring newcomers. Test: hosts_without_seeds_find_each_other_in_the_store.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
@@ -23,6 +24,8 @@
 
 use crate::host::Gateway;
 
+/// Where hosts are listed in the store, for those that start.
+pub const HOSTS_PREFIX: &str = "yuccanotch/hosts/";
 /// The time between datagrams to hosts of the own failure domain.
 const NEAR: Duration = Duration::from_millis(200);
 /// Rounds between datagrams to hosts of other failure domains.
@@ -145,6 +148,25 @@
     }
 }
 
+/// Writes this host as others read it from the store.
+pub fn own_entry(gateway: &Gateway) -> Bytes {
+    bincode::serde::encode_to_vec(own_peer(gateway), bincode::config::standard())
+        .map(Bytes::from)
+        .unwrap_or_default()
+}
+
+/// Takes in a host that is listed in the store.
+pub fn on_listed(gateway: &Gateway, value: &[u8]) {
+    let config = bincode::config::standard().with_limit::<MAX_BYTES>();
+    let Ok((peer, _)) = bincode::serde::decode_from_slice::<Peer, _>(value, config) else {
+        gateway.journal.line(Event::EntryRejected, &[("source", &HOSTS_PREFIX)]);
+        return;
+    };
+    if peer.gossip != gateway.settings.gossip {
+        gateway.peers.add(gateway.clock.now(), peer);
+    }
+}
+
 /// Sends and takes datagrams for the life of the process.
 pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
     let socket = Rc::new(socket);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -29,6 +29,9 @@
 use crate::edge::EngineReport;
 use crate::edge::Order;
 use crate::edge::OrderReply;
+use crate::edge::StoreCall;
+use crate::edge::StoreError;
+use crate::edge::StoreReply;
 use crate::edge::WholeRequest;
 use crate::gossip;
 use crate::gossip::Peers;
@@ -45,6 +48,7 @@
 use crate::traffic::Traffic;
 use crate::views::Views;
 use crate::watch;
+use crate::watch::Backoff;
 
 /// The longest wait for a server's report.
 const REPORT: Duration = Duration::from_millis(250);
@@ -60,6 +64,8 @@
 const STILL_OPEN: Millis = Millis(2_600);
 /// The time before the end of the grace at which the process exits.
 const BEFORE_END: Millis = Millis(150);
+/// How long a host stays listed in the store without a renewal.
+const LISTED: Millis = Millis(120_000);
 /// How long a starting host waits for the store before it asks other hosts.
 const STORE_FIRST: Duration = Duration::from_millis(300);
 
@@ -281,7 +287,7 @@
         &[("host", &settings.host), ("domain", &settings.domain), ("callers", &settings.callers)],
     );
     let keys = gateway.edge.store_keys();
-    tokio::task::spawn_local(watch::run(gateway.store.clone(), gateway.views.clone(), keys));
+    tokio::task::spawn_local(watch::run(gateway.clone(), keys));
     tokio::task::spawn_local(gossip::run(gateway.clone(), gossip_socket));
     tokio::task::spawn_local(snapshot::serve(gateway.clone(), control));
     let counted = gateway.clone();
@@ -293,6 +299,7 @@
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
     tokio::task::spawn_local(meet_hosts(gateway.clone()));
+    tokio::task::spawn_local(keep_listed(gateway.clone()));
     tokio::task::spawn_local(keep_up(gateway.clone()));
     loop {
         tokio::select! {
@@ -373,6 +380,43 @@
     }
 }
 
+/// Lists this host in the store for hosts that start later, and learns of those listed.
+async fn keep_listed(gateway: Rc<Gateway>) {
+    let mut backoff = Backoff::default();
+    loop {
+        match list_host(&gateway).await {
+            Ok(lease) => keep_lease(&gateway, lease).await,
+            Err(_) => backoff.pause().await,
+        }
+    }
+}
+
+async fn list_host(gateway: &Gateway) -> Result<u64, StoreError> {
+    let (items, _) = gateway.store.range(gossip::HOSTS_PREFIX).await?;
+    for item in items {
+        gossip::on_listed(gateway, &item.value);
+    }
+    let granted = gateway.store.call(&StoreCall::Grant { ttl: LISTED }).await?;
+    let StoreReply::Lease { lease: Some(lease) } = granted else {
+        return Err(StoreError::Malformed("no lease".to_owned()));
+    };
+    let key = format!("{}{}", gossip::HOSTS_PREFIX, gateway.settings.host);
+    let puts = vec![(key, gossip::own_entry(gateway), lease)];
+    let call = StoreCall::Write { expected: Vec::new(), puts, removes: Vec::new() };
+    gateway.store.call(&call).await?;
+    Ok(lease)
+}
+
+/// Renews the lease of the host's entry until it is lost.
+async fn keep_lease(gateway: &Gateway, lease: u64) {
+    loop {
+        time::sleep(LISTED.to_duration() / 4).await;
+        if let Ok(StoreReply::LeaseGone) = gateway.store.call(&StoreCall::Keep { lease }).await {
+            return;
+        }
+    }
+}
+
 /// Takes over what another host knows already while the store does not answer this one.
 async fn follow_newer(gateway: &Gateway) {
     if gateway.store.lost_since().is_none() {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -12,6 +12,8 @@
 use crate::edge::StoreEvent;
 use crate::edge::StoreKeys;
 use crate::edge::StoreReply;
+use crate::gossip;
+use crate::host::Gateway;
 use crate::store::StoreClient;
 use crate::views::Views;
 
@@ -26,13 +28,15 @@
 const RETRY_MS: (u64, u64) = (60, 600);
 
 /// Follows the store for the life of the process.
-pub async fn run(store: Rc<StoreClient>, views: Rc<Views>, keys: StoreKeys) {
+pub async fn run(gateway: Rc<Gateway>, keys: StoreKeys) {
+    let store = &gateway.store;
+    let views = &gateway.views;
     let mut backoff = Backoff::default();
     loop {
-        match read_all(&store, &views, &keys).await {
+        match read_all(store, views, &keys).await {
             Ok(as_of) => {
                 backoff.reset();
-                follow(&store, &views, &keys, as_of).await;
+                follow(&gateway, &keys, as_of).await;
             }
             Err(_) => backoff.pause().await,
         }
@@ -54,7 +58,9 @@
 }
 
 /// Follows changes until the store no longer keeps them.
-async fn follow(store: &StoreClient, views: &Views, keys: &StoreKeys, mut after: u64) {
+async fn follow(gateway: &Gateway, keys: &StoreKeys, mut after: u64) {
+    let store = &gateway.store;
+    let views = &gateway.views;
     let mut backoff = Backoff::default();
     loop {
         let was_lost = store.lost_since().is_some();
@@ -70,7 +76,7 @@
                 }
                 backoff.reset();
                 let busy = !events.is_empty();
-                apply_all(views, keys, events);
+                apply_all(gateway, keys, events);
                 after = after.max(as_of);
                 views.on_revision(after);
                 if busy {
@@ -90,27 +96,31 @@
 }
 
 /// Applies a batch of changes; of several configurations only the last one counts.
-fn apply_all(views: &Views, keys: &StoreKeys, events: Vec<StoreEvent>) {
+fn apply_all(gateway: &Gateway, keys: &StoreKeys, events: Vec<StoreEvent>) {
     let mut configuration = None;
     for event in events {
         match event {
             StoreEvent::Put(item) if item.key == keys.configuration => {
                 configuration = Some(item.value);
             }
-            other => apply(views, keys, other),
+            other => apply(gateway, keys, other),
         }
     }
     if let Some(value) = configuration {
-        views.on_configuration(&value, "store");
+        gateway.views.on_configuration(&value, "store");
     }
 }
 
-fn apply(views: &Views, keys: &StoreKeys, event: StoreEvent) {
+fn apply(gateway: &Gateway, keys: &StoreKeys, event: StoreEvent) {
+    let views = &gateway.views;
     match event {
         StoreEvent::Put(item) if item.key.starts_with(&keys.servers) => views.on_server_put(&item),
         StoreEvent::Removed { key } if key.starts_with(&keys.servers) => {
             views.on_server_removed(&key);
         }
+        StoreEvent::Put(item) if item.key.starts_with(gossip::HOSTS_PREFIX) => {
+            gossip::on_listed(gateway, &item.value);
+        }
         _ => {}
     }
 }
