Spread moved streams by what new parts still have to read

Change: a part's cost includes the time that it needs to read moved requests anew; each host sees its own moves and counts them for three hosts. Test: streams_that_lose_a_part_together_do_not_all_move_to_one_server.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -66,6 +66,8 @@
     pub context_ms_per_k: f64,
     /// Prompt tokens read in a second through all layers.
     pub read_per_s: f64,
+    /// The most prompt tokens that a pass reads.
+    pub chunk: f64,
     /// Requests that a server takes as the first one of a path.
     pub slots: u32,
     /// Token steps that a pass runs.
@@ -122,6 +124,14 @@
         kind.pace * whole * f64::from(layers) / f64::from(self.layers.max(1))
     }
 
+    /// Returns the tokens that a server of `kind` with `layers` layers reads in a ms while `active`
+    /// requests with `context` tokens write: a pass reads one chunk and runs its steps.
+    pub fn reading_per_ms(&self, kind: &CardKind, layers: u16, active: f64, context: f64) -> f64 {
+        let steps = f64::from(self.stride) * self.step(kind, layers, active, context);
+        let chunk = self.chunk.max(1.0);
+        chunk / (self.read(kind, layers, chunk) + steps).max(0.01)
+    }
+
     /// Returns the time of reading `tokens` tokens through `layers` layers of `kind`, in ms.
     pub fn read(&self, kind: &CardKind, layers: u16, tokens: f64) -> f64 {
         let whole = tokens / self.read_per_s.max(1.0) * 1e3;
--- a/crates/core/src/placement/load.rs
+++ b/crates/core/src/placement/load.rs
@@ -44,9 +44,23 @@
     loads: Vec<(ServerName, Load)>,
 }
 
+/// Tokens that moved requests still have to be read anew by a server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reading {
+    at: Millis,
+    tokens: f64,
+}
+
+impl Reading {
+    fn left(self, now: Millis, per_ms: f64) -> f64 {
+        (self.tokens - per_ms * now.since(self.at).0 as f64).max(0.0)
+    }
+}
+
 /// Loads by server, summed over all hosts.
 #[derive(Debug, Default)]
 pub struct Loads {
+    reading: HashMap<ServerName, Reading>,
     own: HashMap<ServerName, Load>,
     peers: HashMap<HostName, PeerLoads>,
     total: HashMap<ServerName, Load>,
@@ -76,6 +90,18 @@
         }
     }
 
+    /// Notes that `server` reads `tokens` tokens of a moved request anew, `per_ms` a ms.
+    pub fn on_reading(&mut self, now: Millis, server: &ServerName, tokens: f64, per_ms: f64) {
+        let reading = self.reading.entry(server.clone()).or_default();
+        let left = reading.left(now, per_ms);
+        *reading = Reading { at: now, tokens: left + tokens };
+    }
+
+    /// Returns the tokens that `server` still has to read anew for this host.
+    pub fn reading(&self, now: Millis, server: &ServerName, per_ms: f64) -> f64 {
+        self.reading.get(server).map_or(0.0, |r| r.left(now, per_ms))
+    }
+
     /// Takes in what another host has in progress.
     pub fn on_peer(&mut self, now: Millis, host: HostName, loads: Vec<(ServerName, Load)>) {
         self.peers.insert(host, PeerLoads { at: now, loads });
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -48,6 +48,8 @@
     pub load: Load,
     /// The factor by which it is slower than its kind, 1 or more.
     pub slowness: f64,
+    /// The time that it needs to read moved requests anew, in ms.
+    pub reading_ms: f64,
     /// Answers that it spoiled or lost lately as the first part of chains.
     pub faults: f64,
 }
@@ -240,7 +242,8 @@
         let read = profile.read(&self.holder.kind, layers, profile.usual_prompt)
             / profile.usual_answer.max(1.0);
         let pressure = self.pressure.max(if first { self.first_pressure } else { 1.0 });
-        (step + read * active.min(8.0)) * self.holder.slowness * pressure
+        let wait = self.holder.reading_ms / profile.usual_answer.max(1.0);
+        (step + read * active.min(8.0)) * self.holder.slowness * pressure + wait
     }
 }
 
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -50,6 +50,7 @@
         per_seq_ms: 0.004_59,
         context_ms_per_k: 0.006_15,
         read_per_s: 164_000.0,
+        chunk: 512.0,
         slots: 192,
         stride: 4,
         usual_prompt: 775.0,
@@ -219,6 +220,7 @@
                 load: Load::default(),
                 slowness: 1.0,
                 faults: 0.0,
+                reading_ms: 0.0,
             })
         })
         .collect()
@@ -311,6 +313,27 @@
     assert_eq!(kept, before.parts().len() - 1, "{after:?}");
 }
 
+#[test]
+fn streams_that_lose_a_part_together_do_not_all_move_to_one_server() {
+    let mut holders = planned_holders();
+    let before = choose_for(&holders, "a").expect("a chain");
+    let lost = before.parts()[3].clone();
+    holders.retain(|h| h.server != lost.server);
+    let domain = DomainName::new("a");
+    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before) };
+    let mut taken = BTreeSet::new();
+    for _ in 0..60 {
+        let after = path::choose(&profile(), &holders, need).expect("a chain");
+        for part in after.parts().iter().filter(|p| !before.parts().contains(p)) {
+            taken.insert(part.server.clone());
+            let holder = holders.iter_mut().find(|h| h.server == part.server).expect("a holder");
+            let per_ms = profile().reading_per_ms(&holder.kind, part.layers.len(), 50.0, 5e4);
+            holder.reading_ms += 900.0 / per_ms;
+        }
+    }
+    assert!(taken.len() >= 2, "all moved to {taken:?}");
+}
+
 #[test]
 fn a_chain_that_loses_its_first_part_cannot_be_changed() {
     let mut holders = planned_holders();
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -67,6 +67,7 @@
         per_seq_ms: 0.005,
         context_ms_per_k: 0.006,
         read_per_s: 160_000.0,
+        chunk: 512.0,
         slots: 100,
         stride: 4,
         usual_prompt: 700.0,
@@ -190,6 +191,7 @@
                     load: Load { active: 1.0, token_layers: loads[index], first: 1.0 },
                     slowness: 1.0,
                     faults: 0.0,
+                reading_ms: 0.0,
                 })
             })
             .collect();
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -75,6 +75,7 @@
         let order = Order::Repath { id: self.id(), chain: &new };
         let reply = gateway.order(&first.server, first.address, &order).await;
         let outcome = format!("{reply:?}");
+        gateway.traffic.on_moved(&self.service, chain, &new, self.tokens());
         let target = Target::Chain(Rc::new(new));
         self.chain = describe(&target);
         gateway.journal.line(
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -20,7 +20,10 @@
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
 use yuccanotch_core::placement::chain::Chain;
+use yuccanotch_core::placement::engine::CardKind;
 use yuccanotch_core::placement::engine::EngineProfile;
+use yuccanotch_core::placement::engine::LayerRange;
+use yuccanotch_core::placement::load::Load;
 use yuccanotch_core::placement::load::Loads;
 use yuccanotch_core::placement::path;
 use yuccanotch_core::placement::path::Holder;
@@ -32,6 +35,9 @@
 /// The cost of a server in another failure domain, in requests in progress.
 const AWAY_REQUESTS: f64 = 2.0;
 
+/// Hosts that move requests off the same lost server at the same time, in the mean: each sees only
+/// its own moves.
+const MOVING_HOSTS: f64 = 3.0;
 /// The cost of a recent fault of a server, in requests in progress.
 const FAULT_REQUESTS: f64 = 2.0;
 
@@ -148,6 +154,24 @@
         format!("layer {} of {} holders", lack.layer, lack.holders)
     }
 
+    /// Notes that the servers of `new` that `old` does not have read a moved request anew.
+    pub fn on_moved(&self, service: &Service, old: &Chain, new: &Chain, tokens: f64) {
+        let Some(profile) = &service.engine else {
+            return;
+        };
+        let now = self.clock.now();
+        let servers = self.views.servers();
+        let mut loads = self.loads.borrow_mut();
+        for part in new.parts().iter().filter(|p| !old.parts().contains(p)) {
+            let kind = servers.get(&part.server).and_then(|e| e.engine.as_ref());
+            if let Some(kind) = kind.and_then(|e| profile.kind(&e.kind)) {
+                let per_ms = reading_per_ms(profile, kind, part.layers, loads.on(&part.server));
+                let tokens = tokens * MOVING_HOSTS;
+                loads.on_reading(now, &part.server, tokens, per_ms);
+            }
+        }
+    }
+
     fn holders(&self, service: &Service, profile: &EngineProfile) -> Vec<Holder> {
         let now = self.clock.now();
         let health = self.health.borrow();
@@ -159,13 +183,18 @@
             .filter(|e| health.is_usable(now, &e.id))
             .filter_map(|e| {
                 let engine = e.engine.as_ref()?;
+                let kind = profile.kind(&engine.kind)?;
+                let layers = engine.layers?;
+                let load = loads.on(&e.id);
+                let per_ms = reading_per_ms(profile, kind, layers, load);
                 Some(Holder {
                     server: e.id.clone(),
                     address: e.address,
                     domain: e.domain.clone(),
-                    kind: profile.kind(&engine.kind)?.clone(),
-                    layers: engine.layers?,
-                    load: loads.on(&e.id),
+                    kind: kind.clone(),
+                    layers,
+                    load,
+                    reading_ms: loads.reading(now, &e.id, per_ms) / per_ms,
                     slowness: health.slowness(now, &e.id),
                     faults: health.faults(now, &e.id),
                 })
@@ -306,6 +335,11 @@
     }
 }
 
+fn reading_per_ms(profile: &EngineProfile, kind: &CardKind, layers: LayerRange, load: Load) -> f64 {
+    let context = f64::from(load.token_layers) / f64::from(layers.len().max(1));
+    profile.reading_per_ms(kind, layers.len(), f64::from(load.active), context)
+}
+
 /// A request in progress at its target.
 pub struct InProgress {
     traffic: Rc<Traffic>,
