--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -36,6 +36,7 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 impl Exchange {
+    /// Sends the request to `target` and carries the answer to the caller, as far as it is usable.
     pub(super) async fn attempt(&mut self, target: &Target) -> Ended {
         let gateway = self.gateway.clone();
         self.set_current(target.clone());
@@ -67,13 +68,15 @@
         self.take_whole(head, reply, body, link, target).await
     }
 
+    /// Notes which servers have the request now.
     pub(super) fn set_current(&mut self, target: Target) {
         self.current = None;
         let in_progress = self.gateway.traffic.begin(&target, self.tokens());
         self.current = Some(Current { target, sound: false, _in_progress: in_progress });
     }
 
-    pub(super) fn request(&self, target: &Target) -> Request<Full<Bytes>> {
+    /// Writes the request for `target`, with the time that is left.
+    fn request(&self, target: &Target) -> Request<Full<Bytes>> {
         let now = self.gateway.clock.now();
         let chain = match target {
             Target::Chain(chain) => Some(chain.as_ref()),
@@ -95,7 +98,8 @@
         req
     }
 
-    pub(super) async fn send(
+    /// Sends the request and waits for the head of an answer.
+    async fn send(
         &mut self,
         link: &mut Link,
         req: Request<Full<Bytes>>,
@@ -128,7 +132,8 @@
         }
     }
 
-    pub(super) fn check_reply(
+    /// Checks the head of an answer; returns how the attempt ended if it is unusable.
+    fn check_reply(
         &self,
         head: &http::response::Parts,
         reply: &ServerReply,
@@ -161,7 +166,8 @@
         None
     }
 
-    pub(super) async fn take_whole(
+    /// Takes an answer that is not a stream, whole.
+    async fn take_whole(
         &mut self,
         head: http::response::Parts,
         reply: ServerReply,
@@ -192,7 +198,8 @@
         Ended::Done
     }
 
-    pub(super) async fn relay(
+    /// Passes whole events on as they arrive.
+    async fn relay(
         &mut self,
         head: http::response::Parts,
         reply: ServerReply,
@@ -251,7 +258,7 @@
     }
 
     /// Gives the caller the head of a stream, once.
-    pub(super) fn begin(&mut self, head: &http::response::Parts) {
+    fn begin(&mut self, head: &http::response::Parts) {
         let Some(head_tx) = self.head_tx.take() else {
             return;
         };
--- a/crates/gateway/src/exchange/notes.rs
+++ b/crates/gateway/src/exchange/notes.rs
@@ -8,6 +8,7 @@
 use crate::traffic::Target;
 
 impl Exchange {
+    /// Notes that the request goes to `target`.
     pub(super) fn note_sent(&mut self, target: &Target) {
         let left = self.due.since(self.gateway.clock.now());
         self.chain = describe(target);
@@ -38,6 +39,7 @@
         self.last_event = now;
     }
 
+    /// Notes the final answer.
     pub(super) fn note_done(&self, status: StatusCode) {
         let ms = self.gateway.clock.now().since(self.started);
         self.gateway.counters.request(self.why);
@@ -55,6 +57,7 @@
         );
     }
 
+    /// Notes an end without a final answer.
     pub(super) fn note(&self, event: Event) {
         let ms = self.gateway.clock.now().since(self.started);
         self.gateway.journal.line(event, &[("id", &self.id()), ("why", &self.why), ("ms", &ms.0)]);
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -66,7 +66,7 @@
     }
 
     /// Moves the request to servers other than the lost ones; those that stay keep their memory.
-    pub(super) async fn change_chain(&mut self, chain: &Chain) -> Silence {
+    async fn change_chain(&mut self, chain: &Chain) -> Silence {
         let gateway = self.gateway.clone();
         let Some(new) = gateway.traffic.rechoose(&self.service, self.tokens(), chain) else {
             return Silence::Lost;
@@ -92,7 +92,7 @@
     }
 
     /// Asks the servers of a chain whose events come late how fast they are, in the background.
-    pub(super) fn look_for_slow(&self, chain: &Chain) {
+    fn look_for_slow(&self, chain: &Chain) {
         for part in chain.parts() {
             let gateway = self.gateway.clone();
             let part = part.clone();
