--- a/crates/ctl/src/cmd_recover.rs
+++ b/crates/ctl/src/cmd_recover.rs
@@ -1,6 +1,5 @@
 //! `yuccanotch-ctl recover`.
 
-use lexopt::Arg;
 use yuccanotch_core::config::document::Document;
 use yuccanotch_core::config::publisher::Change;
 
@@ -28,19 +27,10 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut args = Self::default();
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    args.config.take(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
-            }
-        }
-        Ok(Some(args))
+        let runs = util::read_options(parser, &mut args.config, |_| false)?;
+        Ok(runs.then_some(args))
     }
 }
 
--- a/crates/ctl/src/cmd_show.rs
+++ b/crates/ctl/src/cmd_show.rs
@@ -1,9 +1,8 @@
 //! `yuccanotch-ctl show`.
 
-use lexopt::Arg;
-
 use crate::config::Config;
 use crate::error::CliResult;
+use crate::util;
 
 const USAGE: &str = "
 Prints the current configuration as JSON.
@@ -22,20 +21,15 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut args = Self::default();
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Long("number") => args.number = true,
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    args.config.take(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
-            }
-        }
-        Ok(Some(args))
+        let Self { config, number } = &mut args;
+        let own = |name: &str| {
+            *number |= name == "number";
+            name == "number"
+        };
+        let runs = util::read_options(parser, config, own)?;
+        Ok(runs.then_some(args))
     }
 }
 
--- a/crates/ctl/src/cmd_status.rs
+++ b/crates/ctl/src/cmd_status.rs
@@ -1,10 +1,9 @@
 //! `yuccanotch-ctl status`.
 
-use lexopt::Arg;
-
 use crate::config::Config;
 use crate::error::CliError;
 use crate::error::CliResult;
+use crate::util;
 
 const USAGE: &str = "
 Prints which entry host is at which number.
@@ -24,19 +23,10 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut args = Self::default();
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    args.config.take(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
-            }
-        }
-        Ok(Some(args))
+        let runs = util::read_options(parser, &mut args.config, |_| false)?;
+        Ok(runs.then_some(args))
     }
 }
 
--- a/crates/ctl/src/util.rs
+++ b/crates/ctl/src/util.rs
@@ -9,6 +9,8 @@
 use std::path::Path;
 use std::thread;
 
+use lexopt::Arg;
+use lexopt::Parser;
 use serde_json::Value;
 use yuccanotch_core::config::call;
 use yuccanotch_core::config::call::Procedure;
@@ -20,9 +22,35 @@
 use yuccanotch_core::ids::ConfigNumber;
 use yuccanotch_core::store::Store;
 
+use crate::config::Config;
 use crate::error::CliError;
 use crate::error::CliResult;
 
+/// Reads the options of a command without other arguments: `own` takes those of the command itself
+/// and tells whether it did; the others are of `config`. Returns whether the command is to run; it
+/// is not when help was asked for.
+///
+/// # Errors
+///
+/// Returns an error for an unknown option or a bad value.
+pub fn read_options(
+    mut parser: Parser,
+    config: &mut Config,
+    mut own: impl FnMut(&str) -> bool,
+) -> CliResult<bool> {
+    while let Some(arg) = parser.next()? {
+        let name = match arg {
+            Arg::Long("help") | Arg::Short('h') => return Ok(false),
+            Arg::Long(name) => name.to_owned(),
+            other => return Err(other.unexpected().into()),
+        };
+        if !own(&name) {
+            config.take(&name, &mut parser)?;
+        }
+    }
+    Ok(true)
+}
+
 /// Reads a file, or standard input for `-`.
 pub fn read_file(path: &Path) -> CliResult<Vec<u8>> {
     let mut buf = Vec::new();
