--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -26,6 +26,10 @@
 const NEW_PART_MS: f64 = 3.0;
 /// The part of its cost that counts for a part that a moving request keeps.
 const KEPT_PART: f64 = 0.1;
+/// Requests that read their prompts at a server at the same time, at the most.
+const READERS: f64 = 8.0;
+/// What keeps the cost of a server that is full finite: its cost is 20 times that of an empty one.
+const FULL_MARGIN: f64 = 1.05;
 /// The part of a server's memory that chains may fill.
 const FILL: f64 = 0.92;
 /// The part of the slots of a first part that chains may fill.
@@ -243,13 +247,13 @@
             / profile.usual_answer.max(1.0);
         let pressure = self.pressure.max(if first { self.first_pressure } else { 1.0 });
         let wait = self.holder.reading_ms / profile.usual_answer.max(1.0);
-        (step + read * active.min(8.0)) * self.holder.slowness * pressure + wait
+        (step + read * active.min(READERS)) * self.holder.slowness * pressure + wait
     }
 }
 
 /// Returns the factor on the cost of a server of which `used` is the part in use.
 fn pressure(used: f64) -> f64 {
-    1.0 / (1.05 - used.clamp(0.0, 1.0))
+    1.0 / (FULL_MARGIN - used.clamp(0.0, 1.0))
 }
 
 fn domain_list<'a>(usable: &[Candidate<'a>]) -> SmallVec<[&'a DomainName; 8]> {
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -21,6 +21,10 @@
 const COPY_PART: f64 = 1.2;
 /// The room that a chain is laid with at first, as a part of the usual.
 const CHAIN_PART: f64 = 1.0;
+/// What keeps the need of a layer without room finite, as a part of the usual room.
+const NEED_MARGIN: f64 = 0.05;
+/// The power by which a lack of room weighs: the tightest layers weigh most by far.
+const NEED_POWER: i32 = 3;
 /// Steps of the search for the room that fits.
 const ROOM_STEPS: u32 = 40;
 
@@ -247,7 +251,7 @@
     /// Returns for each layer how much it lacks room; the tightest layers weigh most by far.
     fn layer_need(&self) -> Vec<f64> {
         let usual = self.profile.usual_tokens.max(LEAST_TOKENS);
-        let need = |room: f64| (usual / (room + 0.05 * usual)).powi(3);
+        let need = |room: f64| (usual / (room + NEED_MARGIN * usual)).powi(NEED_POWER);
         self.layer_rooms().into_iter().map(need).collect()
     }
 
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -52,6 +52,8 @@
 const LEAST_LEFT: Millis = Millis(15);
 /// The part of an answer that a request in progress holds, in the mean over its life.
 const HELD_PART: f64 = 0.55;
+/// The part of the longest answer that a request without an estimate is expected to need.
+const EXPECTED_PART: f64 = 0.6;
 /// Tokens of a request that tells none.
 const UNKNOWN_TOKENS: f64 = 1_000.0;
 
@@ -234,7 +236,7 @@
             return UNKNOWN_TOKENS;
         };
         let most = f64::from(self.caller.most_tokens.unwrap_or(0));
-        let expected = self.caller.expected_tokens.map_or(most * 0.6, f64::from);
+        let expected = self.caller.expected_tokens.map_or(most * EXPECTED_PART, f64::from);
         f64::from(prompt) + HELD_PART * expected.min(most)
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,8 +14,6 @@
     pub host: HostName,
     /// The host's failure domain.
     pub domain: DomainName,
-    /// All failure domains.
-    pub domains: Vec<DomainName>,
     /// Where callers connect.
     pub callers: SocketAddrV4,
     /// Where the balancer asks whether the host takes new connections.
@@ -34,8 +32,6 @@
     pub grace: Millis,
     /// Bounds on repeats over all hosts.
     pub repeats: BudgetLimits,
-    /// The time after which servers cut off work that depends on a lost one.
-    pub server_stall: Millis,
     /// The most open sockets.
     pub sockets: usize,
 }
