Count a move's reading only when the first server took the move

Cause, found by reading: a refused move left its tokens to be read on the new servers' account, which made them look dearer for a moment though nothing was to be read there.

--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -75,8 +75,8 @@
         let order = Order::Repath { id: self.id(), chain: &new };
         let reply = gateway.order(&first.server, first.address, &order).await;
         let outcome = format!("{reply:?}");
-        gateway.traffic.on_moved(&self.service, chain, &new, self.tokens());
-        let target = Target::Chain(Rc::new(new));
+        let new = Rc::new(new);
+        let target = Target::Chain(new.clone());
         self.chain = describe(&target);
         gateway.journal.line(
             Event::RequestMoved,
@@ -87,6 +87,7 @@
         if !taken {
             return Silence::Lost;
         }
+        gateway.traffic.on_moved(&self.service, chain, &new, self.tokens());
         self.set_current(target);
         Silence::Moved
     }
