Let a stream that has begun wait for room as long as its caller does

A stream cut by its leaving server looked for room for 400 ms, as a request does of which the caller has nothing, and was then broken off although its caller bears a pause of 2 s. Newer requests took the room that came free meanwhile, since waiting requests went in no order.

Ruled out: a longer wait for all requests (a request held untried costs its caller more than a refusal with a time to come back).

Change: core::forward::waiting orders the requests of a service that wait: begun streams first, then by priority (the team's goes before the route's).

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -10,3 +10,4 @@
 pub mod servers;
 #[cfg(test)]
 mod tests;
+pub mod waiting;
--- a/crates/core/src/forward/routes.rs
+++ b/crates/core/src/forward/routes.rs
@@ -56,6 +56,8 @@
     pub target: Millis,
     /// The longest pause between events for which a stream is on time.
     pub gap_target: Option<Millis>,
+    /// The longest pause of a stream, also before its first event, that its callers bear.
+    pub patience: Millis,
     /// The rank; 0 is the most urgent.
     pub priority: u8,
     /// The services that requests go to.
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -12,6 +12,8 @@
 use super::outcome::Next;
 use super::outcome::Outcome;
 use super::routes::Repeat;
+use super::waiting::Progress;
+use super::waiting::Waiting;
 use crate::clock::Millis;
 use crate::name::ServerName;
 
@@ -132,3 +134,27 @@
     assert_eq!(health.suspects(Millis(100)).count(), 0);
     assert!(health.is_usable(Millis(500), &server));
 }
+
+#[test]
+fn full_servers_give_room_first_to_begun_streams_then_by_priority() {
+    let mut waiting = Waiting::default();
+    let late = waiting.enter(Progress::NotBegun, 3);
+    let urgent = waiting.enter(Progress::NotBegun, 0);
+    let begun = waiting.enter(Progress::Begun, 9);
+    for place in [begun, urgent, late] {
+        assert!(waiting.may_look(place));
+        let others = [late, urgent, begun].into_iter().filter(|&p| p > place);
+        others.for_each(|p| assert!(!waiting.may_look(p)));
+        waiting.leave(place);
+    }
+    assert!(waiting.is_empty());
+}
+
+#[test]
+fn full_servers_give_small_requests_the_room_that_a_large_one_of_their_rank_cannot_use() {
+    let mut waiting = Waiting::default();
+    let large = waiting.enter(Progress::NotBegun, 1);
+    let small = waiting.enter(Progress::NotBegun, 1);
+    assert!(waiting.may_look(large));
+    assert!(waiting.may_look(small));
+}
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,11 +2,11 @@
 
 mod attempt;
 mod notes;
+mod room;
 mod silence;
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header;
@@ -40,10 +40,6 @@
 use crate::traffic::InProgress;
 use crate::traffic::Target;
 
-/// The longest wait for room at model servers.
-const ROOM_WAIT: Millis = Millis(400);
-/// How often a request that waits for room looks again.
-const ROOM_LOOK: Duration = Duration::from_millis(20);
 /// When a caller that was turned away may come back, spread over this span.
 const RETURN_MS: (u64, u64) = (400, 1_600);
 /// The time before the deadline at which a request gets its final answer.
@@ -240,18 +236,6 @@
         f64::from(prompt) + HELD_PART * expected.min(most)
     }
 
-    async fn wait_for_target(&self) -> Option<Target> {
-        let traffic = &self.gateway.traffic;
-        let until = self.gateway.clock.now() + ROOM_WAIT;
-        loop {
-            let found = traffic.choose(&self.service, self.tokens(), &self.tried);
-            if found.is_some() || self.gateway.clock.now() >= until {
-                return found;
-            }
-            let _ = time::timeout(ROOM_LOOK, traffic.room.notified()).await;
-        }
-    }
-
     fn answer_whole(&mut self, response: Response<Bytes>) {
         let (head, body) = response.into_parts();
         self.note_done(head.status);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -16,6 +16,7 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerState;
+use yuccanotch_core::forward::waiting::Waiting;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
@@ -86,6 +87,7 @@
     pub health: RefCell<Health>,
     plain: RefCell<HashMap<ServerName, u32>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    waiting: RefCell<HashMap<ServiceName, Waiting>>,
     /// Told when work ends.
     pub room: Notify,
 }
@@ -109,6 +111,7 @@
             health: RefCell::default(),
             plain: RefCell::default(),
             budgets: RefCell::default(),
+            waiting: RefCell::default(),
             room: Notify::new(),
         })
     }
@@ -329,6 +332,12 @@
         f(budget)
     }
 
+    /// Calls `f` with the requests of `service` that wait for room.
+    pub fn waiting<T>(&self, service: &ServiceName, f: impl FnOnce(&mut Waiting) -> T) -> T {
+        let mut waiting = self.waiting.borrow_mut();
+        f(waiting.entry(service.clone()).or_default())
+    }
+
     /// Lets the time pass.
     pub fn on_tick(&self, now: Millis) {
         self.loads.borrow_mut().on_tick(now);
