Call a patch unknown whose answer was lost when another one followed

The publisher found the other patch after its base and said "stale", although the change had been current and hosts could hold it.

Ruled out: telling the two histories apart by what the store holds. A copy taken just before the swap has all that the publisher wrote, so the keys are the same as if the swap had never arrived.

Change: a publication whose own answer was lost and that finds another patch ends as unknown; resumed by its id it is settled by the list of accepted patches. A host that sees another configuration in the store under the number that it holds now marks the store as behind the next number, as it does for lower numbers, so that no patch is accepted, or called stale, before a recovery. Before, such a host only reported it and could go on with another configuration than the rest.

The case itself: after the faults hosts first end what they had begun to fetch, then the operator recovers, then all must agree.

--- a/crates/check/src/config_case.rs
+++ b/crates/check/src/config_case.rs
@@ -496,6 +496,10 @@
             self.store.apply(call);
         });
         self.check()?;
+        // Hosts still fetch what they began on, and mark a store that is behind them.
+        for _ in 0..HEALED_ROUNDS {
+            self.healed_round()?;
+        }
         self.recover()?;
         let base = self.store.manifest().map(|manifest| manifest.number).unwrap_or_default();
         let patch = json!({"domains": {"d-last": {"region": "r"}}});
--- a/crates/check/tests/random.rs
+++ b/crates/check/tests/random.rs
@@ -11,6 +11,13 @@
     check_passes(&["random", "--case", "all", "--seeds", "300", "--known-red", known_red]);
 }
 
+#[test]
+fn random_holds_for_the_seeds_whose_store_went_back_after_a_lost_answer() {
+    for first in ["243", "1872", "9181912", "9182879", "9183185"] {
+        check_passes(&["random", "--case", "config", "--first", first, "--seeds", "1"]);
+    }
+}
+
 #[test]
 fn random_refuses_an_unknown_case() {
     let output = check(&["random", "--case", "nonesuch"]);
--- a/crates/core/src/config/adopter.rs
+++ b/crates/core/src/config/adopter.rs
@@ -83,7 +83,8 @@
     },
     /// Puts a configuration in force and tells others.
     Adopt(Arc<Active>),
-    /// Marks the store as behind this number.
+    /// Marks the store as behind this number: one that a host holds, or the next one if the store
+    /// has another configuration under the number that a host holds.
     RaiseFloor(ConfigNumber),
     /// Reports what operators have to look into.
     Report(Trouble),
@@ -240,6 +241,9 @@
         };
         if manifest.number == held {
             if manifest.patch != active.patch() {
+                if *from == Source::Store && manifest.behind().is_none() {
+                    actions.push(AdoptAction::RaiseFloor(held.next()));
+                }
                 let trouble = Trouble::Forked { number: held, from: from.clone() };
                 self.report(trouble, actions);
             }
--- a/crates/core/src/config/adopter_tests.rs
+++ b/crates/core/src/config/adopter_tests.rs
@@ -101,6 +101,17 @@
     assert_eq!(adopter.active().unwrap().patch(), PatchId(1));
 }
 
+#[test]
+fn marks_a_store_that_has_another_configuration_under_the_number_held() {
+    let mut adopter = Adopter::new();
+    show(&mut adopter, &Source::Store, &shown(5, 1));
+    let actions = show(&mut adopter, &Source::Store, &shown(5, 2));
+    let raises = |action: &AdoptAction| matches!(action, AdoptAction::RaiseFloor(number) if *number == ConfigNumber(6));
+    assert!(actions.iter().any(raises));
+    let from_peer = show(&mut adopter, &peer("a"), &shown(5, 2));
+    assert!(!from_peer.iter().any(raises), "a peer may show what the store no longer has");
+}
+
 #[test]
 fn asks_the_peer_with_the_highest_number_and_turns_to_the_next_when_it_fails() {
     let mut adopter = Adopter::new();
--- a/crates/core/src/config/publisher.rs
+++ b/crates/core/src/config/publisher.rs
@@ -256,7 +256,9 @@
                 if *base == manifest.number {
                     return None;
                 }
-                let open = (self.resumed || self.maybe_accepted) && fate == Fate::Forgotten;
+                // A store that went back to an old copy may have held this patch and lost it since.
+                // Hosts that hold it mark the store, which a resumed publication then sees.
+                let open = self.maybe_accepted || (self.resumed && fate == Fate::Forgotten);
                 let stale = Published::Stale { current: manifest.number };
                 Some(if open { Published::Unknown } else { stale })
             }
