--- a/crates/load/src/cmd_entry.rs
+++ b/crates/load/src/cmd_entry.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -13,20 +14,26 @@
 
 use lexopt::prelude::*;
 use serde_json::json;
+use yuccanotch_load::usage::Usage;
 use yuccanotch_load::CliResult;
 use yuccanotch_load::LoadError;
 use yuccanotch_local::client::Caller;
 use yuccanotch_local::Deployment;
 use yuccanotch_local::Plan;
+use yuccanotch_platform_standin::background;
+use yuccanotch_platform_standin::background::Background;
+use yuccanotch_platform_standin::background::Setup;
+use yuccanotch_platform_standin::process::HostProcess;
 
 pub const USAGE: &str = "\
 Starts one entry host as a process before embedded stand-ins, and shows its processor time and
 memory for requests of few and of many tokens, idle and at several numbers of callers.
 
-Usage: yuccanotch-load entry [--binary FILE] [--requests N]
+Usage: yuccanotch-load entry [--platform] [--binary FILE] [--requests N]
 
 Options:
-    --binary FILE    the entry host [default: yuccanotch-entry beside this program]
+    --platform       a host of the users' platform, before a stand-in of it
+    --binary FILE    the host [default: yuccanotch-entry, or yuccanotch-platform, beside this program]
     --requests N     requests of each run [default: 300]
 ";
 
@@ -38,20 +45,21 @@
 const TIMEOUT: Duration = Duration::from_secs(30);
 const READY: Duration = Duration::from_secs(15);
 const IDLE: Duration = Duration::from_secs(5);
-/// Processor time is counted in ticks of 10 ms.
-const TICK_US: f64 = 10_000.0;
+/// The time between two events of a stream on the users' platform, each of several tokens.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
 
 struct Args {
-    binary: PathBuf,
+    platform: bool,
+    binary: Option<PathBuf>,
     requests: usize,
 }
 
 pub fn run(parser: &mut lexopt::Parser) -> CliResult<bool> {
-    let beside = std::env::current_exe()?.with_file_name("yuccanotch-entry");
-    let mut args = Args { binary: beside, requests: 300 };
+    let mut args = Args { platform: false, binary: None, requests: 300 };
     while let Some(arg) = parser.next()? {
         match arg {
-            Long("binary") => args.binary = parser.value()?.into(),
+            Long("platform") => args.platform = true,
+            Long("binary") => args.binary = Some(parser.value()?.into()),
             Long("requests") => args.requests = parser.value()?.parse()?,
             Short('h') | Long("help") => {
                 print!("{USAGE}");
@@ -60,29 +68,38 @@
             _ => return Err(arg.unexpected().into()),
         }
     }
+    let name = if args.platform { "yuccanotch-platform" } else { "yuccanotch-entry" };
+    let beside = std::env::current_exe()?.with_file_name(name);
+    let binary = args.binary.unwrap_or(beside);
+    if args.platform {
+        let standin = Background::start(Setup { files: 1, hosts: 0, event_pause: EVENT_PAUSE })?;
+        let hosts = standin.start_hosts(&binary)?;
+        return hosts
+            .into_iter()
+            .map(Subject::Platform)
+            .try_fold(true, |held, subject| Ok(measure(&subject, args.requests)? && held));
+    }
     let mut plan = Plan::haddad(7);
     plan.entries_per_domain = 0;
     let deployment = Deployment::start(plan)?;
-    let entry = Entry::start(&args.binary, &deployment)?;
-    let held = measure(&entry, &deployment, args.requests)?;
-    drop(entry);
+    let entry = Entry::start(&binary, &deployment)?;
+    let held = measure(&Subject::Own(entry), args.requests)?;
     deployment.stop();
     Ok(held)
 }
 
-fn measure(entry: &Entry, deployment: &Deployment, requests: usize) -> CliResult<bool> {
-    let key = &deployment.plan.keys[TEAM];
-    entry.wait_until_serving(key)?;
-    let before = entry.usage()?;
+fn measure(subject: &Subject, requests: usize) -> CliResult<bool> {
+    subject.wait_until_serving()?;
+    let before = subject.usage()?;
     thread::sleep(IDLE);
-    let idle = entry.usage()?;
+    let idle = subject.usage()?;
     let idle_us = (idle.cpu_us - before.cpu_us) / IDLE.as_secs_f64();
     println!("idle             {idle_us:.0} us/s, {} KB resident", idle.resident_kb);
     println!("callers  requests  tokens  failed  CPU us/request  us/token  peak KB  requests/s");
     let mut held = true;
     for callers in CALLERS {
-        let few = Run::carry_out(entry, key, callers, requests, FEW_TOKENS)?;
-        let many = Run::carry_out(entry, key, callers, requests, MANY_TOKENS)?;
+        let few = Run::carry_out(subject, callers, requests, FEW_TOKENS)?;
+        let many = Run::carry_out(subject, callers, requests, MANY_TOKENS)?;
         let per_token = (many.cpu_us / many.whole() - few.cpu_us / few.whole())
             / (many.tokens_each() - few.tokens_each());
         let per_request = few.cpu_us / few.whole() - per_token * few.tokens_each();
@@ -91,7 +108,7 @@
             2 * requests,
             few.tokens + many.tokens,
             few.failed + many.failed,
-            entry.usage()?.peak_kb,
+            subject.usage()?.peak_kb,
             2.0 * requests as f64 / (few.seconds + many.seconds),
         );
         held &= few.failed + many.failed == 0;
@@ -110,24 +127,16 @@
 
 impl Run {
     fn carry_out(
-        entry: &Entry,
-        key: &str,
+        subject: &Subject,
         callers: usize,
         requests: usize,
         max_tokens: u32,
     ) -> CliResult<Self> {
-        let before = entry.usage()?;
+        let before = subject.usage()?;
         let started = Instant::now();
-        let results: Vec<Option<usize>> = thread::scope(|scope| {
-            let threads: Vec<_> = (0..callers)
-                .map(|i| {
-                    scope.spawn(move || ask(entry.callers, key, i, callers, requests, max_tokens))
-                })
-                .collect();
-            threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
-        });
+        let results = subject.ask_all(callers, requests, max_tokens)?;
         let seconds = started.elapsed().as_secs_f64();
-        let cpu_us = entry.usage()?.cpu_us - before.cpu_us;
+        let cpu_us = subject.usage()?.cpu_us - before.cpu_us;
         let tokens = results.iter().flatten().sum();
         let failed = results.iter().filter(|result| result.is_none()).count();
         Ok(Self { requests, failed, tokens, cpu_us, seconds })
@@ -142,37 +151,60 @@
     }
 }
 
-/// Sends every `callers`th request; returns the tokens of each, or `None` for one that failed.
-fn ask(
-    host: SocketAddr,
-    key: &str,
-    first: usize,
-    callers: usize,
-    requests: usize,
-    max_tokens: u32,
-) -> Vec<Option<usize>> {
-    let caller = Caller::new(key, TIMEOUT);
-    let prompts = (first..requests).step_by(callers);
-    let answers =
-        prompts.map(|i| caller.chat(host, MODEL, &format!("prompt {i}"), max_tokens, None));
-    answers.map(|answer| answer.ok().map(|answer| answer.tokens.len())).collect()
+/// The host that is measured.
+enum Subject {
+    /// One of the product's own interface.
+    Own(Entry),
+    /// One of the users' platform.
+    Platform(HostProcess),
 }
 
-struct Usage {
-    cpu_us: f64,
-    resident_kb: u64,
-    peak_kb: u64,
+impl Subject {
+    fn usage(&self) -> CliResult<Usage> {
+        match self {
+            Self::Own(entry) => Usage::of(entry.child.id()),
+            Self::Platform(host) => Usage::of(host.id()),
+        }
+    }
+
+    fn wait_until_serving(&self) -> CliResult<()> {
+        let start = Instant::now();
+        while self.ask_all(1, 1, 1)?.contains(&None) {
+            if start.elapsed() > READY {
+                return Err(LoadError::Standin("the host does not become ready".to_owned()));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        Ok(())
+    }
+
+    /// Sends `requests` requests by `callers` callers; returns the tokens of each, or `None` for one
+    /// that failed.
+    fn ask_all(
+        &self,
+        callers: usize,
+        requests: usize,
+        max_tokens: u32,
+    ) -> CliResult<Vec<Option<usize>>> {
+        match self {
+            Self::Own(entry) => Ok(entry.ask_all(callers, requests, max_tokens)),
+            Self::Platform(host) => {
+                Ok(background::ask_all(host.callers, callers, requests, max_tokens)?)
+            }
+        }
+    }
 }
 
 /// An entry host in a process of its own, killed when the value goes.
 struct Entry {
     child: Child,
     callers: SocketAddr,
+    key: String,
     settings: PathBuf,
 }
 
 impl Entry {
-    fn start(binary: &PathBuf, deployment: &Deployment) -> CliResult<Self> {
+    fn start(binary: &Path, deployment: &Deployment) -> CliResult<Self> {
         let callers = free_address()?;
         let settings = json!({
             "host": "entry-1", "domain": "sahab",
@@ -187,39 +219,33 @@
             .arg(&path)
             .stderr(Stdio::null())
             .spawn()
-            .map_err(|e| LoadError::File(binary.clone(), e))?;
-        Ok(Self { child, callers, settings: path })
+            .map_err(|e| LoadError::File(binary.to_owned(), e))?;
+        let key = deployment.plan.keys[TEAM].clone();
+        Ok(Self { child, callers, key, settings: path })
     }
 
-    fn wait_until_serving(&self, key: &str) -> CliResult<()> {
-        let start = Instant::now();
-        let caller = Caller::new(key, TIMEOUT);
-        while let Err(e) = caller.chat(self.callers, MODEL, "ready?", 1, None) {
-            if start.elapsed() > READY {
-                return Err(LoadError::Standin(format!(
-                    "the entry host does not become ready: {e}"
-                )));
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        Ok(())
+    fn ask_all(&self, callers: usize, requests: usize, max_tokens: u32) -> Vec<Option<usize>> {
+        thread::scope(|scope| {
+            let threads: Vec<_> = (0..callers)
+                .map(|i| scope.spawn(move || self.ask(i, callers, requests, max_tokens)))
+                .collect();
+            threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
+        })
     }
 
-    fn usage(&self) -> CliResult<Usage> {
-        let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
-        let stat = fs::read_to_string(proc.join("stat"))?;
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
-        let ticks =
-            |i: usize| fields.get(i).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-        let status = fs::read_to_string(proc.join("status"))?;
-        let kb = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name));
-            let text = line.unwrap_or_default().trim().trim_end_matches(" kB");
-            text.parse().unwrap_or(0)
-        };
-        // User and system time are fields 14 and 15, counted from the process id.
-        let cpu_us = (ticks(12) + ticks(13)) * TICK_US;
-        Ok(Usage { cpu_us, resident_kb: kb("VmRSS:"), peak_kb: kb("VmHWM:") })
+    /// Sends every `callers`th request.
+    fn ask(
+        &self,
+        first: usize,
+        callers: usize,
+        requests: usize,
+        max_tokens: u32,
+    ) -> Vec<Option<usize>> {
+        let caller = Caller::new(&self.key, TIMEOUT);
+        let prompts = (first..requests).step_by(callers);
+        let answers = prompts
+            .map(|i| caller.chat(self.callers, MODEL, &format!("prompt {i}"), max_tokens, None));
+        answers.map(|answer| answer.ok().map(|answer| answer.tokens.len())).collect()
     }
 }
 
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod scenario;
 pub mod target;
 pub mod teams;
+pub mod usage;
 
 pub use error::CliResult;
 pub use error::LoadError;
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod deployment;
 pub mod error;
 pub mod plan;
+pub mod platform;
 pub mod samples;
 
 pub use deployment::Deployment;
--- a/crates/local/src/main.rs
+++ b/crates/local/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use lexopt::prelude::*;
+use yuccanotch_local::platform;
 use yuccanotch_local::samples;
 use yuccanotch_local::samples::Sample;
 use yuccanotch_local::Deployment;
@@ -16,8 +17,10 @@
 services and entry hosts.
 
 Usage: yuccanotch-local [--once] [--seed N]
+       yuccanotch-local --platform [--once]
 
 Options:
+    --platform    speak as the users' platform does, with a stand-in of it
     --once        send the sample requests of both deployments, check their promises, and exit
     --seed N      seed of everything random [default: 7]
     -h, --help    show this text
@@ -27,6 +30,7 @@
 
 #[derive(Debug)]
 struct Args {
+    platform: bool,
     once: bool,
     seed: u64,
 }
@@ -51,10 +55,11 @@
 }
 
 fn parse_args() -> Result<Option<Args>, lexopt::Error> {
-    let mut args = Args { once: false, seed: 7 };
+    let mut args = Args { platform: false, once: false, seed: 7 };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
+            Long("platform") => args.platform = true,
             Long("once") => args.once = true,
             Long("seed") => args.seed = parser.value()?.parse()?,
             Short('h') | Long("help") => {
@@ -68,6 +73,9 @@
 }
 
 fn run(args: &Args) -> Result<bool, LocalError> {
+    if args.platform {
+        return Ok(if args.once { platform::run_samples()? } else { platform::serve()? });
+    }
     if !args.once {
         return serve(args.seed);
     }
--- a/crates/local/tests/once.rs
+++ b/crates/local/tests/once.rs
@@ -14,6 +14,18 @@
     assert!(!text.contains("BROKEN"), "{text}");
 }
 
+#[test]
+fn all_promises_hold_on_the_samples_of_the_platform() {
+    let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-local"))
+        .args(["--platform", "--once"])
+        .output()
+        .expect("the binary starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert!(text.contains("platform: all promises held"), "{text}");
+    assert_eq!(text.matches("runs in the servers' record: 1").count(), 9, "{text}");
+}
+
 #[test]
 fn usage_faults_exit_with_2() {
     let output = Command::new(env!("CARGO_BIN_EXE_yuccanotch-local"))
