Take over changed settings at a signal and without one

Cause: SIGHUP was logged and nothing read, though the platform says that it announces a changed settings file, and that the file may change without it.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -91,6 +91,8 @@
     GatewayStopped = 2003, Info, "gateway stopped";
     /// The settings were announced as changed.
     SettingsReloaded = 2004, Info, "settings reloaded";
+    /// The settings changed and cannot be read.
+    SettingsRejected = 2005, Warn, "settings rejected";
     /// A request goes to a server.
     RequestSent = 2101, Info, "request sent";
     /// An attempt ended without a usable answer.
--- a/crates/core/src/forward/budget.rs
+++ b/crates/core/src/forward/budget.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 
 /// Bounds on repeats over all hosts.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetLimits {
     /// Repeats allowed for each request.
     pub ratio: f64,
@@ -32,6 +32,11 @@
         Self { limits, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
+    /// Replaces the bounds.
+    pub fn set_limits(&mut self, limits: BudgetLimits) {
+        self.limits = limits;
+    }
+
     /// Notes a request of a caller.
     pub fn on_request(&mut self, now: Millis) {
         self.expire(now);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,6 +1,7 @@
 //! The host: its parts, its start and its stop.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -41,7 +42,10 @@
 use crate::pool::Pool;
 use crate::pool::Reuse;
 use crate::probe_server;
+use crate::reload;
+use crate::reload::Reread;
 use crate::reports::Reports;
+use crate::settings::Changeable;
 use crate::settings::Settings;
 use crate::snapshot;
 use crate::store::StoreClient;
@@ -131,6 +135,7 @@
     /// Callers' connections.
     pub connections: Cell<usize>,
     active: Rc<Cell<usize>>,
+    changeable: RefCell<Rc<Changeable>>,
 }
 
 /// A request in progress, until dropped.
@@ -164,9 +169,10 @@
             settings.domain.clone(),
             journal.clone(),
             views.clone(),
-            settings.repeats,
+            settings.changeable.repeats,
         );
         let reports_clock = clock.clone();
+        let changeable = RefCell::new(Rc::new(settings.changeable.clone()));
         Ok(Rc::new(Self {
             settings,
             clock,
@@ -183,9 +189,21 @@
             is_issuer: Cell::new(false),
             connections: Cell::new(0),
             active: Rc::default(),
+            changeable,
         }))
     }
 
+    /// Returns the settings that may change, as they are now.
+    pub fn changeable(&self) -> Rc<Changeable> {
+        self.changeable.borrow().clone()
+    }
+
+    /// Replaces the settings that may change.
+    pub fn change(&self, changeable: &Changeable) {
+        self.traffic.set_repeats(changeable.repeats);
+        self.changeable.replace(Rc::new(changeable.clone()));
+    }
+
     /// Returns the number of requests in progress.
     pub fn active(&self) -> usize {
         self.active.get()
@@ -268,12 +286,13 @@
     }
 }
 
-/// Runs a host until it is told to stop and its requests have ended.
+/// Runs a host until it is told to stop and its requests have ended; `reread` reads the settings
+/// when they may have changed.
 ///
 /// # Errors
 ///
 /// Returns an error when an address cannot be bound.
-pub async fn run(gateway: Rc<Gateway>) -> io::Result<()> {
+pub async fn run(gateway: Rc<Gateway>, reread: Option<Reread>) -> io::Result<()> {
     let settings = &gateway.settings;
     let callers = net::listen(settings.callers)?;
     let ready = net::listen(settings.ready)?;
@@ -281,7 +300,7 @@
     let metrics = net::listen(settings.metrics)?;
     let gossip_socket = UdpSocket::bind(SocketAddr::V4(settings.gossip)).await?;
     let mut term = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     gateway.journal.line(
         Event::GatewayStarted,
         &[("host", &settings.host), ("domain", &settings.domain), ("callers", &settings.callers)],
@@ -301,12 +320,10 @@
     tokio::task::spawn_local(meet_hosts(gateway.clone()));
     tokio::task::spawn_local(keep_listed(gateway.clone()));
     tokio::task::spawn_local(keep_up(gateway.clone()));
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => gateway.journal.line(Event::SettingsReloaded, &[]),
-        }
+    if let Some(reread) = reread {
+        tokio::task::spawn_local(reload::run(gateway.clone(), hangup, reread));
     }
+    term.recv().await;
     stop(&gateway).await;
     Ok(())
 }
@@ -317,7 +334,7 @@
     gateway.journal.line(Event::GatewayStopping, &[("active", &gateway.active.get())]);
     time::sleep(STILL_OPEN.to_duration()).await;
     gateway.stop.tx.send_replace(Phase::Closing);
-    let end = began + gateway.settings.grace.since(BEFORE_END);
+    let end = began + gateway.changeable().grace.since(BEFORE_END);
     while gateway.clock.now() < end {
         let idle = gateway.active.get() == 0 && gateway.connections.get() == 0;
         if idle {
@@ -367,7 +384,7 @@
         let knows = gateway.views.configuration().is_some() && gateway.views.servers_read();
         let alone = gateway.peers.all().is_empty();
         if !knows || alone || round == 0 {
-            for &seed in &gateway.settings.seeds {
+            for &seed in &gateway.changeable().seeds {
                 if seed != gateway.settings.control && snapshot::take(&gateway, seed).await && knows
                 {
                     break;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod net;
 pub mod pool;
 pub mod probe_server;
+pub mod reload;
 pub mod reports;
 pub mod settings;
 pub mod snapshot;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,8 +7,8 @@
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::HostName;
 
-/// Settings of a host, fixed for the life of its process.
-#[derive(Clone, Debug)]
+/// Settings of a host.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The host's name.
     pub host: HostName,
@@ -24,14 +24,21 @@
     pub gossip: SocketAddrV4,
     /// Where the host shows its counters.
     pub metrics: SocketAddrV4,
-    /// Control addresses of hosts to start from.
-    pub seeds: Vec<SocketAddrV4>,
     /// The platform's store.
     pub store: SocketAddrV4,
+    /// The most open sockets.
+    pub sockets: usize,
+    /// What may change in the life of the process.
+    pub changeable: Changeable,
+}
+
+/// Settings that may change in the life of a process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changeable {
+    /// Control addresses of hosts to start from.
+    pub seeds: Vec<SocketAddrV4>,
     /// The time from the order to stop until the process is ended.
     pub grace: Millis,
     /// Bounds on repeats over all hosts.
     pub repeats: BudgetLimits,
-    /// The most open sockets.
-    pub sockets: usize,
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Work in progress, beliefs about servers and the budget of repeats, as routing needs them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
@@ -80,7 +81,7 @@
     domain: DomainName,
     journal: Rc<Journal>,
     views: Rc<Views>,
-    repeats: BudgetLimits,
+    repeats: Cell<BudgetLimits>,
     /// Loads of model servers.
     pub loads: RefCell<Loads>,
     /// Beliefs about servers.
@@ -106,7 +107,7 @@
             domain,
             journal,
             views,
-            repeats,
+            repeats: Cell::new(repeats),
             loads: RefCell::default(),
             health: RefCell::default(),
             plain: RefCell::default(),
@@ -313,6 +314,12 @@
         }
     }
 
+    /// Replaces the bounds on repeats.
+    pub fn set_repeats(&self, repeats: BudgetLimits) {
+        self.repeats.set(repeats);
+        self.budgets.borrow_mut().values_mut().for_each(|b| b.set_limits(repeats));
+    }
+
     /// Counts a request for the budget of repeats.
     pub fn on_request(&self, service: &ServiceName) {
         let now = self.clock.now();
@@ -328,7 +335,7 @@
     fn budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget =
-            budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(self.repeats));
+            budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(self.repeats.get()));
         f(budget)
     }
 
