Keep the share of repeats of hosts that are no longer heard for a window

Cause, found in review: a host that is cut off from the others counted itself as the only one after 2 s of silence and took the whole of the slack that all hosts share, while the others did so too; the sum went to 1.4 times the bound if servers stay in reach of both. Ruled out: a bound by the hosts in the store, which is away at such times.

Change: the share counts hosts heard within the window of the bound, and listed ones never heard.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -217,7 +217,7 @@
     fn chances(&self, end: AttemptEnd) -> Chances {
         let now = self.gateway.clock.now();
         let time = self.due.since(now) > LEAST_LEFT;
-        let hosts = self.gateway.hosts();
+        let hosts = self.gateway.sharing_hosts();
         let budget = end == AttemptEnd::NotSent
             || self.gateway.traffic.take_repeat(&self.service.name, hosts);
         Chances { budget, time }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -110,6 +110,13 @@
         self.known.borrow().values().filter(live).count()
     }
 
+    /// Returns the number of other hosts that may send repeats: those heard within `span`, and those
+    /// that are listed and were never heard.
+    pub fn sharing(&self, now: Millis, span: Millis) -> usize {
+        let shares = |k: &&Known| k.heard.is_none_or(|at| now.since(at) < span);
+        self.known.borrow().values().filter(shares).count()
+    }
+
     /// Returns whether another host that is heard gives orders.
     pub fn hears_issuer(&self, now: Millis) -> bool {
         self.known
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -215,11 +215,18 @@
         ActiveRequest(self.active.clone())
     }
 
-    /// Returns the number of hosts that share bounds, this one included.
+    /// Returns the number of hosts heard of lately, this one included.
     pub fn hosts(&self) -> usize {
         self.peers.live(self.clock.now()) + 1
     }
 
+    /// Returns the number of hosts that share the bounds on repeats, this one included. A host that
+    /// is cut off from the others goes on sharing with them, since they may still reach servers.
+    pub fn sharing_hosts(&self) -> usize {
+        let window = self.changeable().repeats.window;
+        self.peers.sharing(self.clock.now(), window) + 1
+    }
+
     /// Asks a model server for its state.
     pub async fn report(&self, address: SocketAddrV4) -> Option<EngineReport> {
         let req = self.edge.report_request();
