Count servers, not sends, against the most that a request may go to

The bound is one on servers that a request is sent to; the first server had had it all along.

Change: a stream that has begun may go on up to six times at first servers that have had it; when its bound on servers is used up, only those are chosen, and it ends at once if none of them is listed any more. The budget of repeats is as before.

--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -5,6 +5,18 @@
 
 /// Attempts without a byte sent that do not count as attempts.
 const MAX_UNSENT: u8 = 4;
+/// Times that a stream that has begun goes on at servers that have had it: the bound on attempts is
+/// one on servers.
+const MAX_RESENDS: u8 = 6;
+
+/// A server that a request is about to be written to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Receiver {
+    /// One that has not had the request.
+    New,
+    /// One that has had it.
+    Known,
+}
 
 /// How an attempt at a server ended without a usable answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +62,8 @@
 pub struct Outcome {
     repeat: Repeat,
     attempts_left: u8,
+    resends_left: u8,
+    receiver: Receiver,
     unsent: u8,
     in_flight: bool,
     may_have_run: bool,
@@ -62,6 +76,8 @@
         Self {
             repeat,
             attempts_left: max_attempts.max(1),
+            resends_left: MAX_RESENDS,
+            receiver: Receiver::New,
             unsent: 0,
             in_flight: false,
             may_have_run: false,
@@ -70,11 +86,25 @@
     }
 
     /// Notes that the request is about to be written to a server.
-    pub fn on_send(&mut self) {
-        self.attempts_left = self.attempts_left.saturating_sub(1);
+    pub fn on_send(&mut self, receiver: Receiver) {
+        self.receiver = receiver;
+        let left = self.left();
+        *left = left.saturating_sub(1);
         self.in_flight = true;
     }
 
+    fn left(&mut self) -> &mut u8 {
+        match self.receiver {
+            Receiver::New => &mut self.attempts_left,
+            Receiver::Known => &mut self.resends_left,
+        }
+    }
+
+    /// Returns whether the request may be sent to a server that has not had it.
+    pub fn may_go_to_new(&self) -> bool {
+        self.attempts_left > 0
+    }
+
     /// Notes that the head of an answer went to the caller.
     pub fn on_begun(&mut self) {
         self.begun = true;
@@ -95,7 +125,8 @@
     pub fn on_end(&mut self, end: AttemptEnd, chances: Chances) -> Next {
         if end == AttemptEnd::NotSent && self.unsent < MAX_UNSENT {
             self.unsent += 1;
-            self.attempts_left = self.attempts_left.saturating_add(1);
+            let left = self.left();
+            *left = left.saturating_add(1);
         }
         self.in_flight = false;
         let ran = !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined);
@@ -103,7 +134,9 @@
         let repeatable = !self.may_have_run || self.repeat.allows_rerun();
         let resumable = !self.begun || self.repeat == Repeat::Resumable;
         let affordable = chances.time && (chances.budget || end == AttemptEnd::NotSent);
-        if repeatable && resumable && affordable && self.attempts_left > 0 {
+        let goes_on = self.begun && self.resends_left > 0;
+        let allowed = self.may_go_to_new() || goes_on;
+        if repeatable && resumable && affordable && allowed {
             return Next::Retry;
         }
         self.give_up(end)
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -68,11 +68,14 @@
     /// The chain that the request has, when it only changes parts: the first part stays, and parts
     /// that stay keep their memory.
     pub now: Option<&'a Chain>,
+    /// The servers that may be the first one, if not all may.
+    pub first: Option<&'a [ServerName]>,
 }
 
 impl Need<'_> {
     fn may_begin(&self, holder: &Holder) -> bool {
-        self.now.is_none_or(|chain| chain.first().address == holder.address)
+        let stays = self.now.is_none_or(|chain| chain.first().address == holder.address);
+        stays && self.first.is_none_or(|first| first.contains(&holder.server))
     }
 
     fn stays(&self, holder: &Holder, layers: LayerRange) -> bool {
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -260,7 +260,11 @@
 
 fn choose_for(holders: &[Holder], domain: &str) -> Option<Chain> {
     let domain = DomainName::new(domain);
-    path::choose(&profile(), holders, Need { domain: &domain, tokens: 1_000.0, now: None })
+    path::choose(
+        &profile(),
+        holders,
+        Need { domain: &domain, tokens: 1_000.0, now: None, first: None },
+    )
 }
 
 fn domains_of(chain: &Chain) -> BTreeSet<&str> {
@@ -320,8 +324,11 @@
     holders.retain(|h| !(h.layers.from <= 33 && 33 < h.layers.to));
     assert_eq!(choose_for(&holders, "a"), None);
     let domain = DomainName::new("a");
-    let lack =
-        path::lacking(&profile(), &holders, Need { domain: &domain, tokens: 1.0, now: None });
+    let lack = path::lacking(
+        &profile(),
+        &holders,
+        Need { domain: &domain, tokens: 1.0, now: None, first: None },
+    );
     assert!(lack.layer <= 33 && lack.holders == 0, "{lack:?}");
 }
 
@@ -332,7 +339,7 @@
     let lost = before.parts()[3].server.clone();
     holders.retain(|h| h.server != lost);
     let domain = DomainName::new("a");
-    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before) };
+    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before), first: None };
     let after = path::choose(&profile(), &holders, need).expect("a chain");
     assert_eq!(after.first(), before.first());
     let kept = before.parts().iter().filter(|p| after.parts().contains(p)).count();
@@ -346,7 +353,7 @@
     let lost = before.parts()[3].clone();
     holders.retain(|h| h.server != lost.server);
     let domain = DomainName::new("a");
-    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before) };
+    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before), first: None };
     let mut taken = BTreeSet::new();
     for _ in 0..60 {
         let after = path::choose(&profile(), &holders, need).expect("a chain");
@@ -366,7 +373,7 @@
     let before = choose_for(&holders, "a").expect("a chain");
     holders.retain(|h| h.server != before.first().server);
     let domain = DomainName::new("a");
-    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before) };
+    let need = Need { domain: &domain, tokens: 1_000.0, now: Some(&before), first: None };
     assert_eq!(path::choose(&profile(), &holders, need), None);
 }
 
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -14,6 +14,7 @@
 use yuccanotch_core::forward::outcome::Chances;
 use yuccanotch_core::forward::outcome::Next;
 use yuccanotch_core::forward::outcome::Outcome;
+use yuccanotch_core::forward::outcome::Receiver;
 use yuccanotch_core::forward::routes::Repeat;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ServerName;
@@ -108,7 +109,7 @@
         let mut ran = false;
         let mut sent_to_servers = 0;
         for (end, budget, time) in history {
-            outcome.on_send();
+            outcome.on_send(Receiver::New);
             assert_ne!(outcome.refusal(), Next::Refuse, "a request in flight may run");
             ran |= may_have_run(end);
             sent_to_servers += u32::from(end != AttemptEnd::NotSent);
@@ -196,7 +197,7 @@
             })
             .collect();
         let domain = DomainName::new("d-0");
-        let need = Need { domain: &domain, tokens, now: None };
+        let need = Need { domain: &domain, tokens, now: None, first: None };
         if let Some(chain) = path::choose(&profile, &holders, need) {
             let mut at = 0;
             for part in chain.parts() {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -14,6 +14,7 @@
 use tokio::time;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::outcome::AttemptEnd;
+use yuccanotch_core::forward::outcome::Receiver;
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::routes::Repeat;
 
@@ -40,16 +41,20 @@
     pub(super) async fn attempt(&mut self, target: &Target) -> Ended {
         let gateway = self.gateway.clone();
         self.set_current(target.clone());
+        let known = self.tried.contains(target.server());
+        let receiver = if known { Receiver::Known } else { Receiver::New };
         let mut link = match gateway.pool.link(target.address(), Reuse::Allowed).await {
             Ok(link) => link,
             Err(_) => {
                 gateway.traffic.suspect(target.server(), "connect");
-                self.outcome.on_send();
+                self.outcome.on_send(receiver);
                 return without(AttemptEnd::NotSent, EndReason::Connect);
             }
         };
-        self.outcome.on_send();
-        self.tried.push(target.server().clone());
+        self.outcome.on_send(receiver);
+        if receiver == Receiver::New {
+            self.tried.push(target.server().clone());
+        }
         let req = self.request(target);
         self.note_sent(target);
         let sent = self.send(&mut link, req, target).await;
--- a/crates/gateway/src/exchange/room.rs
+++ b/crates/gateway/src/exchange/room.rs
@@ -10,6 +10,7 @@
 use yuccanotch_core::name::ServiceName;
 
 use crate::exchange::Exchange;
+use crate::traffic::Among;
 use crate::traffic::Target;
 use crate::traffic::Traffic;
 
@@ -25,12 +26,18 @@
         let traffic = &self.gateway.traffic;
         let until = self.room_until();
         let waiter = Waiter::enter(traffic, &self.service.name, self.progress(), self.priority());
+        let among = if self.outcome.may_go_to_new() {
+            Among::All { tried: &self.tried }
+        } else {
+            Among::Known(&self.tried)
+        };
         loop {
             let found = waiter
                 .may_look()
-                .then(|| traffic.choose(&self.service, self.tokens(), &self.tried))
+                .then(|| traffic.choose(&self.service, self.tokens(), among))
                 .flatten();
-            if found.is_some() || self.gateway.clock.now() >= until {
+            let hopeless = matches!(among, Among::Known(tried) if !traffic.is_listed(tried));
+            if found.is_some() || hopeless || self.gateway.clock.now() >= until {
                 return found;
             }
             let _ = time::timeout(ROOM_LOOK, traffic.room.notified()).await;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -75,6 +75,18 @@
     }
 }
 
+/// The servers that may get a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Among<'a> {
+    /// All of the service, those that it has been sent to last.
+    All {
+        /// Servers that it has been sent to.
+        tried: &'a [ServerName],
+    },
+    /// Only those that it has been sent to.
+    Known(&'a [ServerName]),
+}
+
 /// Routing state of the host.
 pub struct Traffic {
     clock: Clock,
@@ -119,31 +131,41 @@
 
     /// Chooses where a request of `service` goes; nothing when no server has room.
     ///
-    /// `tried` are servers that the request has been sent to.
-    pub fn choose(&self, service: &Service, tokens: f64, tried: &[ServerName]) -> Option<Target> {
+    /// `among` tells which servers may get it.
+    pub fn choose(&self, service: &Service, tokens: f64, among: Among<'_>) -> Option<Target> {
         match &service.engine {
-            Some(profile) => self
-                .choose_chain(service, profile, tokens, None)
-                .map(|chain| Target::Chain(Rc::new(chain))),
-            None => self.choose_server(service, tried),
+            Some(profile) => {
+                let first = match among {
+                    Among::All { .. } => None,
+                    Among::Known(tried) => Some(tried),
+                };
+                let need = Need { domain: &self.domain, tokens, now: None, first };
+                self.choose_chain(service, profile, need).map(|c| Target::Chain(Rc::new(c)))
+            }
+            None => self.choose_server(service, among),
         }
     }
 
+    /// Returns whether one of `servers` takes requests.
+    pub fn is_listed(&self, servers: &[ServerName]) -> bool {
+        let list = self.views.servers();
+        servers.iter().any(|s| list.get(s).is_some_and(|e| e.state == ServerState::Ready))
+    }
+
     /// Chooses another chain for a request that has `now`, with the same first part.
     pub fn rechoose(&self, service: &Service, tokens: f64, now: &Chain) -> Option<Chain> {
         let profile = service.engine.as_ref()?;
-        self.choose_chain(service, profile, tokens, Some(now)).filter(|chain| chain != now)
+        let need = Need { domain: &self.domain, tokens, now: Some(now), first: None };
+        self.choose_chain(service, profile, need).filter(|chain| chain != now)
     }
 
     fn choose_chain(
         &self,
         service: &Service,
         profile: &EngineProfile,
-        tokens: f64,
-        now: Option<&Chain>,
+        need: Need<'_>,
     ) -> Option<Chain> {
         let holders = self.holders(service, profile);
-        let need = Need { domain: &self.domain, tokens, now };
         path::choose(profile, &holders, need)
     }
 
@@ -153,7 +175,7 @@
             return "no server".to_owned();
         };
         let holders = self.holders(service, profile);
-        let need = Need { domain: &self.domain, tokens, now: None };
+        let need = Need { domain: &self.domain, tokens, now: None, first: None };
         let lack = path::lacking(profile, &holders, need);
         format!("layer {} of {} holders", lack.layer, lack.holders)
     }
@@ -206,7 +228,11 @@
             .collect()
     }
 
-    fn choose_server(&self, service: &Service, tried: &[ServerName]) -> Option<Target> {
+    fn choose_server(&self, service: &Service, among: Among<'_>) -> Option<Target> {
+        let (tried, only_tried) = match among {
+            Among::All { tried } => (tried, false),
+            Among::Known(tried) => (tried, true),
+        };
         let now = self.clock.now();
         let health = self.health.borrow();
         let plain = self.plain.borrow();
@@ -223,6 +249,7 @@
         servers
             .iter()
             .filter(|e| e.service == service.name && e.state == ServerState::Ready)
+            .filter(|e| !only_tried || tried.contains(&e.id))
             .map(|e| (cost(e) + rng.random::<f64>() * 0.5, e))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, e)| Target::Server { server: e.id.clone(), address: e.address })
