Run forwarding decisions under seeded faults, with six planted defects

Cause: the modules that decide on the platform's path had property tests, but no seeded case that keeps an independent record and no planted defect to show that it can fail.

Change: yuccanotch-check's case "forward": a request over servers that decline, break, fail, stay silent and begin their stream anew; its runs, servers and bytes against what callers are told; chains and the server list beside it. Planted: a repeat after a run, a refusal after a run, more servers than allowed, an event twice, a chain with a gap, a leaving entry kept. Not planted: an older version adopted and an order without fence, whose code is in the shell (tests on the stand-in cover them).

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -61,6 +61,8 @@
     Route => ("route", crate::route_case::run),
     /// Retries: bounded by cap, budget and bytes that left.
     Retry => ("retry", crate::retry_case::run),
+    /// Forwarding: runs, streams, chains and lists as callers are told.
+    Forward => ("forward", crate::forward_case::run),
     /// Streams: an answer over failing chains stays whole, unmixed and final.
     Stream => ("stream", crate::stream_case::run),
 }
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -24,6 +24,7 @@
 mod error;
 mod fleet_case;
 mod fleet_sim;
+mod forward_case;
 mod orders_case;
 mod quarantine_case;
 mod rendezvous_case;
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -84,6 +84,18 @@
         EndCountUnchecked => "end-count-unchecked",
         /// The closing frame's digest is not checked.
         EndDigestUnchecked => "end-digest-unchecked",
+        /// A forwarded request that may have run is sent once more although it must run once.
+        ForwardRepeatAfterRun => "forward-repeat-after-run",
+        /// A caller is told that a forwarded request has not run although it may have.
+        ForwardRefuseAfterRun => "forward-refuse-after-run",
+        /// A forwarded request goes to more servers than its route allows.
+        ForwardBeyondBound => "forward-beyond-bound",
+        /// An event that the caller has is passed on once more.
+        ForwardEventTwice => "forward-event-twice",
+        /// A chain that leaves out layers is taken as whole.
+        ChainWithGap => "chain-with-gap",
+        /// An entry of a leaving server that is gone is kept after the store was away.
+        LeavingEntryKept => "leaving-entry-kept",
         /// An answer may change the model version after its first token.
         VersionUnpinned => "version-unpinned",
     }
--- a/crates/core/src/forward/events.rs
+++ b/crates/core/src/forward/events.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::defect::planted;
+
 /// The longest event that is held back until it is whole, in bytes.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -71,7 +73,7 @@
             self.scanned = 0;
             let id = event_id(&event).ok_or(EventError::NoId)?;
             match last {
-                Some(last) if id <= last => continue,
+                Some(last) if id <= last && !planted!(ForwardEventTwice) => continue,
                 Some(last) if id > last + 1 => return Err(EventError::Gap),
                 _ => {}
             }
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -1,6 +1,7 @@
 //! What is true of one request: whether it may have run, whether it may be sent once more, and what
 //! a failure may say.
 
+use crate::defect::planted;
 use crate::forward::routes::Repeat;
 
 /// Attempts without a byte sent that do not count as attempts.
@@ -102,7 +103,7 @@
 
     /// Returns whether the request may be sent to a server that has not had it.
     pub fn may_go_to_new(&self) -> bool {
-        self.attempts_left > 0
+        self.attempts_left > 0 || planted!(ForwardBeyondBound)
     }
 
     /// Notes that the head of an answer went to the caller.
@@ -131,7 +132,8 @@
         self.in_flight = false;
         let ran = !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined);
         self.may_have_run |= ran;
-        let repeatable = !self.may_have_run || self.repeat.allows_rerun();
+        let repeatable =
+            !self.may_have_run || self.repeat.allows_rerun() || planted!(ForwardRepeatAfterRun);
         let resumable = !self.begun || self.repeat == Repeat::Resumable;
         let affordable = chances.time && (chances.budget || end == AttemptEnd::NotSent);
         let goes_on = self.begun && self.resends_left > 0;
@@ -156,7 +158,7 @@
     pub fn refusal(&self) -> Next {
         if self.begun {
             Next::BreakOff
-        } else if self.may_have_run() {
+        } else if self.may_have_run() && !planted!(ForwardRefuseAfterRun) {
             Next::Unknown
         } else {
             Next::Refuse
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use crate::clock::Millis;
+use crate::defect::planted;
 use crate::name::DomainName;
 use crate::name::ServerName;
 use crate::name::ServiceName;
@@ -110,7 +111,8 @@
         let Some(known) = self.known.get_mut(id) else {
             return;
         };
-        if now < self.lapse_until && known.entry.state == ServerState::Ready {
+        let may_be_back = known.entry.state == ServerState::Ready || planted!(LeavingEntryKept);
+        if now < self.lapse_until && may_be_back {
             known.gone_at.get_or_insert(self.lapse_until);
             return;
         }
--- a/crates/core/src/placement/chain.rs
+++ b/crates/core/src/placement/chain.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use crate::defect::planted;
 use crate::name::ServerName;
 use crate::placement::engine::LayerRange;
 
@@ -55,7 +56,7 @@
             if part.layers.is_empty() {
                 return Err(ChainError::Empty);
             }
-            if part.layers.from != at {
+            if part.layers.from != at && !planted!(ChainWithGap) {
                 return Err(ChainError::NotInOrder);
             }
             if parts[..index].iter().any(|p| p.address == part.address) {
