Split the router and the configuration's case by duty

Change: draws of servers, what a host's answers say of a model, and the links of a chain stand in files of their own; the case's store too. Nothing else changes.

--- /dev/null
+++ b/crates/check/src/config_store.rs
@@ -0,0 +1,107 @@
+//! The store of the randomised case of the configuration.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::config::call::StoreAnswer;
+use yuccanotch_core::config::call::StoreCall;
+use yuccanotch_core::config::manifest::Manifest;
+use yuccanotch_core::config::manifest::PatchId;
+use yuccanotch_core::config::manifest::MANIFEST_KEY;
+use yuccanotch_core::ids::ConfigNumber;
+use yuccanotch_core::ids::KeyVersion;
+use yuccanotch_core::store::StoreError;
+use yuccanotch_core::store::Versioned;
+
+type Keys = BTreeMap<String, Versioned>;
+
+/// A store that loses calls and answers; a lost call may take effect later.
+#[derive(Default)]
+pub struct FakeStore {
+    /// The keys.
+    pub keys: Keys,
+    /// An old copy.
+    pub copy: Option<Keys>,
+    /// Calls that were lost and may still take effect.
+    pub late: Vec<StoreCall>,
+    /// Whether it refuses all calls.
+    pub away: bool,
+    /// Each manifest that was ever current: number and patch.
+    pub history: BTreeSet<(ConfigNumber, PatchId)>,
+}
+
+impl FakeStore {
+    /// Carries a call out.
+    pub fn apply(&mut self, call: &StoreCall) -> StoreAnswer {
+        match call {
+            StoreCall::Get(key) => StoreAnswer::Value(self.keys.get(key).cloned()),
+            StoreCall::List(prefix) => {
+                let keys = self.keys.iter().filter(|(key, _)| key.starts_with(prefix.as_str()));
+                StoreAnswer::Keys(keys.map(|(key, found)| (key.clone(), found.version)).collect())
+            }
+            StoreCall::Delete { key, expect } => match self.check(key, *expect) {
+                Ok(_) => {
+                    self.keys.remove(key);
+                    StoreAnswer::Deleted
+                }
+                Err(e) => StoreAnswer::Failed(e),
+            },
+            StoreCall::Swap { key, expect, value } => match self.check(key, *expect) {
+                Ok(current) => {
+                    let version = current.next();
+                    self.keys.insert(key.clone(), Versioned { version, value: value.clone() });
+                    self.note(key, value);
+                    StoreAnswer::Written(version)
+                }
+                Err(e) => StoreAnswer::Failed(e),
+            },
+        }
+    }
+
+    fn check(&self, key: &str, expect: KeyVersion) -> Result<KeyVersion, StoreError> {
+        let current = self.keys.get(key).map_or(KeyVersion(0), |found| found.version);
+        if current == expect {
+            Ok(current)
+        } else {
+            Err(StoreError::Conflict(current))
+        }
+    }
+
+    fn note(&mut self, key: &str, value: &[u8]) {
+        if key == MANIFEST_KEY {
+            if let Ok(manifest) = Manifest::decode(value) {
+                self.history.insert((manifest.number, manifest.patch));
+            }
+        }
+    }
+
+    /// Carries a call out, or loses it or its answer.
+    pub fn call(&mut self, call: &StoreCall, faults: bool, rng: &mut Pcg64Mcg) -> StoreAnswer {
+        if !faults {
+            return self.apply(call);
+        }
+        if self.away {
+            return StoreAnswer::Failed(StoreError::Refused(503));
+        }
+        match rng.random_range(0..100) {
+            0..5 => StoreAnswer::Failed(StoreError::AnswerLost),
+            5..10 => {
+                self.late.push(call.clone());
+                StoreAnswer::Failed(StoreError::AnswerLost)
+            }
+            10..15 => {
+                self.apply(call);
+                StoreAnswer::Failed(StoreError::AnswerLost)
+            }
+            15..18 => StoreAnswer::Failed(StoreError::Unreachable),
+            _ => self.apply(call),
+        }
+    }
+
+    /// Returns the current manifest.
+    pub fn manifest(&self) -> Option<Manifest> {
+        Manifest::decode(&self.keys.get(MANIFEST_KEY)?.value).ok()
+    }
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -21,6 +21,7 @@
 mod cmd_route_figures;
 mod cmd_slopes;
 mod config_case;
+mod config_store;
 mod error;
 mod fleet_case;
 mod fleet_sim;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -11,7 +11,9 @@
 mod path;
 mod prefix;
 mod router;
+mod sample;
 mod server;
+mod stats;
 mod table;
 mod version;
 
--- a/crates/core/src/route/path.rs
+++ b/crates/core/src/route/path.rs
@@ -85,3 +85,12 @@
     path.reverse();
     path
 }
+
+/// Returns the links of a chain, the one back to the first stage included.
+pub(super) fn loop_pairs(chain: &[u16]) -> impl Iterator<Item = (u16, u16)> + '_ {
+    let back = match chain {
+        [first, .., last] => Some((*last, *first)),
+        _ => None,
+    };
+    chain.windows(2).map(|pair| (pair[0], pair[1])).chain(back)
+}
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -24,11 +24,18 @@
 use super::messages::Verdict;
 use super::outlier::Element;
 use super::outlier::Outliers;
+use super::path::loop_pairs;
 use super::path::shortest;
 use super::path::Candidate;
 use super::prefix::PrefixIndex;
 use super::prefix::PrefixMatch;
+use super::sample::draw_some;
 use super::server::ServerState;
+use super::stats::blend;
+use super::stats::wait_us;
+use super::stats::ModelStats;
+use super::stats::MAX_CORRECTION_PERCENT;
+use super::stats::NEUTRAL_PERCENT;
 use super::table::Group;
 use super::table::Table;
 
@@ -59,45 +66,6 @@
 /// Words of a prompt that a server takes in one step while it reads the prompt.
 const WORDS_PER_PREFILL_STEP: u64 = 16;
 
-/// Tokens of an answer that are expected before any was seen.
-const INITIAL_ANSWER_TOKENS: u64 = 32;
-
-/// Span for which a run holds its slot before any run was seen, in milliseconds.
-const INITIAL_HOLD_MS: u64 = 1_000;
-
-/// Weight of the history against a new sample, out of 16.
-const HISTORY_WEIGHT: u64 = 15;
-
-/// Correction of expected times that agrees with the reports.
-const NEUTRAL_PERCENT: u64 = 100;
-
-/// Largest correction of expected times.
-const MAX_CORRECTION_PERCENT: u64 = 800;
-
-/// What the host's own answers say of one model.
-#[derive(Clone, Copy, Debug)]
-struct ModelStats {
-    answer_tokens: u64,
-    hold_ms: u64,
-    has_answers: bool,
-    step_percent: u64,
-    first_percent: u64,
-    turn: usize,
-}
-
-impl Default for ModelStats {
-    fn default() -> Self {
-        Self {
-            answer_tokens: INITIAL_ANSWER_TOKENS,
-            hold_ms: INITIAL_HOLD_MS,
-            has_answers: false,
-            step_percent: NEUTRAL_PERCENT,
-            first_percent: NEUTRAL_PERCENT,
-            turn: 0,
-        }
-    }
-}
-
 /// What the costs of one choice have in common.
 #[derive(Clone, Copy, Debug)]
 struct Costing<'a> {
@@ -525,76 +493,6 @@
     }
 }
 
-fn wait_us(server: &ServerState, stats: ModelStats) -> u64 {
-    let ahead = u64::from(server.runs_ahead());
-    if ahead == 0 {
-        return 0;
-    }
-    // A queue at a server also risks a refusal, since other hosts send to it unseen.
-    stats.hold_ms * 1000 + ahead * stats.hold_ms * 1000 / u64::from(server.slots.max(1))
-}
-
 fn prefill_us(step_us: u64, words: u32) -> u64 {
     step_us * u64::from(words).div_ceil(WORDS_PER_PREFILL_STEP)
 }
-
-fn blend(old: u64, new: u64) -> u64 {
-    // Rounds towards the new value, so that small values are reached.
-    let sum = old * HISTORY_WEIGHT + new;
-    if new > old {
-        sum.div_ceil(HISTORY_WEIGHT + 1)
-    } else {
-        sum / (HISTORY_WEIGHT + 1)
-    }
-}
-
-/// Returns the links of a chain, the one back to the first stage included.
-fn loop_pairs(chain: &[u16]) -> impl Iterator<Item = (u16, u16)> + '_ {
-    let back = match chain {
-        [first, .., last] => Some((*last, *first)),
-        _ => None,
-    };
-    chain.windows(2).map(|pair| (pair[0], pair[1])).chain(back)
-}
-
-/// Draws distinct allowed servers out of `from` until `drawn` has `goal` of them.
-fn draw_some<R: Rng>(
-    from: &[u16],
-    goal: usize,
-    allowed: impl Fn(&u16) -> bool,
-    rng: &mut R,
-    drawn: &mut SmallVec<[u16; 8]>,
-) {
-    if from.is_empty() {
-        return;
-    }
-    let start = rng.random_range(0..from.len());
-    let stride = stride(from.len(), rng);
-    for step in 0..from.len() {
-        if drawn.len() >= goal {
-            return;
-        }
-        let server = from[(start + step * stride) % from.len()];
-        if !drawn.contains(&server) && allowed(&server) {
-            drawn.push(server);
-        }
-    }
-}
-
-/// Returns a random stride that visits all of `len` places.
-fn stride<R: Rng>(len: usize, rng: &mut R) -> usize {
-    if len < 3 {
-        return 1;
-    }
-    let is_coprime = |candidate: usize| gcd(candidate, len) == 1;
-    let first = rng.random_range(1..len);
-    (first..len).find(|candidate| is_coprime(*candidate)).unwrap_or(1)
-}
-
-fn gcd(a: usize, b: usize) -> usize {
-    if b == 0 {
-        a
-    } else {
-        gcd(b, a % b)
-    }
-}
