Keep a full wide server's layers together when a chain comes back to it

The cheapest way through the layers left a full server of a wide range for a copy of its middle layers and came back to it for the rest. A chain may name a server once, so the check refused it, and no other way was looked for.

Change: a server that has two parts is given what lies between them. Tests that failed before: a_full_server_whose_middle_layers_have_a_copy_elsewhere_still_begins_a_chain.

--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -98,24 +98,40 @@
 
 /// Why no chain was found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NoChain {
-    /// The first layer that has no usable holder with room.
-    pub layer: u16,
-    /// Holders of that layer, with room or without.
-    pub holders: u32,
+pub enum NoChain {
+    /// A layer has no usable holder with room.
+    Layer {
+        /// The first such layer.
+        layer: u16,
+        /// Its holders, with room or without.
+        holders: usize,
+    },
+    /// Each layer has a holder with room, but no holder of the first layer may begin a chain.
+    First {
+        /// Holders of the first layer, most of them without a free slot.
+        holders: usize,
+    },
+    /// Each layer has a holder with room and a chain could begin, but the ranges do not meet.
+    Ranges,
 }
 
-/// Finds the layer that keeps a request from a chain.
+/// Finds what keeps a request from a chain.
 pub fn lacking(profile: &EngineProfile, holders: &[Holder], need: Need<'_>) -> NoChain {
-    let has_room = |layer: u16| {
-        holders
-            .iter()
-            .filter(|h| h.layers.from <= layer && layer < h.layers.to)
-            .any(|h| Candidate::new(profile, h, need).is_some())
-    };
-    let layer = (0..profile.layers).find(|&l| !has_room(l)).unwrap_or(profile.layers);
-    let holds = |h: &&Holder| h.layers.from <= layer && layer < h.layers.to;
-    NoChain { layer, holders: holders.iter().filter(holds).count() as u32 }
+    let of =
+        |layer: u16| holders.iter().filter(move |h| h.layers.from <= layer && layer < h.layers.to);
+    let has_room = |layer: &u16| of(*layer).any(|h| Candidate::new(profile, h, need).is_some());
+    match (0..profile.layers).find(|layer| !has_room(layer)) {
+        Some(layer) => NoChain::Layer { layer, holders: of(layer).count() },
+        None if !of(0).any(|h| may_begin(profile, h, need)) => {
+            NoChain::First { holders: of(0).count() }
+        }
+        None => NoChain::Ranges,
+    }
+}
+
+fn may_begin(profile: &EngineProfile, holder: &Holder, need: Need<'_>) -> bool {
+    let candidate = Candidate::new(profile, holder, need);
+    need.may_begin(holder) && candidate.is_some_and(|c| c.may_be_first)
 }
 
 /// Chooses the cheapest chain with room for `need` through `holders`, if there is one.
@@ -207,9 +223,24 @@
         at = reached.before;
     }
     parts.reverse();
+    merge_repeated(&mut parts);
     Some(parts)
 }
 
+/// Gives a server that has two parts all that lies between them, which it holds too: a chain may name
+/// each server once.
+fn merge_repeated(parts: &mut SmallVec<[Part; 12]>) {
+    let mut first = 0;
+    while first < parts.len() {
+        let again = (first + 1..parts.len()).rfind(|&i| parts[i].address == parts[first].address);
+        if let Some(last) = again {
+            parts[first].layers.to = parts[last].layers.to;
+            parts.drain(first + 1..=last);
+        }
+        first += 1;
+    }
+}
+
 struct Candidate<'a> {
     holder: &'a Holder,
     layers: LayerRange,
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -20,6 +20,7 @@
 use super::path;
 use super::path::Holder;
 use super::path::Need;
+use super::path::NoChain;
 use super::plan::plan;
 use super::plan::Card;
 use super::plan::Plan;
@@ -318,6 +319,42 @@
     assert!(second.parts().iter().all(|p| p.server != slow));
 }
 
+#[test]
+fn a_full_server_whose_middle_layers_have_a_copy_elsewhere_still_begins_a_chain() {
+    let mut holders = planned_holders();
+    let whole = holders.iter().position(|h| h.layers.len() > 20).expect("a wide range");
+    let layers = holders[whole].layers;
+    let copy = holders.iter().position(|h| h.domain.as_str() == "c").expect("another domain");
+    holders[copy].layers = LayerRange::new(layers.from + 8, layers.from + 16);
+    holders[copy].domain = holders[whole].domain.clone();
+    holders.retain(|h| {
+        h.layers == layers
+            || h.layers.from < layers.from
+            || h.layers.to > layers.to
+            || h.address == address(copy)
+    });
+    for holder in holders.iter_mut().filter(|h| h.layers == layers) {
+        holder.load.token_layers =
+            (0.9 * profile().token_layers(&holder.kind, layers.len())) as f32;
+    }
+    let chain = choose_for(&holders, "a").expect("a chain");
+    let servers: BTreeSet<&ServerName> = chain.parts().iter().map(|p| &p.server).collect();
+    assert_eq!(servers.len(), chain.parts().len());
+}
+
+#[test]
+fn a_burst_that_takes_all_slots_of_first_servers_is_told_from_a_lack_of_memory() {
+    let mut holders = planned_holders();
+    for holder in holders.iter_mut().filter(|h| h.layers.from == 0) {
+        holder.load.first = 192.0;
+    }
+    let domain = DomainName::new("a");
+    let need = Need { domain: &domain, tokens: 1_000.0, now: None, first: None };
+    assert_eq!(path::choose(&profile(), &holders, need), None);
+    let lack = path::lacking(&profile(), &holders, need);
+    assert!(matches!(lack, NoChain::First { holders: 3.. }), "{lack:?}");
+}
+
 #[test]
 fn without_a_holder_of_a_layer_there_is_no_chain_and_the_layer_is_named() {
     let mut holders = planned_holders();
@@ -329,7 +366,7 @@
         &holders,
         Need { domain: &domain, tokens: 1.0, now: None, first: None },
     );
-    assert!(lack.layer <= 33 && lack.holders == 0, "{lack:?}");
+    assert!(matches!(lack, NoChain::Layer { layer: ..=33, holders: 0 }), "{lack:?}");
 }
 
 #[test]
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -30,6 +30,7 @@
 use yuccanotch_core::placement::path;
 use yuccanotch_core::placement::path::Holder;
 use yuccanotch_core::placement::path::Need;
+use yuccanotch_core::placement::path::NoChain;
 
 use crate::journal::Journal;
 use crate::views::Views;
@@ -176,8 +177,11 @@
         };
         let holders = self.holders(service, profile);
         let need = Need { domain: &self.domain, tokens, now: None, first: None };
-        let lack = path::lacking(profile, &holders, need);
-        format!("layer {} of {} holders", lack.layer, lack.holders)
+        match path::lacking(profile, &holders, need) {
+            NoChain::Layer { layer, holders } => format!("layer {layer} of {holders} holders"),
+            NoChain::First { holders } => format!("a free slot at {holders} first servers"),
+            NoChain::Ranges => "ranges that meet".to_owned(),
+        }
     }
 
     /// Notes that the servers of `new` that `old` does not have read a moved request anew.
