Keep a begun stream at a silent server that no other target can replace

Change: a silent target counts as lost only if the request can be sent elsewhere at once, with a retry left in its limits and in the budget. A request whose answer has begun waits for room until its deadline, since its caller may still wait.

--- a/crates/core/src/forward/budget.rs
+++ b/crates/core/src/forward/budget.rs
@@ -49,14 +49,19 @@
     ///
     /// `hosts` is the number of hosts that share the budget.
     pub fn try_take_retry(&mut self, now: Millis, hosts: usize) -> bool {
+        let has_retry = self.has_retry(now, hosts);
+        if has_retry {
+            self.retries.push_back(now);
+        }
+        has_retry
+    }
+
+    /// Returns whether this host's share allows one more retry.
+    pub fn has_retry(&mut self, now: Millis, hosts: usize) -> bool {
         self.expire(now);
         let share = self.limits.slack / hosts.max(1) as f64;
         let allowed = USED_BUDGET_RATIO * (self.limits.ratio * self.requests.len() as f64 + share);
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        self.retries.len() as f64 + 1.0 <= allowed
     }
 
     fn expire(&mut self, now: Millis) {
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -148,6 +148,11 @@
         self.give_up(end)
     }
 
+    /// Returns whether another attempt would follow if the present one ended with `end` now.
+    pub fn would_retry(&self, end: AttemptEnd, conditions: RetryConditions) -> bool {
+        self.clone().on_end(end, conditions) == NextStep::Retry
+    }
+
     fn give_up(&self, end: AttemptEnd) -> NextStep {
         if self.begun {
             NextStep::BreakOff
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -5,11 +5,14 @@
 
 use tokio::time;
 use yuccanotch_core::clock::Millis;
+use yuccanotch_core::forward::outcome::AttemptEnd;
+use yuccanotch_core::forward::outcome::RetryConditions;
 use yuccanotch_core::forward::waiting::Progress;
 use yuccanotch_core::forward::waiting::QueuePosition;
 use yuccanotch_core::name::ServiceName;
 
 use crate::exchange::Exchange;
+use crate::exchange::MIN_TIME_FOR_RETRY;
 use crate::routing::Candidates;
 use crate::routing::RoutingState;
 use crate::routing::Target;
@@ -26,11 +29,7 @@
         let routing = &self.gateway.routing;
         let until = self.wait_deadline();
         let waiter = Waiter::enter(routing, &self.service.name, self.progress(), self.priority());
-        let candidates = if self.outcome.may_try_new_server() {
-            Candidates::All { tried: &self.tried }
-        } else {
-            Candidates::Tried(&self.tried)
-        };
+        let candidates = self.candidates();
         loop {
             let found = waiter
                 .may_try()
@@ -45,6 +44,29 @@
         }
     }
 
+    /// Returns whether the request could be sent elsewhere at once if its present attempt ended
+    /// because of silence.
+    pub(super) fn may_go_elsewhere(&self) -> bool {
+        let gateway = &self.gateway;
+        let within_deadline = self.deadline.since(gateway.clock.now()) > MIN_TIME_FOR_RETRY;
+        let hosts = gateway.hosts_sharing_retries();
+        let within_budget = gateway.routing.has_retry(&self.service.name, hosts);
+        let conditions = RetryConditions { within_budget, within_deadline };
+        self.outcome.would_retry(AttemptEnd::Silent, conditions)
+            && gateway
+                .routing
+                .choose_target(&self.service, self.expected_load(), self.candidates())
+                .is_some()
+    }
+
+    fn candidates(&self) -> Candidates<'_> {
+        if self.outcome.may_try_new_server() {
+            Candidates::All { tried: &self.tried }
+        } else {
+            Candidates::Tried(&self.tried)
+        }
+    }
+
     fn progress(&self) -> Progress {
         if self.outcome.has_begun() {
             Progress::Begun
@@ -59,11 +81,11 @@
     }
 
     /// Returns when the wait ends. If the caller has received a part of the answer, that part would
-    /// be lost, so the request waits as long as the caller does; otherwise it waits briefly, since
-    /// the caller may try again.
+    /// be lost, so the request waits until the deadline unless the caller leaves before; otherwise it
+    /// waits briefly, since the caller may try again.
     fn wait_deadline(&self) -> Millis {
         match self.progress() {
-            Progress::Begun => self.last_event_at + self.route.max_stream_pause,
+            Progress::Begun => self.deadline,
             Progress::NotBegun => self.gateway.clock.now() + MAX_ROOM_WAIT,
         }
     }
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -54,7 +54,7 @@
         let first = chain.first();
         let Some(report) = gateway.recent_report(first.address, MAX_STALL_REPORT_AGE).await else {
             gateway.routing.suspect(&first.server, "no report");
-            return ServerProgress::Lost;
+            return self.lost_unless_alone();
         };
         gateway.routing.record_slowness(first.address, report.slowness);
         let stalled = report.stalled.iter().find(|(id, _)| **id == *self.id());
@@ -75,7 +75,7 @@
         let Some(new) =
             gateway.routing.choose_other_chain(&self.service, self.expected_load(), chain)
         else {
-            return ServerProgress::Lost;
+            return self.lost_unless_alone();
         };
         let first = new.first().clone();
         let order = Order::Repath { id: self.id(), chain: &new };
@@ -91,13 +91,24 @@
         let taken = matches!(reply, Some(OrderReply::Begun | OrderReply::Done));
         gateway.counters.chain_changed(taken);
         if !taken {
-            return ServerProgress::Lost;
+            return self.lost_unless_alone();
         }
         gateway.routing.on_moved(&self.service, chain, &new, self.expected_load());
         self.set_current(target);
         ServerProgress::Moved
     }
 
+    /// Returns the state of a silent target: lost if the request can be sent elsewhere at once. If
+    /// not, the request stays, since the target may go on and ending the attempt would end the
+    /// answer.
+    fn lost_unless_alone(&self) -> ServerProgress {
+        if self.may_go_elsewhere() {
+            ServerProgress::Lost
+        } else {
+            ServerProgress::Working
+        }
+    }
+
     /// Requests, in the background, reports of the servers of a chain whose events are late, to
     /// find slow ones.
     fn check_chain_slowness(&self, chain: &Chain) {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -390,6 +390,12 @@
         self.budget(service, |b| b.try_take_retry(now, hosts))
     }
 
+    /// Returns whether the budget of `service`, which `hosts` hosts share, has a retry left.
+    pub fn has_retry(&self, service: &ServiceName, hosts: usize) -> bool {
+        let now = self.clock.now();
+        self.budget(service, |b| b.has_retry(now, hosts))
+    }
+
     fn budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
