Make the first plan only once the servers of all domains have appeared

Cause: servers appear over about three seconds at a start. A failure domain whose set had not changed for 1.3 s got its first plan from the few servers that it had by then; at small size, three servers took a whole chain (0-41, 41-49, 49-61), and an a100 with 41 layers has almost no memory left for requests. Later servers only got second copies, and the plan was never revised.

Change: while no server of the service holds layers, planning waits until the sets of all domains have been unchanged for 1.3 s, 6 s at most.

--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -499,3 +499,14 @@
     tracker.observe(Millis(6_000), &domain, names(10));
     assert!(tracker.is_settled(Millis(6_600), &domain, true));
 }
+
+#[test]
+fn the_first_plan_waits_until_the_servers_of_all_domains_have_appeared() {
+    let mut tracker = MembershipTracker::default();
+    tracker.observe(Millis(0), &DomainName::new("a"), names(3));
+    tracker.observe(Millis(1_000), &DomainName::new("b"), names(7));
+    assert!(tracker.must_wait_for_first_plan(Millis(2_200)));
+    assert!(!tracker.must_wait_for_first_plan(Millis(2_300)));
+    tracker.observe(Millis(5_900), &DomainName::new("b"), names(8));
+    assert!(!tracker.must_wait_for_first_plan(Millis(6_000)));
+}
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -199,9 +199,17 @@
     model_servers: &mut Vec<ModelServer>,
 ) {
     let domains: BTreeSet<DomainName> = model_servers.iter().map(|c| c.domain.clone()).collect();
+    for domain in &domains {
+        let in_domain = model_servers.iter().filter(|c| c.domain == *domain);
+        membership.observe(now, domain, in_domain.map(|c| c.server.clone()).collect());
+    }
+    let none_holds_layers = model_servers.iter().all(|c| c.holds.is_none());
+    if none_holds_layers && membership.must_wait_for_first_plan(now) {
+        model_servers.clear();
+        return;
+    }
     for domain in domains {
         let in_domain = || model_servers.iter().filter(|c| c.domain == domain);
-        membership.observe(now, &domain, in_domain().map(|c| c.server.clone()).collect());
         let holds_layers = in_domain().any(|c| c.holds.is_some());
         if !membership.is_settled(now, &domain, holds_layers) {
             model_servers.retain(|c| c.domain != domain);
