--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -63,6 +63,10 @@
     Retry => ("retry", crate::retry_case::run),
     /// Forwarding: responses match the runs at the servers; chains and the server list are valid.
     Forward => ("forward", crate::forward_case::run),
+    /// Peering: hosts count each other, choose aggregators and see each other's work.
+    Peering => ("peering", crate::peering_case::run),
+    /// Item log: hosts that read from the store and from each other never go back and converge.
+    ItemLog => ("item-log", crate::item_log_case::run),
     /// Streams: an answer over failing chains is complete, of one model version and final.
     Stream => ("stream", crate::stream_case::run),
 }
--- /dev/null
+++ b/crates/check/src/item_log_case.rs
@@ -0,0 +1,146 @@
+//! Randomised case of the changes that hosts pass to each other: whatever the order in which hosts
+//! read from the store and from each other, none goes back, and all end with the items of the store.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use yuccanotch_core::forward::item_log::Changes;
+use yuccanotch_core::forward::item_log::ItemChange;
+use yuccanotch_core::forward::item_log::ItemLog;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+/// The number of steps of a run.
+const STEPS: u32 = 120;
+/// The number of keys.
+const KEYS: u32 = 6;
+
+/// A host: its log, and the items as its readers saw them change.
+#[derive(Debug, Default)]
+struct Host {
+    log: ItemLog,
+    items: BTreeMap<String, (u64, Bytes)>,
+}
+
+impl Host {
+    fn merge(&mut self, changes: Changes) -> CaseResult {
+        for change in self.log.merge(changes) {
+            let known = self.items.get(&change.key).map_or(0, |(revision, _)| *revision);
+            if change.revision < known {
+                return Err(format!("{} goes from {known} to {}", change.key, change.revision));
+            }
+            match change.value {
+                Some(value) => {
+                    self.items.insert(change.key, (change.revision, value));
+                }
+                None => {
+                    self.items.remove(&change.key);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The store: the present items and every change.
+#[derive(Debug, Default)]
+struct Store {
+    items: BTreeMap<String, (u64, Bytes)>,
+    history: Vec<ItemChange>,
+    revision: u64,
+}
+
+impl Store {
+    fn change(&mut self, key: String, value: Option<Bytes>) {
+        self.revision += 1;
+        match &value {
+            Some(value) => {
+                self.items.insert(key.clone(), (self.revision, value.clone()));
+            }
+            None => {
+                self.items.remove(&key);
+            }
+        }
+        self.history.push(ItemChange { key, revision: self.revision, value });
+    }
+
+    fn all(&self) -> Changes {
+        let items = self.items.iter().map(|(key, (revision, value))| ItemChange {
+            key: key.clone(),
+            revision: *revision,
+            value: Some(value.clone()),
+        });
+        Changes { is_complete: true, revision: self.revision, items: items.collect() }
+    }
+
+    fn after(&self, revision: u64) -> Changes {
+        let items = self.history.iter().filter(|c| c.revision > revision).cloned().collect();
+        Changes { is_complete: false, revision: self.revision, items }
+    }
+}
+
+/// Runs the case.
+///
+/// # Errors
+///
+/// Returns the violated invariant.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut store = Store::default();
+    let mut hosts: Vec<Host> = (0..rng.random_range(2..5)).map(|_| Host::default()).collect();
+    // Answers of the store that are still on their way, with the index of the receiver.
+    let mut delayed: Vec<(usize, Changes)> = Vec::new();
+    for _ in 0..STEPS {
+        let index = rng.random_range(0..hosts.len());
+        match rng.random_range(0..7) {
+            0..=2 => {
+                let key = format!("k{}", rng.random_range(0..KEYS));
+                let is_removal = rng.random_bool(0.3) && store.items.contains_key(&key);
+                let value = Bytes::from(format!("v{}", store.revision + 1));
+                trace.add(format!("change {key} removal {is_removal}"));
+                store.change(key, (!is_removal).then_some(value));
+            }
+            3 => {
+                trace.add(format!("host {index} reads all"));
+                delayed.push((index, store.all()));
+            }
+            4 => {
+                trace.add(format!("host {index} watches"));
+                let revision = hosts[index].log.revision();
+                delayed.push((index, store.after(revision)));
+            }
+            5 => {
+                if let Some((to, changes)) = delayed.pop() {
+                    trace.add(format!("answer to host {to}"));
+                    hosts[to].merge(changes)?;
+                }
+            }
+            _ => {
+                let from = rng.random_range(0..hosts.len());
+                trace.add(format!("host {index} fetches from host {from}"));
+                fetch(&mut hosts, index, from)?;
+            }
+        }
+    }
+    for (to, changes) in delayed {
+        hosts[to].merge(changes)?;
+    }
+    let revision = hosts[0].log.revision();
+    hosts[0].merge(store.after(revision))?;
+    for index in 1..hosts.len() {
+        fetch(&mut hosts, index, index - 1)?;
+        if hosts[index].items != store.items {
+            return Err(format!("host {index} has {:?}, the store {:?}", hosts[index], store));
+        }
+    }
+    Ok(())
+}
+
+fn fetch(hosts: &mut [Host], to: usize, from: usize) -> CaseResult {
+    let changes = hosts[from].log.changes_after(hosts[to].log.revision());
+    hosts[to].merge(changes)
+}
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -85,6 +85,18 @@
         EndCountUnchecked => "end-count-unchecked",
         /// The digest of the end frame is not checked.
         EndDigestUnchecked => "end-digest-unchecked",
+        /// The older report of a host replaces its newer one.
+        PeeringOlderReport => "peering-older-report",
+        /// A host counts its own load as that of other hosts.
+        PeeringCountsOwnLoad => "peering-counts-own-load",
+        /// An aggregator names hosts that it has not heard itself.
+        PeeringHearsay => "peering-hearsay",
+        /// A host keeps an aggregator that sends no digests.
+        PeeringKeepsSilentAggregator => "peering-keeps-silent-aggregator",
+        /// An older change of an item replaces a newer one.
+        ItemLogOlderChange => "item-log-older-change",
+        /// Changes between hosts leave out removed items.
+        ItemLogOmitsRemovals => "item-log-omits-removals",
         /// A forwarded request that may have run is sent again although it must run only once.
         ForwardRepeatAfterRun => "forward-repeat-after-run",
         /// A caller is told that a forwarded request was not run although it may have been.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -125,12 +125,24 @@
     StoreLost = 2401, Warn, "store lost";
     /// Calls of a gateway to the store succeed again.
     StoreRegained = 2402, Info, "store regained";
-    /// Another gateway host appeared in the membership for the first time.
+    /// Another gateway host of the same failure domain was heard, for the first time or again.
     PeerFound = 2501, Info, "peer found";
     /// Another gateway host has not been heard from for longer than the timeout.
     PeerLost = 2502, Info, "peer lost";
-    /// The state of another gateway host was fetched and merged.
-    SnapshotTaken = 2503, Info, "snapshot taken";
+    /// Changes of the configuration and the servers were fetched from another gateway host.
+    ChangesFetched = 2503, Info, "changes fetched";
+    /// Another gateway host that has newer changes did not pass them on.
+    ChangesUnavailable = 2504, Info, "changes unavailable";
+    /// The gateway host collects reports and follows the store for its failure domain.
+    AggregatorBegan = 2505, Info, "aggregator began";
+    /// The gateway host no longer collects reports and follows the store for its failure domain.
+    AggregatorEnded = 2506, Info, "aggregator ended";
+    /// An aggregator has sent no digest in time; another one is used.
+    AggregatorAvoided = 2507, Info, "aggregator avoided";
+    /// Another failure domain was heard of, for the first time or again.
+    DomainFound = 2508, Info, "failure domain found";
+    /// Nothing was heard of another failure domain for the timeout.
+    DomainLost = 2509, Warn, "failure domain lost";
     /// The gateway host has begun to give orders to model servers.
     IssuerBegan = 2601, Info, "issuer began";
     /// The gateway host has ceased to give orders.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod events;
 pub mod health;
+pub mod item_log;
 pub mod outcome;
 pub mod reason;
 pub mod routes;
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -136,6 +136,16 @@
         self.grace_until = now + LAPSE_GRACE;
     }
 
+    /// Returns how much longer removals are delayed.
+    pub fn removal_delay(&self, now: Millis) -> Millis {
+        self.grace_until.since(now)
+    }
+
+    /// Delays removals for `span` at least, as the host does from which they come.
+    pub fn delay_removals(&mut self, now: Millis, span: Millis) {
+        self.grace_until = self.grace_until.max(now + span.min(LAPSE_GRACE));
+    }
+
     /// Drops entries whose grace period is over.
     pub fn on_tick(&mut self, now: Millis) {
         let before = self.listed.len();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod name;
 pub mod orders;
 pub mod peer;
+pub mod peering;
 pub mod placement;
 pub mod quarantine;
 pub mod reason;
--- /dev/null
+++ b/crates/core/src/peering/messages.rs
@@ -0,0 +1,130 @@
+//! The messages between hosts.
+
+use std::net::SocketAddrV4;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::DomainName;
+use crate::name::HostName;
+use crate::peering::observations::Observations;
+
+/// A host as it is known to others.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Peer {
+    /// The name of the host.
+    pub host: HostName,
+    /// The failure domain of the host.
+    pub domain: DomainName,
+    /// The address on which it receives the messages of this module.
+    pub gossip: SocketAddrV4,
+    /// The address on which it serves changes of the configuration and the list of servers.
+    pub control: SocketAddrV4,
+    /// The bandwidth of its link, in Mbit/s; hosts with more are preferred as aggregators.
+    pub link_mbps: u32,
+}
+
+/// The state of the sender of a message.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// The sender.
+    pub peer: Peer,
+    /// A number that differs between incarnations of the sender.
+    pub incarnation: u64,
+    /// Whether the sender is shutting down.
+    pub is_stopping: bool,
+    /// Whether the sender is the order issuer.
+    pub is_issuer: bool,
+    /// Whether the sender reads the store and its last call succeeded.
+    pub reads_store: bool,
+    /// The store revision up to which the sender has applied all changes.
+    pub revision: u64,
+}
+
+/// The last report of a member that a digest includes.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct IncludedReport {
+    /// The short hash of the member's name.
+    pub host: u32,
+    /// The sequence number of the report.
+    pub sequence: u32,
+}
+
+/// What is known about another failure domain.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DomainRow {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The number of its hosts.
+    pub hosts: u16,
+    /// Whether one of them is the order issuer.
+    pub has_issuer: bool,
+    /// Its aggregators.
+    pub aggregators: Vec<Peer>,
+}
+
+/// What an aggregator tells the members of its domain less often.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Surroundings {
+    /// Hosts of the domain that may become aggregators, in the order of their ranking.
+    pub candidates: Vec<Peer>,
+    /// Whether a host of the domain is the order issuer.
+    pub has_issuer: bool,
+    /// The other failure domains.
+    pub domains: Vec<DomainRow>,
+    /// The observations of the hosts of the other domains.
+    pub observations: Observations,
+}
+
+/// What a message says.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Content {
+    /// Asks for the hosts that the receiver knows of the sender's failure domain.
+    Join,
+    /// Names hosts: aggregators of any domain, and hosts of the receiver's domain.
+    Peers(Vec<Peer>),
+    /// A member's observations, for an aggregator of its domain.
+    Report {
+        /// The number of the report, which increases by one.
+        sequence: u32,
+        /// Whether the sender asks for a digest in every round, since the receiver is its first
+        /// aggregator.
+        wants_every_round: bool,
+        /// What the member itself observed.
+        observations: Observations,
+    },
+    /// What an aggregator knows, for the members of its domain.
+    Digest {
+        /// The reports that the observations include.
+        included: Vec<IncludedReport>,
+        /// The observations of all hosts of the domain.
+        observations: Observations,
+        /// What changes less often; only in some digests.
+        surroundings: Option<Surroundings>,
+    },
+    /// What an aggregator knows about its own domain, for the aggregators of other domains.
+    Summary {
+        /// The domain of the sender.
+        row: DomainRow,
+        /// The observations of the domain's hosts.
+        observations: Observations,
+    },
+}
+
+/// A message between hosts.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Message {
+    /// The state of the sender.
+    pub from: Status,
+    /// What the message says.
+    pub content: Content,
+}
+
+/// A message and the address to which it goes.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// The receiver.
+    pub to: SocketAddrV4,
+    /// What to send; the caller adds the state of this host.
+    pub content: Content,
+}
--- /dev/null
+++ b/crates/core/src/peering/node.rs
@@ -0,0 +1,879 @@
+//! The part of one host in the exchange: whom it knows, which hosts it reports to, and what it
+//! sends on as an aggregator.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+
+use crate::clock::Millis;
+use crate::defect::planted;
+use crate::name::DomainName;
+use crate::peering::messages::Content;
+use crate::peering::messages::DomainRow;
+use crate::peering::messages::IncludedReport;
+use crate::peering::messages::Message;
+use crate::peering::messages::Outgoing;
+use crate::peering::messages::Peer;
+use crate::peering::messages::Status;
+use crate::peering::messages::Surroundings;
+use crate::peering::observations::short_hash;
+use crate::peering::observations::LoadRow;
+use crate::peering::observations::ObservationSum;
+use crate::peering::observations::Observations;
+use crate::peering::ranking::rank;
+use crate::peering::ranking::AGGREGATORS;
+use crate::peering::timing::AVOIDANCE;
+use crate::peering::timing::DIGEST_TIMEOUT;
+use crate::peering::timing::FIRST_DIGEST_TIMEOUT;
+use crate::peering::timing::FORGET_AFTER;
+use crate::peering::timing::ISSUER_TIMEOUT;
+use crate::peering::timing::LISTING_WAIT;
+use crate::peering::timing::LONE_WAIT;
+use crate::peering::timing::PEER_TIMEOUT;
+use crate::peering::timing::READER_SPREAD;
+use crate::peering::timing::READER_TIMEOUT;
+use crate::peering::timing::REPORT_TTL;
+use crate::peering::timing::ROUNDS_PER_FULL_EXCHANGE;
+use crate::peering::timing::SEED_INTERVAL;
+use crate::peering::timing::SUMMARY_INTERVAL;
+use crate::peering::timing::SUMMARY_TTL;
+
+/// The most hosts of a domain that a message names as possible aggregators.
+const MAX_CANDIDATES: usize = 6;
+/// The number of own reports that are kept, so that a digest that includes one of them can be told
+/// apart from the work of other hosts.
+const KEPT_REPORTS: usize = 16;
+/// The most hosts, known but not heard, that a host without an aggregator asks in a round.
+const MAX_SILENT_CALLS: usize = 3;
+/// The number of hosts that a host assumes before it has heard any: it then takes nothing from what
+/// all hosts share.
+const ASSUMED_HOSTS: usize = 1_000;
+
+/// The last report of a member.
+#[derive(Debug)]
+struct ReceivedReport {
+    received_at: Millis,
+    sequence: u32,
+    wants_every_round: bool,
+    observations: Observations,
+}
+
+/// What this host knows of another one.
+#[derive(Debug)]
+struct KnownPeer {
+    peer: Peer,
+    incarnation: u64,
+    added_at: Millis,
+    heard_at: Option<Millis>,
+    // When another host last named it as alive.
+    listed_at: Option<Millis>,
+    digest_at: Option<Millis>,
+    // Since when this host has sent it reports.
+    reporting_since: Option<Millis>,
+    avoided_until: Millis,
+    is_stopping: bool,
+    is_issuer: bool,
+    reads_store: bool,
+    revision: u64,
+    report: Option<ReceivedReport>,
+}
+
+impl KnownPeer {
+    fn new(now: Millis, peer: Peer) -> Self {
+        Self {
+            peer,
+            incarnation: 0,
+            added_at: now,
+            heard_at: None,
+            listed_at: None,
+            digest_at: None,
+            reporting_since: None,
+            avoided_until: Millis::ZERO,
+            is_stopping: false,
+            is_issuer: false,
+            reads_store: false,
+            revision: 0,
+            report: None,
+        }
+    }
+
+    fn is_heard(&self, now: Millis) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
+    }
+
+    fn is_alive(&self, now: Millis) -> bool {
+        let is_listed = self.listed_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT);
+        !self.is_stopping && now >= self.avoided_until && (self.is_heard(now) || is_listed)
+    }
+
+    fn last_sign(&self) -> Millis {
+        self.added_at
+            .max(self.heard_at.unwrap_or(Millis::ZERO))
+            .max(self.listed_at.unwrap_or(Millis::ZERO))
+    }
+
+    fn sends_digests(&self, now: Millis) -> bool {
+        self.digest_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
+    }
+
+    fn live_report(&self, now: Millis) -> Option<&ReceivedReport> {
+        self.report.as_ref().filter(|r| now.since(r.received_at) < REPORT_TTL)
+    }
+}
+
+/// What this host knows of another failure domain.
+#[derive(Debug)]
+struct KnownDomain {
+    updated_at: Millis,
+    // Whether the timeout since the last update has not passed yet.
+    is_heard: bool,
+    hosts: u16,
+    has_issuer: bool,
+    aggregators: Vec<Peer>,
+    // What its hosts observe; set only by a summary, which comes to aggregators.
+    observations: Option<Observations>,
+}
+
+/// A host from which newer changes can be fetched.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Source {
+    /// Its control address.
+    pub control: SocketAddrV4,
+    /// The store revision that it has applied.
+    pub revision: u64,
+}
+
+/// A change of what a host believes about others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Finding {
+    /// A host of the own domain was heard for the first time, or again after a silence.
+    Found(Peer),
+    /// A host of the own domain has been silent for the timeout.
+    Lost(Peer),
+    /// Another failure domain was heard of for the first time, or again after a silence.
+    DomainFound(DomainName),
+    /// Nothing was heard of another failure domain for the timeout.
+    DomainLost(DomainName),
+    /// An aggregator has sent no digest in time and is avoided.
+    Avoided(Peer),
+    /// This host has become an aggregator.
+    BecameAggregator,
+    /// This host is no longer an aggregator.
+    CeasedAggregator,
+}
+
+/// One host's part in the exchange.
+#[derive(Debug)]
+pub struct Node {
+    own: Peer,
+    seeds: Vec<SocketAddrV4>,
+    started_at: Option<Millis>,
+    peers: HashMap<SocketAddrV4, KnownPeer>,
+    domains: BTreeMap<DomainName, KnownDomain>,
+    // The aggregator that sends a digest in every round, and when its last one came.
+    first_aggregator: Option<SocketAddrV4>,
+    first_digest_at: Millis,
+    // The number of the last round, which is also that of the report sent in it.
+    round: u32,
+    own_reports: VecDeque<(u32, Vec<LoadRow>)>,
+    // What other hosts observe, until it is taken.
+    others: Option<Observations>,
+    // What the hosts of other domains observe, as an aggregator of this domain said.
+    other_domains: Observations,
+    other_domains_at: Millis,
+    has_issuer_in_domain: bool,
+    members_in_digest: usize,
+    last_summary: Millis,
+    last_seed_call: Millis,
+    next_seed: usize,
+    without_reader_since: Option<Millis>,
+    without_issuer_since: Option<Millis>,
+    // The host counts of the last seconds.
+    host_counts: VecDeque<(Millis, usize)>,
+    is_aggregator: bool,
+    findings: Vec<Finding>,
+}
+
+impl Node {
+    /// Creates the node of a host that knows only the addresses of `seeds`.
+    pub fn new(own: Peer, seeds: Vec<SocketAddrV4>) -> Self {
+        Self {
+            own,
+            seeds,
+            started_at: None,
+            peers: HashMap::new(),
+            domains: BTreeMap::new(),
+            first_aggregator: None,
+            first_digest_at: Millis::ZERO,
+            round: 0,
+            own_reports: VecDeque::new(),
+            others: None,
+            other_domains: Observations::default(),
+            other_domains_at: Millis::ZERO,
+            has_issuer_in_domain: false,
+            members_in_digest: 0,
+            last_summary: Millis::ZERO,
+            last_seed_call: Millis::ZERO,
+            next_seed: 0,
+            without_reader_since: None,
+            without_issuer_since: None,
+            host_counts: VecDeque::new(),
+            is_aggregator: false,
+            findings: Vec::new(),
+        }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.seeds = seeds;
+    }
+
+    /// Returns the changes of what this host believes about others since the last call.
+    pub fn take_findings(&mut self) -> Vec<Finding> {
+        std::mem::take(&mut self.findings)
+    }
+
+    /// Adds a host that the store lists, unless it is known. It does not count as alive until it is
+    /// heard, since its entry outlives it.
+    pub fn add_listed(&mut self, now: Millis, peer: Peer) {
+        if peer.gossip != self.own.gossip {
+            self.peers.entry(peer.gossip).or_insert_with(|| KnownPeer::new(now, peer));
+        }
+    }
+
+    /// Records that the store no longer names an issuer.
+    pub fn on_issuer_gone(&mut self) {
+        self.has_issuer_in_domain = false;
+        self.peers.values_mut().for_each(|k| k.is_issuer = false);
+        self.domains.values_mut().for_each(|d| d.has_issuer = false);
+    }
+
+    /// Returns whether this host is one of the aggregators of its domain, as far as it knows.
+    pub fn is_aggregator(&self) -> bool {
+        self.is_aggregator
+    }
+
+    /// Returns whether digests come from an aggregator of this host's domain.
+    pub fn has_aggregator(&self, now: Millis) -> bool {
+        self.peers.values().any(|k| k.peer.domain == self.own.domain && k.sends_digests(now))
+    }
+
+    /// Returns whether this host should follow the store itself: as an aggregator, or when it has
+    /// heard no aggregator that reads the store for some time, which differs between hosts.
+    pub fn should_read_store(&self, now: Millis) -> bool {
+        let spread = Millis(u64::from(short_hash(self.own.host.as_str())) % READER_SPREAD.0);
+        let waits_in_vain =
+            |since: Millis| now.since(since) >= READER_TIMEOUT + spread && !self.hears_reader(now);
+        self.is_aggregator || self.without_reader_since.is_some_and(waits_in_vain)
+    }
+
+    /// Returns whether one of the aggregators of this host's domain that send digests reads the
+    /// store.
+    fn hears_reader(&self, now: Millis) -> bool {
+        self.peers
+            .values()
+            .any(|k| k.peer.domain == self.own.domain && k.sends_digests(now) && k.reads_store)
+    }
+
+    /// Returns whether this host should try to become the order issuer: as an aggregator when it
+    /// hears of no issuer, or as any other host when that has lasted for long.
+    pub fn may_become_issuer(&self, now: Millis) -> bool {
+        let is_overdue =
+            self.without_issuer_since.is_some_and(|since| now.since(since) >= ISSUER_TIMEOUT);
+        !self.hears_issuer(now) && (self.is_aggregator || is_overdue)
+    }
+
+    /// Returns whether this host should look up the hosts that the store lists: it has heard nobody,
+    /// or as an aggregator it misses a failure domain that it knew.
+    pub fn needs_listing(&self, now: Millis) -> bool {
+        let waited = self.started_at.is_some_and(|at| now.since(at) >= LISTING_WAIT);
+        let hears_nobody = !self.peers.values().any(|k| k.is_heard(now));
+        let misses_domain = self.is_aggregator
+            && self.domains.values().any(|d| now.since(d.updated_at) >= SUMMARY_TTL);
+        waited && (hears_nobody || misses_domain)
+    }
+
+    /// Returns the number of hosts believed alive, this one included.
+    pub fn host_count(&self, now: Millis) -> usize {
+        let heard_in_domain = self
+            .peers
+            .values()
+            .filter(|k| k.peer.domain == self.own.domain && k.is_heard(now))
+            .count();
+        let in_domain = match self.has_aggregator(now) {
+            true => self.members_in_digest.max(heard_in_domain),
+            false => heard_in_domain,
+        };
+        let others = self.domains.values().filter(|d| now.since(d.updated_at) < SUMMARY_TTL);
+        in_domain + 1 + others.map(|d| usize::from(d.hosts)).sum::<usize>()
+    }
+
+    /// Returns the largest number of hosts believed alive at any time within the last `window`.
+    ///
+    /// What all hosts share is divided by it, so that a host that is cut off, or hosts that just
+    /// left, do not make the shares add up to too much.
+    pub fn sharing_count(&self, now: Millis, window: Millis) -> usize {
+        if !self.is_aggregator && !self.has_aggregator(now) && self.host_counts.is_empty() {
+            return ASSUMED_HOSTS;
+        }
+        let recent = self.host_counts.iter().filter(|(at, _)| now.since(*at) < window);
+        recent.map(|(_, count)| *count).max().unwrap_or(1).max(self.host_count(now))
+    }
+
+    /// Returns whether a live host is the order issuer.
+    pub fn hears_issuer(&self, now: Millis) -> bool {
+        let in_domain = self.has_issuer_in_domain && self.has_aggregator(now);
+        let heard = self.peers.values().any(|k| k.is_issuer && k.is_heard(now));
+        let elsewhere =
+            self.domains.values().any(|d| d.has_issuer && now.since(d.updated_at) < SUMMARY_TTL);
+        in_domain || heard || elsewhere
+    }
+
+    /// Returns the live host with the newest revision beyond `revision`; among equals, one of this
+    /// host's own domain.
+    pub fn newer_source(&self, now: Millis, revision: u64) -> Option<Source> {
+        self.peers
+            .values()
+            .filter(|k| k.is_heard(now) && k.revision > revision)
+            .max_by_key(|k| (k.revision, k.peer.domain == self.own.domain, k.peer.gossip))
+            .map(|k| Source { control: k.peer.control, revision: k.revision })
+    }
+
+    /// Returns the observations of other hosts if there are new ones since the last call.
+    pub fn take_others(&mut self) -> Option<Observations> {
+        self.others.take()
+    }
+
+    /// Runs one round. `observations` are this host's own.
+    pub fn on_round(
+        &mut self,
+        now: Millis,
+        own: &Status,
+        observations: Observations,
+    ) -> Vec<Outgoing> {
+        let started_at = *self.started_at.get_or_insert(now);
+        self.round += 1;
+        self.forget_silent_peers(now);
+        self.avoid_silent_aggregators(now);
+        let mut out = Vec::new();
+        let aggregators = self.aggregators(now, own);
+        let is_joined = self.has_aggregator(now);
+        let may_lead =
+            is_joined || now.since(started_at) >= LONE_WAIT || !self.reporters(now).is_empty();
+        let is_chosen = aggregators.iter().any(|p| p.gossip == self.own.gossip);
+        self.set_role((is_chosen && may_lead) || !self.reporters(now).is_empty());
+        if !is_joined || self.is_aggregator {
+            self.call_seeds(now, is_joined, &mut out);
+        }
+        self.send_reports(now, &aggregators, &observations, &mut out);
+        if self.is_aggregator {
+            self.aggregate(now, own, &observations, &aggregators, &mut out);
+        }
+        self.record_host_count(now);
+        self.without_reader_since = match self.hears_reader(now) {
+            true => None,
+            false => self.without_reader_since.or(Some(now)),
+        };
+        self.without_issuer_since = match own.is_issuer || self.hears_issuer(now) {
+            true => None,
+            false => self.without_issuer_since.or(Some(now)),
+        };
+        out
+    }
+
+    /// Applies a message of another host; returns the answer to send.
+    pub fn on_message(&mut self, now: Millis, own: &Status, message: Message) -> Option<Outgoing> {
+        let from = message.from.peer.clone();
+        if from.gossip == self.own.gossip {
+            return None;
+        }
+        self.record_sender(now, &message.from);
+        match message.content {
+            Content::Join => {
+                let peers = self.peers_for(now, own, &from.domain);
+                return Some(Outgoing { to: from.gossip, content: Content::Peers(peers) });
+            }
+            Content::Peers(peers) => self.on_listed(now, peers),
+            Content::Report { sequence, wants_every_round, observations } => {
+                let report =
+                    ReceivedReport { received_at: now, sequence, wants_every_round, observations };
+                self.on_report(&from, report);
+            }
+            Content::Digest { included, observations, surroundings } => {
+                if from.domain == self.own.domain {
+                    if let Some(surroundings) = surroundings {
+                        self.on_surroundings(now, surroundings);
+                    }
+                    self.on_digest(now, &from, &included, &observations);
+                }
+            }
+            Content::Summary { row, observations } => {
+                return self.on_summary(now, own, &from, row, observations);
+            }
+        }
+        None
+    }
+
+    fn set_role(&mut self, is_aggregator: bool) {
+        if is_aggregator != self.is_aggregator {
+            self.is_aggregator = is_aggregator;
+            self.findings.push(match is_aggregator {
+                true => Finding::BecameAggregator,
+                false => Finding::CeasedAggregator,
+            });
+        }
+    }
+
+    fn record_sender(&mut self, now: Millis, status: &Status) {
+        let peer = &status.peer;
+        let known =
+            self.peers.entry(peer.gossip).or_insert_with(|| KnownPeer::new(now, peer.clone()));
+        if !known.is_heard(now) && peer.domain == self.own.domain {
+            self.findings.push(Finding::Found(peer.clone()));
+        }
+        if known.incarnation != status.incarnation {
+            *known = KnownPeer::new(now, peer.clone());
+            known.incarnation = status.incarnation;
+        }
+        known.heard_at = Some(now);
+        known.is_stopping = status.is_stopping;
+        known.is_issuer = status.is_issuer;
+        known.reads_store = status.reads_store;
+        known.revision = status.revision;
+    }
+
+    fn on_listed(&mut self, now: Millis, peers: Vec<Peer>) {
+        for peer in peers {
+            if peer.gossip == self.own.gossip {
+                continue;
+            }
+            let known = self.peers.entry(peer.gossip).or_insert_with(|| KnownPeer::new(now, peer));
+            known.listed_at = Some(now);
+        }
+    }
+
+    fn on_report(&mut self, from: &Peer, report: ReceivedReport) {
+        let Some(known) = self.peers.get_mut(&from.gossip) else {
+            return;
+        };
+        let is_newer = known.report.as_ref().is_none_or(|r| r.sequence < report.sequence);
+        if is_newer || planted!(PeeringOlderReport) {
+            known.report = Some(report);
+        }
+    }
+
+    fn on_surroundings(&mut self, now: Millis, surroundings: Surroundings) {
+        self.on_listed(now, surroundings.candidates);
+        // Two aggregators that believed each other would keep a lost domain alive; they believe only
+        // summaries.
+        if self.is_aggregator && !planted!(PeeringHearsay) {
+            return;
+        }
+        surroundings.domains.into_iter().for_each(|row| self.on_domain_row(now, row, None));
+        self.has_issuer_in_domain = surroundings.has_issuer;
+        self.other_domains = surroundings.observations;
+        self.other_domains_at = now;
+    }
+
+    fn on_digest(
+        &mut self,
+        now: Millis,
+        from: &Peer,
+        included: &[IncludedReport],
+        observations: &Observations,
+    ) {
+        if let Some(known) = self.peers.get_mut(&from.gossip) {
+            known.digest_at = Some(now);
+        }
+        self.members_in_digest = included.len();
+        let is_from_first = self.first_aggregator == Some(from.gossip);
+        if is_from_first {
+            self.first_digest_at = now;
+        }
+        // The other aggregator gets reports less often, so its sums are older.
+        let is_outdated = !is_from_first && now.since(self.first_digest_at) < FIRST_DIGEST_TIMEOUT;
+        if self.is_aggregator || is_outdated {
+            return;
+        }
+        let own_hash = short_hash(self.own.host.as_str());
+        let own_sequence = included.iter().find(|i| i.host == own_hash).map(|i| i.sequence);
+        let own_loads = self
+            .own_reports
+            .iter()
+            .find(|(sequence, _)| Some(*sequence) == own_sequence)
+            .map_or(&[][..], |(_, loads)| loads.as_slice());
+        let own_loads = if planted!(PeeringCountsOwnLoad) { &[][..] } else { own_loads };
+        let mut sum = ObservationSum::default();
+        sum.add(observations, 0);
+        sum.subtract_loads(own_loads);
+        let age = now.since(self.other_domains_at);
+        if age < REPORT_TTL {
+            sum.add(&self.other_domains, age.0);
+        }
+        self.others = Some(sum.finish());
+    }
+
+    /// Records what is known of another domain; `observations` are known only from its summary.
+    fn on_domain_row(&mut self, now: Millis, row: DomainRow, observations: Option<Observations>) {
+        if row.domain == self.own.domain {
+            return;
+        }
+        self.on_listed(now, row.aggregators.clone());
+        if !self.domains.get(&row.domain).is_some_and(|d| d.is_heard) {
+            self.findings.push(Finding::DomainFound(row.domain.clone()));
+        }
+        let known = self.domains.entry(row.domain).or_insert(KnownDomain {
+            updated_at: now,
+            is_heard: true,
+            hosts: 0,
+            has_issuer: false,
+            aggregators: Vec::new(),
+            observations: None,
+        });
+        known.updated_at = now;
+        known.is_heard = true;
+        known.hosts = row.hosts;
+        known.has_issuer = row.has_issuer;
+        known.aggregators = row.aggregators;
+        known.observations = observations;
+    }
+
+    fn on_summary(
+        &mut self,
+        now: Millis,
+        own: &Status,
+        from: &Peer,
+        row: DomainRow,
+        observations: Observations,
+    ) -> Option<Outgoing> {
+        if from.domain == self.own.domain || row.domain != from.domain {
+            return None;
+        }
+        self.on_domain_row(now, row, Some(observations));
+        if self.is_aggregator {
+            return None;
+        }
+        // The sender believes that this host is an aggregator; it learns of the present ones.
+        let peers = self.peers_for(now, own, &self.own.domain);
+        Some(Outgoing { to: from.gossip, content: Content::Peers(peers) })
+    }
+
+    /// Returns the hosts of the own domain that are believed alive, this one included, in the order
+    /// of their ranking.
+    fn ranked(&self, now: Millis, own: &Status) -> Vec<&Peer> {
+        let alive = self.peers.values().filter(|k| k.is_alive(now)).map(|k| &k.peer);
+        let mut ranked: Vec<&Peer> = alive.filter(|p| p.domain == self.own.domain).collect();
+        if !own.is_stopping {
+            ranked.push(&self.own);
+        }
+        ranked.sort_by_key(|peer| rank(peer));
+        ranked
+    }
+
+    fn aggregators(&self, now: Millis, own: &Status) -> Vec<Peer> {
+        self.ranked(now, own).into_iter().take(AGGREGATORS).cloned().collect()
+    }
+
+    /// Returns the hosts of the own domain that this host has heard itself, and itself, in the order
+    /// of their ranking.
+    ///
+    /// Only these are named to others: a host that passed on what it was told would keep hosts alive
+    /// that nobody hears.
+    fn heard_candidates(&self, now: Millis, own: &Status) -> Vec<Peer> {
+        let is_heard = |peer: &&&Peer| {
+            peer.gossip == self.own.gossip
+                || planted!(PeeringHearsay)
+                || self.peers.get(&peer.gossip).is_some_and(|k| k.is_heard(now))
+        };
+        let ranked = self.ranked(now, own);
+        ranked.iter().filter(is_heard).take(MAX_CANDIDATES).map(|p| (*p).clone()).collect()
+    }
+
+    /// Returns the hosts to name to a host of `domain`: possible aggregators of its own domain, and
+    /// the aggregators of the other domains.
+    fn peers_for(&self, now: Millis, own: &Status, domain: &DomainName) -> Vec<Peer> {
+        let mut peers = Vec::new();
+        if *domain == self.own.domain {
+            peers = self.heard_candidates(now, own);
+        } else {
+            peers.push(self.own.clone());
+            let heard = self.peers.values().filter(|k| k.is_heard(now) && !k.is_stopping);
+            let mut heard: Vec<&Peer> =
+                heard.map(|k| &k.peer).filter(|p| p.domain == *domain).collect();
+            heard.sort_by_key(|peer| rank(peer));
+            peers.extend(heard.into_iter().take(MAX_CANDIDATES).cloned());
+        }
+        let fresh = self.domains.values().filter(|d| now.since(d.updated_at) < PEER_TIMEOUT);
+        peers.extend(fresh.flat_map(|d| d.aggregators.iter().cloned()));
+        peers.retain(|p| p.gossip != self.own.gossip || !own.is_stopping);
+        peers
+    }
+
+    /// Returns the addresses of the members whose reports this host has received lately.
+    fn reporters(&self, now: Millis) -> Vec<SocketAddrV4> {
+        self.peers
+            .values()
+            .filter(|k| k.live_report(now).is_some())
+            .map(|k| k.peer.gossip)
+            .collect()
+    }
+
+    fn forget_silent_peers(&mut self, now: Millis) {
+        let findings = &mut self.findings;
+        self.peers.retain(|_, known| {
+            // A host that is heard again counts as found once more.
+            if known.heard_at.is_some_and(|at| now.since(at) >= PEER_TIMEOUT) {
+                known.heard_at = None;
+                known.is_issuer = false;
+                known.added_at = known.added_at.max(now.since(PEER_TIMEOUT));
+                if known.peer.domain == self.own.domain {
+                    findings.push(Finding::Lost(known.peer.clone()));
+                }
+            }
+            now.since(known.last_sign()) < FORGET_AFTER
+        });
+        for (domain, known) in &mut self.domains {
+            if known.is_heard && now.since(known.updated_at) >= SUMMARY_TTL {
+                known.is_heard = false;
+                findings.push(Finding::DomainLost(domain.clone()));
+            }
+        }
+        self.domains.retain(|_, d| now.since(d.updated_at) < FORGET_AFTER);
+    }
+
+    /// Avoids aggregators that have left reports without a digest for too long.
+    fn avoid_silent_aggregators(&mut self, now: Millis) {
+        for known in self.peers.values_mut() {
+            let Some(since) = known.reporting_since else {
+                continue;
+            };
+            let last = known.digest_at.unwrap_or(Millis::ZERO).max(since);
+            if now.since(last) >= DIGEST_TIMEOUT && !planted!(PeeringKeepsSilentAggregator) {
+                known.avoided_until = now + AVOIDANCE;
+                known.reporting_since = None;
+                self.findings.push(Finding::Avoided(known.peer.clone()));
+            }
+        }
+    }
+
+    /// Asks for hosts of the own domain: all seeds and some hosts that are known but not heard while
+    /// no aggregator is known, else one of these at a time.
+    fn call_seeds(&mut self, now: Millis, is_joined: bool, out: &mut Vec<Outgoing>) {
+        let is_alone = !is_joined && !self.is_aggregator;
+        if !is_alone && now.since(self.last_seed_call) < SEED_INTERVAL {
+            return;
+        }
+        self.last_seed_call = now;
+        self.next_seed += 1;
+        let mut silent: Vec<SocketAddrV4> =
+            self.peers.values().filter(|k| !k.is_heard(now)).map(|k| k.peer.gossip).collect();
+        silent.sort_unstable();
+        let mut targets: Vec<SocketAddrV4> =
+            self.seeds.iter().copied().filter(|s| *s != self.own.gossip).collect();
+        if is_alone {
+            let count = silent.len().min(MAX_SILENT_CALLS);
+            let start = self.next_seed * MAX_SILENT_CALLS;
+            targets.extend((0..count).map(|i| silent[(start + i) % silent.len()]));
+        } else {
+            targets.extend(silent);
+            targets =
+                targets.get(self.next_seed % targets.len().max(1)).copied().into_iter().collect();
+        }
+        out.extend(targets.into_iter().map(|to| Outgoing { to, content: Content::Join }));
+    }
+
+    fn send_reports(
+        &mut self,
+        now: Millis,
+        aggregators: &[Peer],
+        observations: &Observations,
+        out: &mut Vec<Outgoing>,
+    ) {
+        self.own_reports.push_back((self.round, observations.loads.clone()));
+        if self.own_reports.len() > KEPT_REPORTS {
+            self.own_reports.pop_front();
+        }
+        let is_full = self.is_full_exchange();
+        let first = aggregators.iter().find(|p| p.gossip != self.own.gossip).map(|p| p.gossip);
+        self.first_aggregator = first;
+        for known in self.peers.values_mut() {
+            if !aggregators.iter().any(|p| p.gossip == known.peer.gossip) {
+                known.reporting_since = None;
+                continue;
+            }
+            known.reporting_since.get_or_insert(now);
+            let wants_every_round = first == Some(known.peer.gossip);
+            if wants_every_round || is_full {
+                let content = Content::Report {
+                    sequence: self.round,
+                    wants_every_round,
+                    observations: observations.clone(),
+                };
+                out.push(Outgoing { to: known.peer.gossip, content });
+            }
+        }
+    }
+
+    fn is_full_exchange(&self) -> bool {
+        self.round.is_multiple_of(ROUNDS_PER_FULL_EXCHANGE)
+    }
+
+    /// Sums the reports and summaries, and sends the digests and summaries that are due.
+    fn aggregate(
+        &mut self,
+        now: Millis,
+        own: &Status,
+        observations: &Observations,
+        aggregators: &[Peer],
+        out: &mut Vec<Outgoing>,
+    ) {
+        let of_members = self.sum_of_members(now);
+        let of_other_domains = self.sum_of_other_domains(now);
+        let mut others = ObservationSum::default();
+        others.add(&of_members, 0);
+        others.add(&of_other_domains, 0);
+        self.others = Some(others.finish());
+        let mut of_domain = ObservationSum::default();
+        of_domain.add(&of_members, 0);
+        of_domain.add(observations, 0);
+        let of_domain = of_domain.finish();
+        let is_issuer_here =
+            |k: &KnownPeer| k.is_issuer && k.is_heard(now) && k.peer.domain == self.own.domain;
+        self.has_issuer_in_domain = own.is_issuer || self.peers.values().any(is_issuer_here);
+        self.send_digests(now, own, &of_domain, of_other_domains, out);
+        let is_first = aggregators.first().is_none_or(|p| p.gossip == self.own.gossip);
+        if is_first && now.since(self.last_summary) >= SUMMARY_INTERVAL {
+            self.last_summary = now;
+            self.send_summaries(now, own, of_domain, out);
+        }
+    }
+
+    /// Returns the sum of what the other hosts of the domain reported.
+    fn sum_of_members(&self, now: Millis) -> Observations {
+        let mut sum = ObservationSum::default();
+        for report in self.peers.values().filter_map(|k| k.live_report(now)) {
+            sum.add(&report.observations, now.since(report.received_at).0);
+        }
+        sum.finish()
+    }
+
+    /// Returns the sum of what the hosts of the other domains observe.
+    fn sum_of_other_domains(&self, now: Millis) -> Observations {
+        let mut sum = ObservationSum::default();
+        for known in self.domains.values() {
+            let age = now.since(known.updated_at);
+            if let Some(remote) = known.observations.as_ref().filter(|_| age < SUMMARY_TTL) {
+                sum.add(remote, age.0);
+            }
+        }
+        sum.finish()
+    }
+
+    /// Sends a digest to the members whose first aggregator this host is, and in a full exchange to
+    /// all that report to it.
+    fn send_digests(
+        &self,
+        now: Millis,
+        own: &Status,
+        of_domain: &Observations,
+        of_other_domains: Observations,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let is_full = self.is_full_exchange();
+        let mut included: Vec<IncludedReport> = self
+            .peers
+            .values()
+            .filter_map(|k| Some((k, k.live_report(now)?)))
+            .map(|(k, report)| IncludedReport {
+                host: short_hash(k.peer.host.as_str()),
+                sequence: report.sequence,
+            })
+            .collect();
+        included.sort_unstable_by_key(|i| i.host);
+        let surroundings = is_full.then(|| Surroundings {
+            candidates: self.heard_candidates(now, own),
+            has_issuer: self.has_issuer_in_domain,
+            domains: self.domain_rows(now),
+            observations: of_other_domains,
+        });
+        let content = Content::Digest { included, observations: of_domain.clone(), surroundings };
+        for known in self.peers.values() {
+            let wants = known.live_report(now).is_some_and(|r| is_full || r.wants_every_round);
+            if wants {
+                out.push(Outgoing { to: known.peer.gossip, content: content.clone() });
+            }
+        }
+    }
+
+    /// Returns the other domains of which a summary has come lately.
+    fn domain_rows(&self, now: Millis) -> Vec<DomainRow> {
+        let is_fresh =
+            |d: &KnownDomain| d.observations.is_some() && now.since(d.updated_at) < SUMMARY_TTL;
+        let fresh = self.domains.iter().filter(|(_, d)| is_fresh(d));
+        fresh
+            .map(|(domain, d)| DomainRow {
+                domain: domain.clone(),
+                hosts: d.hosts,
+                has_issuer: d.has_issuer,
+                aggregators: d.aggregators.clone(),
+            })
+            .collect()
+    }
+
+    /// Sends a summary of this domain to the aggregators of each other one.
+    fn send_summaries(
+        &self,
+        now: Millis,
+        own: &Status,
+        observations: Observations,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let row = DomainRow {
+            domain: self.own.domain.clone(),
+            hosts: self.reporters(now).len() as u16 + 1,
+            has_issuer: self.has_issuer_in_domain,
+            aggregators: self.heard_candidates(now, own).into_iter().take(AGGREGATORS).collect(),
+        };
+        let content = Content::Summary { row, observations };
+        for to in self.summary_receivers(now) {
+            out.push(Outgoing { to, content: content.clone() });
+        }
+    }
+
+    /// Returns the aggregators of the other domains, or of a domain where none is alive, one host
+    /// that once was.
+    fn summary_receivers(&self, now: Millis) -> Vec<SocketAddrV4> {
+        let mut by_domain: BTreeMap<&DomainName, Vec<&KnownPeer>> = BTreeMap::new();
+        for known in self.peers.values().filter(|k| k.peer.domain != self.own.domain) {
+            by_domain.entry(&known.peer.domain).or_default().push(known);
+        }
+        let mut receivers = Vec::new();
+        for (domain, peers) in by_domain {
+            let named = self.domains.get(domain).map_or(&[][..], |d| d.aggregators.as_slice());
+            let is_named = |k: &KnownPeer| named.iter().any(|p| p.gossip == k.peer.gossip);
+            let mut alive: Vec<&KnownPeer> =
+                peers.iter().copied().filter(|k| k.is_alive(now)).collect();
+            alive.sort_by_key(|k| (!is_named(k), rank(&k.peer)));
+            receivers.extend(alive.iter().take(AGGREGATORS).map(|k| k.peer.gossip));
+            if alive.is_empty() {
+                // A cut that has healed is noticed by whoever sends first.
+                let index = (now.0 / SUMMARY_INTERVAL.0) as usize % peers.len();
+                let mut all: Vec<SocketAddrV4> = peers.iter().map(|k| k.peer.gossip).collect();
+                all.sort_unstable();
+                receivers.push(all[index]);
+            }
+        }
+        receivers
+    }
+
+    fn record_host_count(&mut self, now: Millis) {
+        let is_known = self.is_aggregator || self.has_aggregator(now);
+        if is_known {
+            self.host_counts.push_back((now, self.host_count(now)));
+        }
+        while self.host_counts.front().is_some_and(|(at, _)| now.since(*at) >= FORGET_AFTER) {
+            self.host_counts.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/peering/observations.rs
@@ -0,0 +1,122 @@
+//! Observations of hosts about backend servers, and their sums over hosts.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The most rows of one kind in a message, so that it fits a datagram.
+pub const MAX_ROWS: usize = 600;
+
+/// Returns the hash by which messages name a host or a server.
+pub fn short_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
+/// The work of hosts on one server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadRow {
+    /// The short hash of the server's name.
+    pub server: u32,
+    /// The number of requests in progress.
+    pub active: u16,
+    /// The number of requests for which the server is the first one of their chain.
+    pub first: u16,
+    /// The memory set aside for requests, in thousands of tokens times layers.
+    pub kilo_token_layers: u32,
+}
+
+impl LoadRow {
+    fn add(&mut self, other: &Self) {
+        self.active = self.active.saturating_add(other.active);
+        self.first = self.first.saturating_add(other.first);
+        self.kilo_token_layers = self.kilo_token_layers.saturating_add(other.kilo_token_layers);
+    }
+
+    fn subtract(&mut self, other: &Self) {
+        self.active = self.active.saturating_sub(other.active);
+        self.first = self.first.saturating_sub(other.first);
+        self.kilo_token_layers = self.kilo_token_layers.saturating_sub(other.kilo_token_layers);
+    }
+}
+
+/// A server that hosts avoid, and for how many ms more.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SuspectRow {
+    /// The short hash of the server's name.
+    pub server: u32,
+    /// The time left, in ms.
+    pub ms: u16,
+}
+
+/// A server that a host found slow, and by which factor, in tenths.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SlowRow {
+    /// The short hash of the server's name.
+    pub server: u32,
+    /// The factor, in tenths.
+    pub tenths: u16,
+}
+
+/// Observations of one or several hosts about servers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Observations {
+    /// Work in progress.
+    pub loads: Vec<LoadRow>,
+    /// Servers that are avoided after failures.
+    pub suspects: Vec<SuspectRow>,
+    /// Servers that were found slow.
+    pub slow: Vec<SlowRow>,
+}
+
+/// Adds up observations: loads are summed, of suspicions and slowness the strongest counts.
+#[derive(Debug, Default)]
+pub struct ObservationSum {
+    loads: HashMap<u32, LoadRow>,
+    suspects: HashMap<u32, u16>,
+    slow: HashMap<u32, u16>,
+}
+
+impl ObservationSum {
+    /// Adds observations that are `age_ms` old.
+    pub fn add(&mut self, observations: &Observations, age_ms: u64) {
+        for row in &observations.loads {
+            self.loads.entry(row.server).and_modify(|sum| sum.add(row)).or_insert(*row);
+        }
+        for row in &observations.suspects {
+            let ms = u64::from(row.ms).saturating_sub(age_ms) as u16;
+            if ms > 0 {
+                let most = self.suspects.entry(row.server).or_default();
+                *most = ms.max(*most);
+            }
+        }
+        for row in &observations.slow {
+            let most = self.slow.entry(row.server).or_default();
+            *most = row.tenths.max(*most);
+        }
+    }
+
+    /// Takes loads out of the sums that were added to them before.
+    pub fn subtract_loads(&mut self, loads: &[LoadRow]) {
+        for row in loads {
+            if let Some(sum) = self.loads.get_mut(&row.server) {
+                sum.subtract(row);
+            }
+        }
+    }
+
+    /// Returns the sums, at most [`MAX_ROWS`] of each kind; the largest loads are kept.
+    pub fn finish(self) -> Observations {
+        let mut loads: Vec<LoadRow> = self.loads.into_values().collect();
+        loads.sort_unstable_by(|a, b| b.active.cmp(&a.active).then(a.server.cmp(&b.server)));
+        loads.truncate(MAX_ROWS);
+        let suspects = self.suspects.into_iter().map(|(server, ms)| SuspectRow { server, ms });
+        let slow = self.slow.into_iter().map(|(server, tenths)| SlowRow { server, tenths });
+        Observations {
+            loads,
+            suspects: suspects.take(MAX_ROWS).collect(),
+            slow: slow.take(MAX_ROWS).collect(),
+        }
+    }
+}
--- a/crates/core/src/placement/load.rs
+++ b/crates/core/src/placement/load.rs
@@ -6,11 +6,10 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
-use crate::name::HostName;
 use crate::name::ServerName;
 use crate::placement::chain::Chain;
 
-/// How long the loads reported by another host count after its last report.
+/// How long the loads of other hosts count after the last news of them.
 pub const PEER_LOAD_TTL: Millis = Millis(1_500);
 
 /// Work in progress on one server.
@@ -38,13 +37,6 @@
     }
 }
 
-/// The loads that another host reported last.
-#[derive(Debug)]
-struct PeerReport {
-    updated_at: Millis,
-    loads: Vec<(ServerName, Load)>,
-}
-
 /// Tokens of moved requests for which a server still has to compute the KV cache, as of
 /// `updated_at`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -64,16 +56,15 @@
 pub struct ServerLoads {
     prefill_backlogs: HashMap<ServerName, PrefillBacklog>,
     own: HashMap<ServerName, Load>,
-    peer_reports: HashMap<HostName, PeerReport>,
-    total: HashMap<ServerName, Load>,
+    others: HashMap<ServerName, Load>,
+    others_at: Millis,
 }
 
 impl ServerLoads {
     /// Adds a request of this host that holds `tokens` tokens on each server of `chain`.
     pub fn add_request(&mut self, chain: &Chain, tokens: f64) {
         for (server, load) in loads_on_chain(chain, tokens) {
-            self.own.entry(server.clone()).or_default().add(load);
-            self.total.entry(server).or_default().add(load);
+            self.own.entry(server).or_default().add(load);
         }
     }
 
@@ -86,9 +77,6 @@
                     self.own.remove(&server);
                 }
             }
-            if let Some(total) = self.total.get_mut(&server) {
-                total.remove(load);
-            }
         }
     }
 
@@ -106,18 +94,16 @@
         self.prefill_backlogs.get(server).map_or(0.0, |backlog| backlog.remaining(now, per_ms))
     }
 
-    /// Replaces the loads of another host by those that it reported now.
-    pub fn on_peer_loads(&mut self, now: Millis, host: HostName, loads: Vec<(ServerName, Load)>) {
-        self.peer_reports.insert(host, PeerReport { updated_at: now, loads });
-        self.recompute_total();
+    /// Replaces the loads of all other hosts.
+    pub fn on_others(&mut self, now: Millis, others: HashMap<ServerName, Load>) {
+        self.others = others;
+        self.others_at = now;
     }
 
-    /// Drops the loads of hosts whose last report is [`PEER_LOAD_TTL`] old.
+    /// Drops the loads of other hosts when they are [`PEER_LOAD_TTL`] old.
     pub fn on_tick(&mut self, now: Millis) {
-        let before = self.peer_reports.len();
-        self.peer_reports.retain(|_, report| now.since(report.updated_at) < PEER_LOAD_TTL);
-        if self.peer_reports.len() != before {
-            self.recompute_total();
+        if now.since(self.others_at) >= PEER_LOAD_TTL {
+            self.others.clear();
         }
     }
 
@@ -128,16 +114,11 @@
 
     /// Returns the load of `server`, summed over all hosts.
     pub fn total(&self, server: &ServerName) -> Load {
-        self.total.get(server).copied().unwrap_or_default()
-    }
-
-    fn recompute_total(&mut self) {
-        self.total.clone_from(&self.own);
-        for peer in self.peer_reports.values() {
-            for (server, load) in &peer.loads {
-                self.total.entry(server.clone()).or_default().add(*load);
-            }
+        let mut total = self.own.get(server).copied().unwrap_or_default();
+        if let Some(others) = self.others.get(server) {
+            total.add(*others);
         }
+        total
     }
 }
 
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the planner, of the choice of chains and of the tables that both use.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
@@ -27,7 +28,6 @@
 use super::plan::Plan;
 use crate::clock::Millis;
 use crate::name::DomainName;
-use crate::name::HostName;
 use crate::name::ServerName;
 
 const LAYERS: u16 = 80;
@@ -466,7 +466,7 @@
     let mut loads = ServerLoads::default();
     loads.add_request(&chain, 100.0);
     let theirs = Load { active: 2.0, token_layers: 500.0, first: 2.0 };
-    loads.on_peer_loads(Millis(0), HostName::new("h"), vec![(server.clone(), theirs)]);
+    loads.on_others(Millis(0), HashMap::from([(server.clone(), theirs)]));
     assert_eq!(loads.total(&server).active, 3.0);
     loads.remove_request(&chain, 100.0);
     assert_eq!(loads.total(&server).token_layers, 500.0);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -165,6 +165,8 @@
     Removed {
         /// The key of the item.
         key: String,
+        /// The revision of the removal.
+        revision: u64,
     },
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,5 @@
-//! Gossip between hosts over UDP: which hosts are alive, how much work each has in progress, and
-//! which servers are suspected or slow.
+//! The messages between hosts over UDP: which hosts are alive, how much work they have in progress,
+//! and which servers are suspected or slow. The decisions are those of `core::peering`.
 //!
 //! A lost or late datagram only makes routing less accurate until the next one arrives.
 
@@ -8,168 +8,90 @@
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use serde::Deserialize;
-use serde::Serialize;
+use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::time;
-use xxhash_rust::xxh3::xxh3_64;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
-use yuccanotch_core::name::DomainName;
-use yuccanotch_core::name::HostName;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peering::messages::Message;
+use yuccanotch_core::peering::messages::Outgoing;
+use yuccanotch_core::peering::messages::Peer;
+use yuccanotch_core::peering::messages::Status;
+use yuccanotch_core::peering::node::Finding;
+use yuccanotch_core::peering::node::Node;
+use yuccanotch_core::peering::observations::short_hash;
+use yuccanotch_core::peering::observations::LoadRow;
+use yuccanotch_core::peering::observations::Observations;
+use yuccanotch_core::peering::observations::SlowRow;
+use yuccanotch_core::peering::observations::SuspectRow;
+use yuccanotch_core::peering::timing::ROUND_INTERVAL;
 use yuccanotch_core::placement::load::Load;
 
 use crate::host::Gateway;
 
-/// The prefix of the store keys under which hosts are listed, so that hosts that start find them.
+/// The prefix of the store keys under which aggregators are listed, so that hosts that start find
+/// them.
 pub const HOSTS_PREFIX: &str = "yuccanotch/hosts/";
-/// The time between datagrams to hosts of the same failure domain.
-const ROUND_INTERVAL: Duration = Duration::from_millis(200);
-/// A datagram goes to hosts of other failure domains in every round that is a multiple of this
-/// number.
-const ROUNDS_PER_OTHER_DOMAIN_SEND: u32 = 2;
-/// A datagram includes the known hosts in every round that is a multiple of this number.
-const ROUNDS_PER_HOST_LIST: u32 = 10;
-/// The time without a datagram after which a host no longer counts as alive.
-const PEER_TIMEOUT: Millis = Millis(2_000);
-/// The time without a datagram after which a host is removed from the known ones.
-const FORGET_AFTER: Millis = Millis(20_000);
 /// The largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+/// The largest difference between the lengths of two rounds, which keeps hosts from sending at the
+/// same time, in ms.
+const ROUND_JITTER_MS: u64 = 20;
 
-/// A host as it is known to others.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Peer {
-    /// The name of the host.
-    pub host: HostName,
-    /// The failure domain of the host.
-    pub domain: DomainName,
-    /// The address of its gossip socket.
-    pub gossip: SocketAddrV4,
-    /// The address on which it serves snapshots.
-    pub control: SocketAddrV4,
-}
-
-/// The work of one host on one server, which is named by a short hash.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-struct LoadRow {
-    server: u32,
-    /// The number of requests in progress.
-    active: u16,
-    /// The number of requests for which the server is the first one of their chain.
-    first: u16,
-    /// The memory set aside for requests, in thousands of tokens times layers.
-    kilo_token_layers: u16,
-}
-
-/// The content of a datagram.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Message {
-    from: Peer,
-    /// The version of the configuration in force, or 0.
-    version: u64,
-    revision: u64,
-    /// Whether the sender is the order issuer.
-    issuer: bool,
-    loads: Vec<LoadRow>,
-    /// Servers that the sender avoids after failures.
-    suspects: Vec<SuspectRow>,
-    slow: Vec<SlowRow>,
-    /// The known hosts; empty in most rounds.
-    hosts: Vec<Peer>,
-}
-
-/// A server that the sender avoids, and for how many ms more.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-struct SuspectRow {
-    server: u32,
-    ms: u16,
-}
-
-/// A server that the sender found slow, and by which factor, in tenths.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-struct SlowRow {
-    server: u32,
-    tenths: u16,
+/// The names of the servers by the short hashes that messages carry.
+#[derive(Debug, Default)]
+struct ServerNames {
+    generation: u64,
+    by_hash: HashMap<u32, ServerName>,
 }
 
-/// What this host knows of another one. A host that is only listed has not been heard yet.
+/// This host's part in the exchange between hosts.
 #[derive(Debug)]
-struct KnownPeer {
-    peer: Peer,
-    last_heard: Option<Millis>,
-    added_at: Millis,
-    version: u64,
-    revision: u64,
-    issuer: bool,
-}
-
-/// The known hosts, other than this one.
-#[derive(Debug, Default)]
 pub struct Peers {
-    known: RefCell<HashMap<SocketAddrV4, KnownPeer>>,
+    node: RefCell<Node>,
+    names: RefCell<ServerNames>,
+    incarnation: u64,
 }
 
 impl Peers {
-    /// Returns the number of other hosts heard within the peer timeout.
-    pub fn live_count(&self, now: Millis) -> usize {
-        let live = |k: &&KnownPeer| k.last_heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT);
-        self.known.borrow().values().filter(live).count()
-    }
-
-    /// Returns the number of other hosts that may send retries: those heard within `span`, and
-    /// those that are listed but were never heard.
-    pub fn sharing_count(&self, now: Millis, span: Millis) -> usize {
-        let shares = |k: &&KnownPeer| k.last_heard.is_none_or(|at| now.since(at) < span);
-        self.known.borrow().values().filter(shares).count()
+    /// Creates the state of a host that knows the control addresses of `seeds`.
+    pub fn new(own: Peer, seeds: &[SocketAddrV4]) -> Self {
+        let seeds = gossip_addresses(&own, seeds);
+        Self {
+            node: RefCell::new(Node::new(own, seeds)),
+            names: RefCell::default(),
+            incarnation: rand::rng().random(),
+        }
     }
 
-    /// Returns whether a live host is the order issuer.
-    pub fn hears_issuer(&self, now: Millis) -> bool {
-        self.known
-            .borrow()
-            .values()
-            .any(|k| k.issuer && k.last_heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT))
+    /// Returns what this host knows of others.
+    pub fn node(&self) -> std::cell::Ref<'_, Node> {
+        self.node.borrow()
     }
 
-    /// Returns the control address of the live host with the newest store revision, if that is
-    /// newer than `revision`.
-    pub fn ahead_of(&self, now: Millis, revision: u64) -> Option<SocketAddrV4> {
-        self.known
-            .borrow()
-            .values()
-            .filter(|k| k.last_heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT))
-            .filter(|k| k.revision > revision)
-            .max_by_key(|k| k.revision)
-            .map(|k| k.peer.control)
+    /// Replaces the seeds, given by their control addresses.
+    pub fn set_seeds(&self, own: &Peer, seeds: &[SocketAddrV4]) {
+        self.node.borrow_mut().set_seeds(gossip_addresses(own, seeds));
     }
 
-    /// Returns all known hosts.
-    pub fn all(&self) -> Vec<Peer> {
-        self.known.borrow().values().map(|k| k.peer.clone()).collect()
+    /// Records that the store no longer names an issuer.
+    pub fn on_issuer_gone(&self) {
+        self.node.borrow_mut().on_issuer_gone();
     }
+}
 
-    /// Adds a host unless it is known already.
-    pub fn add(&self, now: Millis, peer: Peer) {
-        let known = KnownPeer {
-            peer: peer.clone(),
-            last_heard: None,
-            added_at: now,
-            version: 0,
-            revision: 0,
-            issuer: false,
-        };
-        self.known.borrow_mut().entry(peer.gossip).or_insert(known);
-    }
+/// Returns the addresses on which hosts with the control addresses `seeds` receive messages; all
+/// hosts use the same port.
+fn gossip_addresses(own: &Peer, seeds: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+    seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), own.gossip.port())).collect()
 }
 
 /// Encodes this host's entry for the store.
 pub fn encode_own_peer(gateway: &Gateway) -> Bytes {
-    bincode::serde::encode_to_vec(own_peer(gateway), bincode::config::standard())
+    bincode::serde::encode_to_vec(gateway.settings.own_peer(), bincode::config::standard())
         .map(Bytes::from)
         .unwrap_or_default()
 }
@@ -181,9 +103,7 @@
         gateway.event_log.line(Event::EntryRejected, &[("source", &HOSTS_PREFIX)]);
         return;
     };
-    if peer.gossip != gateway.settings.gossip {
-        gateway.peers.add(gateway.clock.now(), peer);
-    }
+    gateway.peers.node.borrow_mut().add_listed(gateway.clock.now(), peer);
 }
 
 /// Sends and receives datagrams for the life of the process.
@@ -197,179 +117,148 @@
         let Ok((len, SocketAddr::V4(_))) = socket.recv_from(&mut buf).await else {
             continue;
         };
-        let config = bincode::config::standard();
-        if let Ok((message, _)) =
-            bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config)
-        {
-            on_message(&gateway, message);
+        let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+        let decoded = bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config);
+        if let Ok((message, _)) = decoded {
+            if let Some(answer) = on_message(&gateway, message) {
+                send(&gateway, &socket, vec![answer]).await;
+            }
         }
     }
 }
 
-/// Sends this host's state to the known hosts in every round.
+/// Runs the rounds of the exchange.
 async fn send_rounds(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
-    let mut round: u32 = 0;
     loop {
-        time::sleep(ROUND_INTERVAL).await;
-        round = round.wrapping_add(1);
-        forget_silent_peers(&gateway);
-        let message = compose_message(&gateway, round.is_multiple_of(ROUNDS_PER_HOST_LIST));
+        let jitter = rand::rng().random_range(0..ROUND_JITTER_MS);
+        time::sleep((ROUND_INTERVAL + Millis(jitter)).to_duration()).await;
+        let now = gateway.clock.now();
+        let status = own_status(&gateway);
+        let observations = own_observations(&gateway);
+        let outgoing = gateway.peers.node.borrow_mut().on_round(now, &status, observations);
+        log_findings(&gateway);
+        if gateway.peers.node().is_aggregator() {
+            adopt_others(&gateway);
+        }
+        send(&gateway, &socket, outgoing).await;
+    }
+}
+
+async fn send(gateway: &Gateway, socket: &UdpSocket, outgoing: Vec<Outgoing>) {
+    let from = own_status(gateway);
+    for Outgoing { to, content } in outgoing {
+        let message = Message { from: from.clone(), content };
         let Ok(buf) = bincode::serde::encode_to_vec(&message, bincode::config::standard()) else {
             continue;
         };
-        for address in recipients(&gateway, round) {
-            // If the socket's buffer is full, the datagram is lost; the next round replaces it.
-            let _ = socket.send_to(&buf, SocketAddr::V4(address)).await;
-        }
+        // If the socket's buffer is full, the datagram is lost; the next round replaces it.
+        let _ = socket.send_to(&buf, SocketAddr::V4(to)).await;
     }
 }
 
-/// Returns the addresses that the datagram of a round goes to.
-fn recipients(gateway: &Gateway, round: u32) -> Vec<SocketAddrV4> {
-    let to_other_domains = round.is_multiple_of(ROUNDS_PER_OTHER_DOMAIN_SEND);
-    let own = &gateway.settings.domain;
-    let known = gateway.peers.known.borrow();
-    known
-        .values()
-        .filter(|k| to_other_domains || k.peer.domain == *own)
-        .map(|k| k.peer.gossip)
-        .collect()
+fn own_status(gateway: &Gateway) -> Status {
+    Status {
+        peer: gateway.settings.own_peer(),
+        incarnation: gateway.peers.incarnation,
+        is_stopping: gateway.shutdown.is_stopping(),
+        is_issuer: gateway.is_issuer.get(),
+        reads_store: gateway.follows_store.get() && gateway.store.lost_since().is_none(),
+        revision: gateway.views.revision(),
+    }
 }
 
-fn forget_silent_peers(gateway: &Gateway) {
+/// Returns what this host itself observes about servers.
+fn own_observations(gateway: &Gateway) -> Observations {
     let now = gateway.clock.now();
-    gateway.peers.known.borrow_mut().retain(|_, k| {
-        let last = k.last_heard.unwrap_or(k.added_at);
-        let keep = now.since(last) < FORGET_AFTER;
-        if !keep {
-            gateway.event_log.line(Event::PeerLost, &[("host", &k.peer.host)]);
-        }
-        keep
+    let loads = gateway.routing.loads.borrow();
+    let loads = loads.own_loads().map(|(server, load)| LoadRow {
+        server: short_hash(server.as_str()),
+        active: load.active as u16,
+        first: load.first as u16,
+        kilo_token_layers: (load.token_layers / 1e3).round() as u32,
     });
+    let health = gateway.routing.health.borrow();
+    let suspects = health.suspects(now).map(|(server, span)| SuspectRow {
+        server: short_hash(server.as_str()),
+        ms: u16::try_from(span.0).unwrap_or(u16::MAX),
+    });
+    let slow = gateway.reports.slow_servers(now);
+    let slow = slow.into_iter().map(|(server, factor)| SlowRow {
+        server: short_hash(server.as_str()),
+        tenths: (factor * 10.0) as u16,
+    });
+    Observations { loads: loads.collect(), suspects: suspects.collect(), slow: slow.collect() }
 }
 
-/// Returns the name, failure domain and addresses of this host, as other hosts know it.
-pub fn own_peer(gateway: &Gateway) -> Peer {
-    let settings = &gateway.settings;
-    Peer {
-        host: settings.host.clone(),
-        domain: settings.domain.clone(),
-        gossip: settings.gossip,
-        control: settings.control,
-    }
-}
-
-fn compose_message(gateway: &Gateway, with_hosts: bool) -> Message {
+/// Applies a message of another host; returns the answer.
+fn on_message(gateway: &Rc<Gateway>, message: Message) -> Option<Outgoing> {
     let now = gateway.clock.now();
-    let loads = gateway.routing.loads.borrow();
-    let loads = loads
-        .own_loads()
-        .map(|(server, load)| LoadRow {
-            server: short_hash(server),
-            active: load.active as u16,
-            first: load.first as u16,
-            kilo_token_layers: (load.token_layers / 1e3) as u16,
-        })
-        .collect();
-    let health = gateway.routing.health.borrow();
-    let suspects = health
-        .suspects(now)
-        .map(|(server, span)| SuspectRow { server: short_hash(server), ms: span.0 as u16 })
-        .collect();
-    let slow = gateway
-        .reports
-        .slow_servers(now)
-        .into_iter()
-        .map(|(server, factor)| SlowRow {
-            server: short_hash(&server),
-            tenths: (factor * 10.0) as u16,
-        })
-        .collect();
-    let hosts = if with_hosts {
-        gateway.peers.known.borrow().values().map(|k| k.peer.clone()).collect()
-    } else {
-        Vec::new()
-    };
-    Message {
-        from: own_peer(gateway),
-        version: gateway.views.configuration().map_or(0, |c| c.version),
-        revision: gateway.views.revision(),
-        issuer: gateway.is_issuer.get(),
-        loads,
-        suspects,
-        slow,
-        hosts,
+    let status = own_status(gateway);
+    gateway.views.on_peer_revision(message.from.revision);
+    let answer = gateway.peers.node.borrow_mut().on_message(now, &status, message);
+    log_findings(gateway);
+    if !gateway.peers.node().is_aggregator() {
+        adopt_others(gateway);
     }
+    answer
 }
 
-/// Applies a datagram of another host: its state, its known hosts and its findings about servers.
-fn on_message(gateway: &Rc<Gateway>, message: Message) {
+/// Takes the observations of other hosts into the state that routing uses.
+fn adopt_others(gateway: &Gateway) {
     let now = gateway.clock.now();
-    if message.from.gossip == gateway.settings.gossip {
+    let mut node = gateway.peers.node.borrow_mut();
+    let Some(others) = node.take_others() else {
         return;
+    };
+    let servers = gateway.views.servers();
+    let mut names = gateway.peers.names.borrow_mut();
+    if names.generation != servers.generation() {
+        names.generation = servers.generation();
+        names.by_hash = servers.iter().map(|e| (short_hash(e.id.as_str()), e.id.clone())).collect();
     }
-    let host = message.from.host.clone();
-    record_peer(gateway, now, &message);
-    gateway.views.on_peer_revision(message.revision);
-    for peer in message.hosts {
-        if peer.gossip != gateway.settings.gossip {
-            gateway.peers.add(now, peer);
-        }
-    }
-    let names: HashMap<u32, ServerName> =
-        gateway.views.servers().iter().map(|e| (short_hash(&e.id), e.id.clone())).collect();
-    let loads = message
-        .loads
-        .iter()
-        .filter_map(|row| {
-            let load = Load {
-                active: f32::from(row.active),
-                token_layers: f32::from(row.kilo_token_layers) * 1e3,
-                first: f32::from(row.first),
-            };
-            Some((names.get(&row.server)?.clone(), load))
-        })
-        .collect();
-    gateway.routing.loads.borrow_mut().on_peer_loads(now, host, loads);
-    for row in message.slow {
-        if let Some(server) = names.get(&row.server) {
-            let factor = f64::from(row.tenths) / 10.0;
-            gateway.routing.health.borrow_mut().on_slowness(now, server, factor);
+    let loads = others.loads.iter().filter_map(|row| {
+        let load = Load {
+            active: f32::from(row.active),
+            token_layers: row.kilo_token_layers as f32 * 1e3,
+            first: f32::from(row.first),
+        };
+        Some((names.by_hash.get(&row.server)?.clone(), load))
+    });
+    gateway.routing.loads.borrow_mut().on_others(now, loads.collect());
+    let mut health = gateway.routing.health.borrow_mut();
+    for row in &others.slow {
+        if let Some(server) = names.by_hash.get(&row.server) {
+            health.on_slowness(now, server, f64::from(row.tenths) / 10.0);
         }
     }
-    for row in message.suspects {
-        if let Some(server) = names.get(&row.server) {
-            let span = Millis(u64::from(row.ms));
-            gateway.routing.health.borrow_mut().on_peer_suspicion(now, server, span);
+    for row in &others.suspects {
+        if let Some(server) = names.by_hash.get(&row.server) {
+            health.on_peer_suspicion(now, server, Millis(u64::from(row.ms)));
         }
     }
 }
 
-/// Records that a host was heard, and logs it if it is new or was silent for the peer timeout.
-fn record_peer(gateway: &Gateway, now: Millis, message: &Message) {
-    let mut known = gateway.peers.known.borrow_mut();
-    let entry = known.entry(message.from.gossip).or_insert_with(|| KnownPeer {
-        peer: message.from.clone(),
-        last_heard: None,
-        added_at: now,
-        version: 0,
-        revision: 0,
-        issuer: false,
-    });
-    let new_or_back = entry.last_heard.is_none_or(|at| now.since(at) >= PEER_TIMEOUT);
-    entry.peer = message.from.clone();
-    entry.last_heard = Some(now);
-    entry.version = message.version;
-    entry.revision = message.revision;
-    entry.issuer = message.issuer;
-    if new_or_back {
-        gateway
-            .event_log
-            .line(Event::PeerFound, &[("host", &message.from.host), ("version", &message.version)]);
+fn log_findings(gateway: &Gateway) {
+    let findings = gateway.peers.node.borrow_mut().take_findings();
+    for finding in findings {
+        match finding {
+            Finding::Found(peer) => {
+                gateway.event_log.line(Event::PeerFound, &[("host", &peer.host)]);
+            }
+            Finding::Lost(peer) => {
+                gateway.event_log.line(Event::PeerLost, &[("host", &peer.host)]);
+            }
+            Finding::DomainFound(domain) => {
+                gateway.event_log.line(Event::DomainFound, &[("domain", &domain)]);
+            }
+            Finding::DomainLost(domain) => {
+                gateway.event_log.line(Event::DomainLost, &[("domain", &domain)]);
+            }
+            Finding::Avoided(peer) => {
+                gateway.event_log.line(Event::AggregatorAvoided, &[("host", &peer.host)]);
+            }
+            Finding::BecameAggregator => gateway.event_log.line(Event::AggregatorBegan, &[]),
+            Finding::CeasedAggregator => gateway.event_log.line(Event::AggregatorEnded, &[]),
+        }
     }
 }
-
-/// Returns the hash by which datagrams name a server.
-fn short_hash(server: &ServerName) -> u32 {
-    xxh3_64(server.as_str().as_bytes()) as u32
-}
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -48,8 +48,8 @@
 use crate::routing::RoutingState;
 use crate::settings::Changeable;
 use crate::settings::Settings;
-use crate::snapshot;
 use crate::store::StoreClient;
+use crate::sync;
 use crate::views::Views;
 use crate::watch;
 use crate::watch::Backoff;
@@ -72,8 +72,10 @@
 const EXIT_MARGIN: Millis = Millis(150);
 /// The lease duration of the host's entry in the store.
 const LISTING_TTL: Millis = Millis(120_000);
-/// How long a starting host waits for the store before it asks other hosts for a snapshot.
-const INITIAL_STORE_WAIT: Duration = Duration::from_millis(300);
+/// The time between checks of the host's entry in the store.
+const LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The pause after a read of the listed hosts.
+const LISTING_READ_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// The state of the shutdown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
@@ -131,8 +133,10 @@
     pub counters: Counters,
     /// Recent reports of model servers.
     pub reports: ReportCache,
-    /// The other hosts that gossip or the store has named.
+    /// The other hosts, and what they observe.
     pub peers: Peers,
+    /// Whether this host follows changes in the store itself.
+    pub follows_store: Cell<bool>,
     /// The state of the shutdown.
     pub shutdown: Shutdown,
     /// Whether this host is the order issuer, the one that sends placement orders to model servers.
@@ -181,6 +185,7 @@
             settings.changeable.repeats,
         );
         let reports_clock = clock.clone();
+        let peers = Peers::new(settings.own_peer(), &settings.changeable.seeds);
         let changeable = RefCell::new(Rc::new(settings.changeable.clone()));
         Ok(Rc::new(Self {
             settings,
@@ -193,7 +198,8 @@
             routing,
             counters: Counters::new().map_err(io::Error::other)?,
             reports: ReportCache::new(reports_clock),
-            peers: Peers::default(),
+            peers,
+            follows_store: Cell::new(false),
             shutdown: Shutdown::new(),
             is_issuer: Cell::new(false),
             caller_connections: Cell::new(0),
@@ -210,6 +216,7 @@
     /// Replaces the settings that may change while the process runs.
     pub fn set_changeable(&self, changeable: &Changeable) {
         self.routing.set_retry_limits(changeable.repeats);
+        self.peers.set_seeds(&self.settings.own_peer(), &changeable.seeds);
         self.changeable.replace(Rc::new(changeable.clone()));
     }
 
@@ -224,9 +231,9 @@
         ActiveRequest(self.active_requests.clone())
     }
 
-    /// Returns the number of hosts heard within the peer timeout, this one included.
+    /// Returns the number of hosts believed alive, this one included.
     pub fn live_hosts(&self) -> usize {
-        self.peers.live_count(self.clock.now()) + 1
+        self.peers.node().host_count(self.clock.now())
     }
 
     /// Returns the number of hosts that share the retry budget, this one included. A host that is
@@ -234,7 +241,7 @@
     /// servers.
     pub fn hosts_sharing_retries(&self) -> usize {
         let window = self.changeable().repeats.window;
-        self.peers.sharing_count(self.clock.now(), window) + 1
+        self.peers.node().sharing_count(self.clock.now(), window)
     }
 
     /// Requests a model server's report; returns `None` if it does not come in time or cannot be
@@ -340,7 +347,7 @@
     let keys = gateway.adapter.store_keys();
     tokio::task::spawn_local(watch::run(gateway.clone(), keys));
     tokio::task::spawn_local(gossip::run(gateway.clone(), gossip_socket));
-    tokio::task::spawn_local(snapshot::serve(gateway.clone(), control));
+    tokio::task::spawn_local(sync::serve(gateway.clone(), control));
     let metrics_gateway = gateway.clone();
     tokio::task::spawn_local(probe_server::serve(metrics, move || {
         Response::new(AnswerBody::whole(Bytes::from(
@@ -353,7 +360,7 @@
     }));
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
-    tokio::task::spawn_local(discover_hosts(gateway.clone()));
+    tokio::task::spawn_local(sync::run(gateway.clone()));
     tokio::task::spawn_local(maintain_listing(gateway.clone()));
     tokio::task::spawn_local(run_upkeep(gateway.clone()));
     if let Some(read_settings) = read_settings {
@@ -413,78 +420,79 @@
     }
 }
 
-/// Finds other hosts through the seeds and copies their snapshots: at the start, and while this
-/// host knows no other host, has no configuration or has not read the servers from the store. While
-/// the store does not answer, also copies the snapshot of a host with a newer revision.
-async fn discover_hosts(gateway: Rc<Gateway>) {
-    time::sleep(INITIAL_STORE_WAIT).await;
-    let mut round: u32 = 0;
+/// Lists this host in the store while it is an aggregator, so that hosts that start find it, and
+/// reads which hosts are listed when this host hears too few others.
+async fn maintain_listing(gateway: Rc<Gateway>) {
+    let mut backoff = Backoff::default();
+    let mut lease: Option<Lease> = None;
     loop {
-        let has_state = gateway.views.configuration().is_some() && gateway.views.servers_read();
-        let has_no_peers = gateway.peers.all().is_empty();
-        if !has_state || has_no_peers || round == 0 {
-            for &seed in &gateway.changeable().seeds {
-                if seed != gateway.settings.control
-                    && snapshot::sync_from(&gateway, seed).await
-                    && has_state
-                {
-                    break;
+        time::sleep(LISTING_CHECK_INTERVAL).await;
+        let now = gateway.clock.now();
+        let is_aggregator = gateway.peers.node().is_aggregator();
+        let result = match &mut lease {
+            Some(held) if now >= held.renew_at => renew_listing(&gateway, held).await,
+            None if is_aggregator => match write_listing(&gateway).await {
+                Ok(held) => {
+                    lease = Some(held);
+                    Ok(())
                 }
+                Err(e) => Err(e),
+            },
+            _ if gateway.peers.node().needs_listing(now) => {
+                let result = read_listing(&gateway).await;
+                time::sleep(LISTING_READ_PAUSE).await;
+                result
             }
+            _ => Ok(()),
+        };
+        match result {
+            Ok(()) => backoff.reset(),
+            Err(_) => backoff.pause().await,
+        }
+        if lease.as_ref().is_some_and(|held| held.is_gone) {
+            lease = None;
         }
-        sync_from_newer_peer(&gateway).await;
-        round += 1;
-        time::sleep(Duration::from_millis(500)).await;
     }
 }
 
-/// Lists this host in the store, where hosts that start later find it, and adds the hosts listed
-/// there to the known ones.
-async fn maintain_listing(gateway: Rc<Gateway>) {
-    let mut backoff = Backoff::default();
-    loop {
-        match write_listing(&gateway).await {
-            Ok(lease) => renew_listing(&gateway, lease).await,
-            Err(_) => backoff.pause().await,
-        }
-    }
+/// The lease of this host's entry in the store.
+struct Lease {
+    id: u64,
+    renew_at: Millis,
+    is_gone: bool,
 }
 
-/// Reads the listed hosts and writes this host's entry; returns the entry's lease.
-async fn write_listing(gateway: &Gateway) -> Result<u64, StoreError> {
+/// Adds the hosts that the store lists to the known ones.
+async fn read_listing(gateway: &Gateway) -> Result<(), StoreError> {
     let (items, _) = gateway.store.range(gossip::HOSTS_PREFIX).await?;
     for item in items {
         gossip::add_listed_host(gateway, &item.value);
     }
+    Ok(())
+}
+
+/// Reads the listed hosts and writes this host's entry; returns the entry's lease.
+async fn write_listing(gateway: &Gateway) -> Result<Lease, StoreError> {
+    read_listing(gateway).await?;
     let granted = gateway.store.call(&StoreCall::Grant { ttl: LISTING_TTL }).await?;
-    let StoreReply::Lease { lease: Some(lease) } = granted else {
+    let StoreReply::Lease { lease: Some(id) } = granted else {
         return Err(StoreError::Malformed("the answer names no lease".to_owned()));
     };
     let key = format!("{}{}", gossip::HOSTS_PREFIX, gateway.settings.host);
-    let puts = vec![(key, gossip::encode_own_peer(gateway), lease)];
+    let puts = vec![(key, gossip::encode_own_peer(gateway), id)];
     let call = StoreCall::Write { expected: Vec::new(), puts, removes: Vec::new() };
     gateway.store.call(&call).await?;
-    Ok(lease)
+    Ok(Lease { id, renew_at: next_listing_renewal(gateway), is_gone: false })
 }
 
-/// Renews the lease of the host's entry until the store no longer has the lease.
-async fn renew_listing(gateway: &Gateway, lease: u64) {
-    loop {
-        time::sleep(LISTING_TTL.to_duration() / 4).await;
-        if let Ok(StoreReply::LeaseGone) = gateway.store.call(&StoreCall::Renew { lease }).await {
-            return;
-        }
-    }
+fn next_listing_renewal(gateway: &Gateway) -> Millis {
+    gateway.clock.now() + Millis(LISTING_TTL.0 / 4)
 }
 
-/// While the store does not answer this host, copies the snapshot of the host that has seen the
-/// newest revision.
-async fn sync_from_newer_peer(gateway: &Gateway) {
-    if gateway.store.lost_since().is_none() {
-        return;
-    }
-    let revision = gateway.views.revision();
-    if let Some(address) = gateway.peers.ahead_of(gateway.clock.now(), revision) {
-        snapshot::sync_from(gateway, address).await;
-    }
+/// Renews the lease of the host's entry, or finds that the store no longer has it.
+async fn renew_listing(gateway: &Gateway, lease: &mut Lease) -> Result<(), StoreError> {
+    let reply = gateway.store.call(&StoreCall::Renew { lease: lease.id }).await?;
+    lease.is_gone = reply == StoreReply::LeaseGone;
+    lease.renew_at = next_listing_renewal(gateway);
+    Ok(())
 }
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -31,7 +31,7 @@
 use crate::host::Gateway;
 
 /// The key of the item that names the issuer.
-const ISSUER_KEY: &str = "yuccanotch/issuer";
+pub const ISSUER_KEY: &str = "yuccanotch/issuer";
 /// The time after which the issuer's lease expires without a renewal.
 const LEASE_TTL: Millis = Millis(3_000);
 /// The time between renewals of the lease.
@@ -43,6 +43,8 @@
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(150);
 /// The shortest and longest pause before a host tries to become the issuer, in ms.
 const ACQUIRE_PAUSE_MS: (u64, u64) = (150, 900);
+/// The pause of a host that found another one to be the issuer.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(1_000);
 /// The time after which an order that has had no effect is sent again.
 const ORDER_RETRY_INTERVAL: Millis = Millis(2_500);
 
@@ -69,15 +71,20 @@
         if gateway.shutdown.is_stopping() || !gateway.views.servers_read() {
             continue;
         }
-        if gateway.peers.hears_issuer(gateway.clock.now()) {
+        if !gateway.peers.node().may_become_issuer(gateway.clock.now()) {
             continue;
         }
-        if let Ok(Some(term)) = acquire_lease(&gateway).await {
-            gateway.is_issuer.set(true);
-            gateway.event_log.line(Event::IssuerBegan, &[("fence", &term.fence)]);
-            run_term(&gateway, term).await;
-            gateway.is_issuer.set(false);
-            gateway.event_log.line(Event::IssuerEnded, &[]);
+        match acquire_lease(&gateway).await {
+            Ok(Some(term)) => {
+                gateway.is_issuer.set(true);
+                gateway.event_log.line(Event::IssuerBegan, &[("fence", &term.fence)]);
+                run_term(&gateway, term).await;
+                gateway.is_issuer.set(false);
+                gateway.event_log.line(Event::IssuerEnded, &[]);
+            }
+            // Another host is the issuer; this one will hear of it.
+            Ok(None) => time::sleep(CONFLICT_PAUSE).await,
+            Err(_) => {}
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod reports;
 pub mod routing;
 pub mod settings;
-pub mod snapshot;
 pub mod store;
+pub mod sync;
 pub mod views;
 pub mod watch;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use yuccanotch_core::forward::budget::RetryBudgetLimits;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::HostName;
+use yuccanotch_core::peering::messages::Peer;
 
 /// The settings of a host. All but [`Settings::changeable`] stay the same for the life of the
 /// process.
@@ -19,7 +20,7 @@
     pub callers: SocketAddrV4,
     /// The address on which the load balancer checks whether the host takes new connections.
     pub ready: SocketAddrV4,
-    /// The address on which other hosts request snapshots of this host's state.
+    /// The address on which other hosts request changes of the configuration and the servers.
     pub control: SocketAddrV4,
     /// The address on which the host exchanges gossip datagrams.
     pub gossip: SocketAddrV4,
@@ -27,12 +28,27 @@
     pub metrics: SocketAddrV4,
     /// The address of the platform's store.
     pub store: SocketAddrV4,
+    /// The bandwidth of the host's link, in Mbit/s.
+    pub link_mbps: u32,
     /// The largest number of open sockets.
     pub sockets: usize,
     /// The settings that may change while the process runs.
     pub changeable: Changeable,
 }
 
+impl Settings {
+    /// Returns the name, failure domain and addresses of the host, as other hosts know it.
+    pub fn own_peer(&self) -> Peer {
+        Peer {
+            host: self.host.clone(),
+            domain: self.domain.clone(),
+            gossip: self.gossip,
+            control: self.control,
+            link_mbps: self.link_mbps,
+        }
+    }
+}
+
 /// Settings that may change while the process runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Changeable {
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -10,13 +9,16 @@
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::item_log::Changes;
+use yuccanotch_core::forward::item_log::ItemChange;
+use yuccanotch_core::forward::item_log::ItemLog;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerChange;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerList;
 
-use crate::adapter::Item;
 use crate::adapter::ProtocolAdapter;
+use crate::adapter::StoreKeys;
 use crate::event_log::EventLog;
 
 /// The configuration in force, the list of servers and the store revision that they reflect.
@@ -25,11 +27,10 @@
     clock: Clock,
     event_log: Rc<EventLog>,
     configuration: RefCell<Option<Rc<Configuration>>>,
-    configuration_bytes: RefCell<Bytes>,
     servers: RefCell<ServerList>,
-    server_values: RefCell<BTreeMap<String, Bytes>>,
+    items: RefCell<ItemLog>,
+    keys: StoreKeys,
     servers_read: Cell<bool>,
-    revision: Cell<u64>,
     // The last revision, newer than this host's, that another host has reported.
     peer_revision: Cell<u64>,
     peer_is_newer: Notify,
@@ -45,15 +46,14 @@
         event_log: Rc<EventLog>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            keys: adapter.store_keys(),
             adapter,
             clock,
             event_log,
             configuration: RefCell::default(),
-            configuration_bytes: RefCell::default(),
             servers: RefCell::default(),
-            server_values: RefCell::default(),
+            items: RefCell::default(),
             servers_read: Cell::new(false),
-            revision: Cell::new(0),
             peer_revision: Cell::new(0),
             peer_is_newer: Notify::new(),
             changed: Notify::new(),
@@ -65,17 +65,9 @@
         self.configuration.borrow().clone()
     }
 
-    /// Returns the encoded configuration in force, as the store or another host gave it.
-    pub fn configuration_bytes(&self) -> Bytes {
-        self.configuration_bytes.borrow().clone()
-    }
-
     /// Adopts an encoded configuration if its version is newer than the one in force. `source`
     /// names its origin in the log.
-    pub fn on_configuration(&self, value: &Bytes, source: &str) {
-        if *self.configuration_bytes.borrow() == *value {
-            return;
-        }
+    fn adopt_configuration(&self, value: &Bytes, source: &str) {
         let new = match self.adapter.decode_configuration(value) {
             Ok(new) => new,
             Err(e) => {
@@ -92,7 +84,6 @@
             return;
         }
         *self.configuration.borrow_mut() = Some(Rc::new(new));
-        *self.configuration_bytes.borrow_mut() = value.clone();
         let old = old.unwrap_or_default();
         self.event_log.line(
             Event::VersionAdopted,
@@ -106,50 +97,55 @@
         self.servers.borrow()
     }
 
-    /// Returns whether the whole list of servers has been read from the store at least once.
+    /// Returns whether the whole list of servers has been read at least once.
     pub fn servers_read(&self) -> bool {
         self.servers_read.get()
     }
 
-    /// Replaces the list of servers by the one read from the store.
-    pub fn on_server_list(&self, items: &[Item]) {
-        let values = items.iter().map(|i| (i.key.clone(), i.value.clone())).collect();
-        *self.server_values.borrow_mut() = values;
-        let entries = items.iter().filter_map(|i| self.decode_entry(&i.key, &i.value)).collect();
-        self.servers.borrow_mut().on_list(self.clock.now(), entries);
-        self.servers_read.set(true);
-        let count = self.servers.borrow().len();
-        self.event_log.line(Event::ServerListChanged, &[("servers", &count), ("how", &"list")]);
-        self.changed.notify_waiters();
-    }
-
-    /// Returns the keys and encoded values of the server entries, as the store gave them.
-    pub fn server_values(&self) -> Vec<(String, Vec<u8>)> {
-        self.server_values.borrow().iter().map(|(k, v)| (k.clone(), v.to_vec())).collect()
+    /// Applies changes that come from `source`, as far as they are newer than what is known.
+    pub fn merge(&self, changes: Changes, source: &str) {
+        let is_complete = changes.is_complete;
+        let applied = self.items.borrow_mut().merge(changes);
+        self.apply(applied, source);
+        if is_complete {
+            self.servers_read.set(true);
+            let count = self.servers.borrow().len();
+            self.event_log.line(
+                Event::ServerListChanged,
+                &[("servers", &count), ("how", &"list"), ("source", &source)],
+            );
+            self.changed.notify_waiters();
+        }
     }
 
-    /// Replaces the list of servers by the entries in another host's snapshot.
-    pub fn on_peer_servers(&self, values: &[(String, Vec<u8>)]) {
-        let entries = values.iter().filter_map(|(k, v)| self.decode_entry(k, v)).collect();
-        self.servers.borrow_mut().on_list(self.clock.now(), entries);
-        self.changed.notify_waiters();
+    /// Applies changes that are newer than what was known. If they hold several configurations,
+    /// only the last one is adopted.
+    fn apply(&self, changes: Vec<ItemChange>, source: &str) {
+        let mut configuration = None;
+        for change in changes {
+            if change.key == self.keys.configuration {
+                configuration = change.value.or(configuration);
+            } else if change.key.starts_with(&self.keys.servers) {
+                self.on_server_change(self.decode_change(&change));
+            }
+        }
+        if let Some(value) = configuration {
+            self.adopt_configuration(&value, source);
+        }
     }
 
-    /// Applies a server entry that was written to the store. An entry that cannot be decoded counts
-    /// as removed.
-    pub fn on_server_put(&self, item: &Item) {
-        self.server_values.borrow_mut().insert(item.key.clone(), item.value.clone());
-        let change = match self.decode_entry(&item.key, &item.value) {
+    /// Decodes the change of a server entry. An entry that cannot be decoded counts as removed.
+    fn decode_change(&self, change: &ItemChange) -> ServerChange {
+        let entry = change.value.as_ref().and_then(|v| self.decode_entry(&change.key, v));
+        match entry {
             Some(entry) => ServerChange::Put(entry),
-            None => ServerChange::Gone(self.adapter.server_name(&item.key)),
-        };
-        self.on_server_change(change);
+            None => ServerChange::Gone(self.adapter.server_name(&change.key)),
+        }
     }
 
-    /// Applies the removal of a server entry from the store.
-    pub fn on_server_removed(&self, key: &str) {
-        self.server_values.borrow_mut().remove(key);
-        self.on_server_change(ServerChange::Gone(self.adapter.server_name(key)));
+    /// Returns the changes after `revision`, for another host.
+    pub fn changes_after(&self, revision: u64) -> Changes {
+        self.items.borrow().changes_after(revision)
     }
 
     fn on_server_change(&self, change: ServerChange) {
@@ -176,19 +172,14 @@
         self.changed.notify_waiters();
     }
 
-    /// Records that all changes up to `revision` of the store are applied.
-    pub fn on_revision(&self, revision: u64) {
-        self.revision.set(self.revision.get().max(revision));
-    }
-
     /// Returns the store revision up to which all changes are applied.
     pub fn revision(&self) -> u64 {
-        self.revision.get()
+        self.items.borrow().revision()
     }
 
     /// Records that another host has applied changes up to `revision`.
     pub fn on_peer_revision(&self, revision: u64) {
-        let own_revision = self.revision.get();
+        let own_revision = self.revision();
         if revision > own_revision && self.peer_revision.replace(revision) > own_revision {
             self.peer_is_newer.notify_waiters();
         }
@@ -205,6 +196,16 @@
         self.servers.borrow_mut().on_store_recovered(self.clock.now());
     }
 
+    /// Returns how much longer removals of server entries are delayed.
+    pub fn removal_delay(&self) -> Millis {
+        self.servers.borrow().removal_delay(self.clock.now())
+    }
+
+    /// Delays removals of server entries for `span` at least.
+    pub fn delay_removals(&self, span: Millis) {
+        self.servers.borrow_mut().delay_removals(self.clock.now(), span);
+    }
+
     /// Updates state that depends on the time, such as entries whose removal is held back.
     pub fn on_tick(&self, now: Millis) {
         self.servers.borrow_mut().on_tick(now);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,4 +1,5 @@
-//! Follows changes of the configuration and the list of servers in the store.
+//! Follows changes of the configuration and the list of servers in the store, on hosts that read it
+//! for their failure domain.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,7 +7,10 @@
 use rand::Rng;
 use tokio::time;
 use yuccanotch_core::clock::Millis;
+use yuccanotch_core::forward::item_log::Changes;
+use yuccanotch_core::forward::item_log::ItemChange;
 
+use crate::adapter::Item;
 use crate::adapter::StoreCall;
 use crate::adapter::StoreError;
 use crate::adapter::StoreEvent;
@@ -14,12 +18,13 @@
 use crate::adapter::StoreReply;
 use crate::gossip;
 use crate::host::Gateway;
+use crate::issuer;
 use crate::store::StoreClient;
 use crate::views::Views;
 
 /// How long the store may hold a watch call. A connection that no longer delivers anything is
 /// noticed after this time, or earlier when another host has seen a newer revision.
-const WATCH_WAIT: Millis = Millis(2_000);
+const WATCH_WAIT_MS: (u64, u64) = (1_600, 2_000);
 /// How long a watch call runs before it may be cancelled because another host has seen a newer
 /// revision.
 const MIN_WATCH_TIME: Duration = Duration::from_millis(700);
@@ -27,16 +32,22 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// The base and the largest span of the pause after a failed call, in ms.
 const BACKOFF_MS: (u64, u64) = (60, 600);
+/// The time between checks whether this host has to follow the store.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Follows the store for the life of the process.
+/// Follows the store whenever this host has to, for the life of the process.
 pub async fn run(gateway: Rc<Gateway>, keys: StoreKeys) {
-    let store = &gateway.store;
-    let views = &gateway.views;
     let mut backoff = Backoff::default();
     loop {
-        match read_all(store, views, &keys).await {
+        if !should_follow(&gateway) {
+            gateway.follows_store.set(false);
+            time::sleep(ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
+        match read_all(&gateway.store, &gateway.views, &keys).await {
             Ok(as_of) => {
                 backoff.reset();
+                gateway.follows_store.set(true);
                 follow(&gateway, &keys, as_of).await;
             }
             Err(_) => backoff.pause().await,
@@ -44,29 +55,38 @@
     }
 }
 
+fn should_follow(gateway: &Gateway) -> bool {
+    gateway.peers.node().should_read_store(gateway.clock.now())
+}
+
 /// Reads the servers and the configuration; returns the revision to watch from.
 async fn read_all(store: &StoreClient, views: &Views, keys: &StoreKeys) -> Result<u64, StoreError> {
     let was_lost = store.lost_since().is_some();
-    let (items, as_of) = store.range(&keys.servers).await?;
+    let (mut items, as_of) = store.range(&keys.servers).await?;
+    items.extend(store.get(&keys.configuration).await?);
     if was_lost {
         views.on_store_recovered();
     }
-    views.on_server_list(&items);
-    if let Some(item) = store.get(&keys.configuration).await? {
-        views.on_configuration(&item.value, "store");
-    }
-    views.on_revision(as_of);
+    let items = items.into_iter().map(written_item).collect();
+    views.merge(Changes { is_complete: true, revision: as_of, items }, "store");
     Ok(as_of)
 }
 
-/// Applies changes from the revision `after` on, until the store no longer keeps the history.
+fn written_item(item: Item) -> ItemChange {
+    ItemChange { key: item.key, revision: item.revision, value: Some(item.value) }
+}
+
+/// Applies changes from the revision `after` on, until the store no longer keeps the history or
+/// this host no longer has to.
 async fn follow(gateway: &Gateway, keys: &StoreKeys, mut after: u64) {
     let store = &gateway.store;
     let views = &gateway.views;
     let mut backoff = Backoff::default();
-    loop {
+    while should_follow(gateway) {
         let was_lost = store.lost_since().is_some();
-        let call = StoreCall::Watch { prefix: String::new(), after, wait: WATCH_WAIT };
+        let (least, most) = WATCH_WAIT_MS;
+        let wait = Millis(rand::rng().random_range(least..=most));
+        let call = StoreCall::Watch { prefix: String::new(), after, wait };
         let answer = tokio::select! {
             answer = store.call(&call) => answer,
             () = wait_until_behind(views) => continue,
@@ -78,9 +98,8 @@
                 }
                 backoff.reset();
                 let has_events = !events.is_empty();
-                apply_batch(gateway, keys, events);
                 after = after.max(as_of);
-                views.on_revision(after);
+                apply(gateway, keys, events, after);
                 if has_events {
                     time::sleep(BATCH_PAUSE).await;
                 }
@@ -98,34 +117,29 @@
     views.wait_for_newer_peer().await;
 }
 
-/// Applies a batch of changes. If it holds several configurations, only the last one is adopted.
-fn apply_batch(gateway: &Gateway, keys: &StoreKeys, events: Vec<StoreEvent>) {
-    let mut configuration = None;
+/// Applies a batch of changes, which is complete up to `revision`.
+fn apply(gateway: &Gateway, keys: &StoreKeys, events: Vec<StoreEvent>, revision: u64) {
+    let mut items = Vec::new();
     for event in events {
         match event {
-            StoreEvent::Put(item) if item.key == keys.configuration => {
-                configuration = Some(item.value);
+            StoreEvent::Put(item) if item.key.starts_with(gossip::HOSTS_PREFIX) => {
+                gossip::add_listed_host(gateway, &item.value);
+            }
+            StoreEvent::Put(item) if is_read(keys, &item.key) => items.push(written_item(item)),
+            StoreEvent::Removed { key, revision } if is_read(keys, &key) => {
+                items.push(ItemChange { key, revision, value: None });
             }
-            other => apply(gateway, keys, other),
+            StoreEvent::Removed { key, .. } if key == issuer::ISSUER_KEY => {
+                gateway.peers.on_issuer_gone();
+            }
+            _ => {}
         }
     }
-    if let Some(value) = configuration {
-        gateway.views.on_configuration(&value, "store");
-    }
+    gateway.views.merge(Changes { is_complete: false, revision, items }, "store");
 }
 
-fn apply(gateway: &Gateway, keys: &StoreKeys, event: StoreEvent) {
-    let views = &gateway.views;
-    match event {
-        StoreEvent::Put(item) if item.key.starts_with(&keys.servers) => views.on_server_put(&item),
-        StoreEvent::Removed { key } if key.starts_with(&keys.servers) => {
-            views.on_server_removed(&key);
-        }
-        StoreEvent::Put(item) if item.key.starts_with(gossip::HOSTS_PREFIX) => {
-            gossip::add_listed_host(gateway, &item.value);
-        }
-        _ => {}
-    }
+fn is_read(keys: &StoreKeys, key: &str) -> bool {
+    key == keys.configuration || key.starts_with(&keys.servers)
 }
 
 /// Exponential backoff between failed calls, with jitter so that hosts do not retry at the same
