--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -192,6 +192,7 @@
                     load: Load { active: 1.0, token_layers: loads[index], first: 1.0 },
                     slowness: 1.0,
                     faults: 0.0,
+                    spread_factor: 1.0,
                 prefill_backlog_ms: 0.0,
                 })
             })
