--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -16,6 +16,7 @@
 mod cmd_claim_figures;
 mod cmd_defects;
 mod cmd_detection;
+mod cmd_peering;
 mod cmd_random;
 mod cmd_route_bench;
 mod cmd_route_figures;
@@ -46,6 +47,7 @@
     claim-figures  Measures store writes, bytes and processor time per claim.
     defects    Checks that the randomised runs find every planted defect.
     detection  Measures detection times and false deaths of membership.
+    peering    Measures the messages between hosts at several sizes.
     random     Runs the decision modules under seeded faults.
     route-bench    Compares throughput and latency of the routing policies.
     route-figures  Measures processor time and memory of routing and admission.
@@ -79,6 +81,7 @@
         Some("claim-figures") => cmd_claim_figures::run(args),
         Some("defects") => cmd_defects::run(args),
         Some("detection") => cmd_detection::run(args),
+        Some("peering") => cmd_peering::run(args),
         Some("random") => cmd_random::run(args),
         Some("route-bench") => cmd_route_bench::run(args),
         Some("route-figures") => cmd_route_figures::run(args),
--- a/crates/core/src/peering/sim.rs
+++ b/crates/core/src/peering/sim.rs
@@ -26,6 +26,10 @@
 /// The bandwidth of the strongest hosts of a domain, and of all others, in Mbit/s.
 const LINK_MBPS: (u32, u32) = (200, 20);
 
+/// The server of whose load the hosts tell each other.
+const SERVER: &str = "server";
+/// The number of different servers at which hosts may have further requests.
+const EXTRA_SERVERS: u32 = 40;
 /// Of the hosts of a domain, one in so many has the wider link.
 const STRONG_HOST_PERIOD: usize = 13;
 
@@ -81,6 +85,8 @@
     /// Every message whose number is a multiple of this one is lost; 0 loses none.
     pub loss_period: u64,
     bytes_between_domains: u64,
+    /// The number of further servers at which each host has a request in progress.
+    pub extra_servers: u32,
 }
 
 impl Sim {
@@ -106,6 +112,7 @@
             next_message: 0,
             loss_period: 0,
             bytes_between_domains: 0,
+            extra_servers: 0,
         };
         (0..sim.hosts.len()).for_each(|index| sim.start(index));
         sim
@@ -154,7 +161,9 @@
             return;
         }
         host.next_round = now + ROUND_INTERVAL;
-        let observations = Observations { loads: vec![own_load(host.load)], ..Default::default() };
+        let mut loads = vec![own_load(host.load)];
+        loads.extend((0..self.extra_servers).map(|i| extra_load(index as u32 + i)));
+        let observations = Observations { loads, ..Default::default() };
         let Some(node) = &mut host.node else {
             return;
         };
@@ -210,7 +219,8 @@
     /// last call.
     pub fn seen_load(&mut self, index: usize) -> Option<u16> {
         let others = self.hosts[index].node.as_mut()?.take_others()?;
-        Some(others.loads.iter().map(|row| row.active).sum())
+        let server = short_hash(SERVER);
+        Some(others.loads.iter().filter(|row| row.server == server).map(|row| row.active).sum())
     }
 
     /// Returns the indexes of the hosts that run, grouped by domain and side of a cut.
@@ -251,10 +261,15 @@
 }
 
 fn own_load(load: u16) -> LoadRow {
-    let server = short_hash("server");
+    let server = short_hash(SERVER);
     LoadRow { server, active: load, first: load, kilo_token_layers: u32::from(load) }
 }
 
+fn extra_load(index: u32) -> LoadRow {
+    let server = short_hash(&format!("server-{}", index % EXTRA_SERVERS));
+    LoadRow { server, active: 1, first: 0, kilo_token_layers: 12 }
+}
+
 fn encoded_len(message: &Message) -> u64 {
     let buf = bincode::serde::encode_to_vec(message, bincode::config::standard());
     buf.map_or(0, |buf| buf.len() as u64)
