Send a request that a later stage declined again to the same first server

Change: such an end is told apart from the rejection by the server asked, and the request may go back to servers that have had it, on another chain, within the same limit on resends and the retry budget as a begun stream. The limit on the number of different servers stays; the property test now sends to known servers where the state allows no new one, and counts different servers as before.

--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -7,7 +7,7 @@
 /// The number of attempts in which no byte was sent that do not count against the limit on
 /// attempts.
 const MAX_FREE_UNSENT_ATTEMPTS: u8 = 4;
-/// The most times that a stream that has begun is sent again to servers that have had it already.
+/// The most times that a request is sent again to servers that have had it already.
 /// The limit on attempts only bounds the number of different servers.
 const MAX_RESENDS: u8 = 6;
 
@@ -27,6 +27,8 @@
     NotSent,
     /// The server states that it did not run the request.
     Declined,
+    /// The server states that it did not run the request because of another server of the chain.
+    StageDeclined,
     /// The connection broke after bytes had been sent, or the answer is incomplete or that of
     /// another request.
     Broken,
@@ -133,15 +135,18 @@
             *remaining = remaining.saturating_add(1);
         }
         self.in_flight = false;
-        let ran = !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined);
+        let not_run =
+            matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined | AttemptEnd::StageDeclined);
+        let ran = !not_run;
         self.may_have_run |= ran;
         let repeatable =
             !self.may_have_run || self.repeat.allows_rerun() || planted!(ForwardRepeatAfterRun);
         let resumable = !self.begun || self.repeat == RepeatPolicy::Resumable;
         let affordable =
             conditions.within_deadline && (conditions.within_budget || end == AttemptEnd::NotSent);
-        let may_resume = self.begun && self.resends_left > 0;
-        let allowed = self.may_try_new_server() || may_resume;
+        // The server asked may take the request on a chain without the stage that declined.
+        let may_return = self.begun || end == AttemptEnd::StageDeclined;
+        let allowed = self.may_try_new_server() || (may_return && self.resends_left > 0);
         if repeatable && resumable && affordable && allowed {
             return NextStep::Retry;
         }
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -51,6 +51,20 @@
     assert_eq!(state.final_step(), NextStep::Unknown);
 }
 
+#[test]
+fn a_request_declined_by_a_later_stage_returns_to_the_servers_that_it_was_sent_to() {
+    let mut state = RequestState::new(RepeatPolicy::Never, 1);
+    state.on_send(AttemptTarget::Untried);
+    let mut resends = 0;
+    while state.on_end(AttemptEnd::StageDeclined, WITHIN_LIMITS) == NextStep::Retry {
+        assert!(!state.may_try_new_server());
+        state.on_send(AttemptTarget::Tried);
+        resends += 1;
+    }
+    assert_eq!(resends, 6);
+    assert_eq!(state.on_end(AttemptEnd::StageDeclined, WITHIN_LIMITS), NextStep::Refuse);
+}
+
 #[test]
 fn a_declined_request_without_attempts_left_is_refused() {
     let mut state = RequestState::new(RepeatPolicy::Never, 1);
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -60,9 +60,6 @@
     /// The number of answers that it corrupted or lost recently as the first stage; older ones
     /// count less.
     pub faults: f64,
-    /// A factor on its cost, 1 or a little more, that the caller draws at random for each request:
-    /// hosts that share a view of the loads would otherwise all choose the same server.
-    pub spread_factor: f64,
 }
 
 /// The requirements of a request on its chain.
@@ -320,7 +317,7 @@
             holder,
             layers: holder.layers,
             may_be_first: is_kept || f64::from(holder.load.first) + 1.0 <= slots,
-            congestion_factor: congestion_factor(utilization) * holder.spread_factor,
+            congestion_factor: congestion_factor(utilization),
             slot_congestion_factor: congestion_factor(
                 f64::from(holder.load.first) / slots.max(1.0),
             ),
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -34,6 +34,7 @@
     prop_oneof![
         Just(AttemptEnd::NotSent),
         Just(AttemptEnd::Declined),
+        Just(AttemptEnd::StageDeclined),
         Just(AttemptEnd::Broken),
         Just(AttemptEnd::Failed),
         Just(AttemptEnd::Silent),
@@ -45,7 +46,7 @@
 }
 
 fn may_have_run(end: AttemptEnd) -> bool {
-    !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined)
+    !matches!(end, AttemptEnd::NotSent | AttemptEnd::Declined | AttemptEnd::StageDeclined)
 }
 
 fn kinds() -> Vec<AcceleratorKind> {
@@ -109,10 +110,11 @@
         let mut ran = false;
         let mut servers_sent_to = 0;
         for (end, within_budget, within_deadline) in history {
-            state.on_send(AttemptTarget::Untried);
+            let is_new = state.may_try_new_server();
+            state.on_send(if is_new { AttemptTarget::Untried } else { AttemptTarget::Tried });
             assert_ne!(state.final_step(), NextStep::Refuse, "a request in flight may have run");
             ran |= may_have_run(end);
-            servers_sent_to += u32::from(end != AttemptEnd::NotSent);
+            servers_sent_to += u32::from(is_new && end != AttemptEnd::NotSent);
             match state.on_end(end, RetryConditions { within_budget, within_deadline }) {
                 NextStep::Retry => assert!(!ran || repeat.allows_rerun()),
                 NextStep::Refuse => {
@@ -192,7 +194,6 @@
                     load: Load { active: 1.0, token_layers: loads[index], first: 1.0 },
                     slowness: 1.0,
                     faults: 0.0,
-                    spread_factor: 1.0,
                 prefill_backlog_ms: 0.0,
                 })
             })
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -161,7 +161,12 @@
                     ("at_fault", &at_fault),
                 ],
             );
-            return Some(unanswered(AttemptEnd::Declined, EndReason::Declined));
+            let end = if at_fault == *target.server() {
+                AttemptEnd::Declined
+            } else {
+                AttemptEnd::StageDeclined
+            };
+            return Some(unanswered(end, EndReason::Declined));
         }
         let unusable = !reply.sealed || reply.encoded || reply.id.is_none();
         if head.status.is_success() && unusable {
