Revert the random share of a model server's cost

A random share of the cost draws requests onto slow cards, streams last longer, and the fleet fills up.

--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -253,7 +253,6 @@
                 load: Load::default(),
                 slowness: 1.0,
                 faults: 0.0,
-                spread_factor: 1.0,
                 prefill_backlog_ms: 0.0,
             })
         })
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -36,8 +36,6 @@
 use crate::event_log::EventLog;
 use crate::views::Views;
 
-/// The largest share by which the cost of a model server is raised at random.
-const COST_SPREAD: f64 = 1.0;
 /// The extra cost of a plain server in another failure domain, in requests in progress.
 const OTHER_DOMAIN_COST: f64 = 2.0;
 
@@ -230,7 +228,6 @@
         let health = self.health.borrow();
         let loads = self.loads.borrow();
         let servers = self.views.servers();
-        let mut rng = rand::rng();
         servers
             .iter()
             .filter(|e| e.service == service.name && e.state == ServerState::Ready)
@@ -251,7 +248,6 @@
                     prefill_backlog_ms: loads.prefill_backlog(now, &e.id, per_ms) / per_ms,
                     slowness: health.slowness(now, &e.id),
                     faults: health.faults(now, &e.id),
-                    spread_factor: 1.0 + COST_SPREAD * rng.random::<f64>(),
                 })
             })
             .collect()
