Exchange loads every 50 ms and let separated parts of a cluster find each other

Second, the simulation at 195 hosts showed domains that never found each other after a third of the hosts had returned: calls to seeds took turns with all silent hosts, and summaries went to hosts that a stale row named as aggregators.

An aggregator calls one seed and one silent host each time; only fresh rows name receivers of summaries. Aggregators begin after 350 ms, so that hosts which all start at once serve earlier, and hosts that read the store for want of an aggregator wait longer after a failed call.

Two tests on 195 simulated hosts failed before.

--- a/crates/core/src/peering/node.rs
+++ b/crates/core/src/peering/node.rs
@@ -43,7 +43,7 @@
 const MAX_CANDIDATES: usize = 6;
 /// The number of own reports that are kept, so that a digest that includes one of them can be told
 /// apart from the work of other hosts.
-const KEPT_REPORTS: usize = 16;
+const KEPT_REPORTS: usize = 32;
 /// The most hosts, known but not heard, that a host without an aggregator asks in a round.
 const MAX_SILENT_CALLS: usize = 3;
 /// The number of hosts that a host assumes before it has heard any: it then takes nothing from what
@@ -658,7 +658,7 @@
     }
 
     /// Asks for hosts of the own domain: all seeds and some hosts that are known but not heard while
-    /// no aggregator is known, else one of these at a time.
+    /// no aggregator is known, else one of each at a time.
     fn call_seeds(&mut self, now: Millis, is_joined: bool, out: &mut Vec<Outgoing>) {
         let is_alone = !is_joined && !self.is_aggregator;
         if !is_alone && now.since(self.last_seed_call) < SEED_INTERVAL {
@@ -669,18 +669,16 @@
         let mut silent: Vec<SocketAddrV4> =
             self.peers.values().filter(|k| !k.is_heard(now)).map(|k| k.peer.gossip).collect();
         silent.sort_unstable();
-        let mut targets: Vec<SocketAddrV4> =
+        let seeds: Vec<SocketAddrV4> =
             self.seeds.iter().copied().filter(|s| *s != self.own.gossip).collect();
-        if is_alone {
-            let count = silent.len().min(MAX_SILENT_CALLS);
-            let start = self.next_seed * MAX_SILENT_CALLS;
-            targets.extend((0..count).map(|i| silent[(start + i) % silent.len()]));
-        } else {
-            targets.extend(silent);
-            targets =
-                targets.get(self.next_seed % targets.len().max(1)).copied().into_iter().collect();
-        }
-        out.extend(targets.into_iter().map(|to| Outgoing { to, content: Content::Join }));
+        let (seed_calls, silent_calls) =
+            if is_alone { (seeds.len(), MAX_SILENT_CALLS) } else { (1, 1) };
+        let targets = rotated(&seeds, self.next_seed, seed_calls).chain(rotated(
+            &silent,
+            self.next_seed,
+            silent_calls,
+        ));
+        out.extend(targets.map(|to| Outgoing { to, content: Content::Join }));
     }
 
     fn send_reports(
@@ -850,7 +848,9 @@
         }
         let mut receivers = Vec::new();
         for (domain, peers) in by_domain {
-            let named = self.domains.get(domain).map_or(&[][..], |d| d.aggregators.as_slice());
+            // An old row names hosts that may have been replaced while the domain was not heard.
+            let row = self.domains.get(domain).filter(|d| now.since(d.updated_at) < SUMMARY_TTL);
+            let named = row.map_or(&[][..], |d| d.aggregators.as_slice());
             let is_named = |k: &KnownPeer| named.iter().any(|p| p.gossip == k.peer.gossip);
             let mut alive: Vec<&KnownPeer> =
                 peers.iter().copied().filter(|k| k.is_alive(now)).collect();
@@ -877,3 +877,13 @@
         }
     }
 }
+
+/// Returns up to `count` of the `addresses`, others in each turn.
+fn rotated(
+    addresses: &[SocketAddrV4],
+    turn: usize,
+    count: usize,
+) -> impl Iterator<Item = SocketAddrV4> + '_ {
+    let count = count.min(addresses.len());
+    (0..count).map(move |i| addresses[(turn * count + i) % addresses.len()])
+}
--- a/crates/core/src/peering/tests.rs
+++ b/crates/core/src/peering/tests.rs
@@ -125,10 +125,39 @@
     assert!(sent(&sim) - before <= 2 * calm, "{} against {calm}", sent(&sim) - before);
 }
 
+#[test]
+fn many_hosts_that_return_at_once_are_found_by_all_domains() {
+    let mut sim = Sim::new(5, 39);
+    sim.run(START);
+    (0..195).step_by(3).for_each(|i| sim.crash(i));
+    sim.run(START);
+    (0..195).step_by(3).for_each(|i| sim.start(i));
+    sim.run(Millis(12_000));
+    assert_eq!(host_counts(&sim), (195, 195));
+}
+
+#[test]
+fn a_domain_whose_aggregators_changed_while_it_was_not_heard_is_heard_again() {
+    let mut sim = Sim::new(5, 39);
+    sim.run(START);
+    // The hosts in the place of the lost aggregators of the first domain go back to be members while
+    // the aggregators of the last domain are down.
+    let lost = aggregators(&sim, 0, 39);
+    lost.iter().for_each(|&i| sim.crash(i));
+    sim.run(Millis(2_000));
+    lost.iter().for_each(|&i| sim.start(i));
+    sim.run(START);
+    (0..195).step_by(3).for_each(|i| sim.crash(i));
+    sim.run(Millis(2_000));
+    (0..195).step_by(3).for_each(|i| sim.start(i));
+    sim.run(Millis(12_000));
+    assert_eq!(host_counts(&sim), (195, 195));
+}
+
 #[test]
 fn a_host_alone_becomes_the_aggregator_of_its_domain() {
     let mut sim = Sim::new(1, 1);
-    sim.run(Millis(500));
+    sim.run(Millis(200));
     assert!(aggregators(&sim, 0, 1).is_empty());
     sim.run(Millis(1_000));
     assert_eq!(aggregators(&sim, 0, 1), vec![0]);
--- a/crates/core/src/peering/timing.rs
+++ b/crates/core/src/peering/timing.rs
@@ -4,10 +4,10 @@
 
 /// The time between rounds, in which a host reports to its first aggregator and gets a digest. Many
 /// hosts choose among the same servers meanwhile, so a long round overfills the best of them.
-pub const ROUND_INTERVAL: Millis = Millis(100);
+pub const ROUND_INTERVAL: Millis = Millis(50);
 /// A host reports to its other aggregator, and an aggregator sends the surroundings of the domain,
 /// in every round that is a multiple of this number.
-pub const ROUNDS_PER_FULL_EXCHANGE: u32 = 5;
+pub const ROUNDS_PER_FULL_EXCHANGE: u32 = 10;
 /// The time without a message after which a host no longer counts as alive.
 pub const PEER_TIMEOUT: Millis = Millis(2_000);
 /// The time without a digest of the first aggregator after which the loads of the other one count.
@@ -17,7 +17,7 @@
 /// How long a host is not chosen as an aggregator after it has sent no digest in time.
 pub const AVOIDANCE: Millis = Millis(4_000);
 /// How long a starting host looks for an aggregator before it may become one.
-pub const LONE_WAIT: Millis = Millis(700);
+pub const LONE_WAIT: Millis = Millis(350);
 /// How long a host that has heard nobody waits before it looks up the listed hosts.
 pub const LISTING_WAIT: Millis = Millis(600);
 /// How long reports and digests count, from their arrival.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -32,6 +32,8 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// The base and the largest span of the pause after a failed call, in ms.
 const BACKOFF_MS: (u64, u64) = (60, 600);
+/// The additional pause of hosts that are no aggregators after a failed call.
+const MEMBER_PAUSE: Duration = Duration::from_millis(2_500);
 /// The time between checks whether this host has to follow the store.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -50,11 +52,20 @@
                 gateway.follows_store.set(true);
                 follow(&gateway, &keys, as_of).await;
             }
-            Err(_) => backoff.pause().await,
+            Err(_) => pause_after_failure(&gateway, &mut backoff).await,
         }
     }
 }
 
+/// Waits after a failed call. A host that reads the store only because no aggregator does waits
+/// longer, since during an outage all hosts are in this state.
+async fn pause_after_failure(gateway: &Gateway, backoff: &mut Backoff) {
+    if !gateway.peers.node().is_aggregator() {
+        time::sleep(MEMBER_PAUSE).await;
+    }
+    backoff.pause().await;
+}
+
 fn should_follow(gateway: &Gateway) -> bool {
     gateway.peers.node().should_read_store(gateway.clock.now())
 }
@@ -105,7 +116,7 @@
                 }
             }
             Ok(_) => return,
-            Err(_) => backoff.pause().await,
+            Err(_) => pause_after_failure(gateway, &mut backoff).await,
         }
     }
 }
