--- a/crates/core/src/peering/node.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -1,6 +1,10 @@
 //! The part of one host in the exchange: whom it knows, which hosts it reports to, and what it
 //! sends on as an aggregator.
 
+mod aggregate;
+mod known;
+mod receive;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -10,22 +14,18 @@
 use crate::defect::planted;
 use crate::name::DomainName;
 use crate::peering::messages::Content;
-use crate::peering::messages::DomainRow;
-use crate::peering::messages::IncludedReport;
-use crate::peering::messages::Message;
 use crate::peering::messages::Outgoing;
 use crate::peering::messages::Peer;
 use crate::peering::messages::Status;
-use crate::peering::messages::Surroundings;
+use crate::peering::node::known::KnownDomain;
+use crate::peering::node::known::KnownPeer;
 use crate::peering::observations::short_hash;
 use crate::peering::observations::LoadRow;
-use crate::peering::observations::ObservationSum;
 use crate::peering::observations::Observations;
 use crate::peering::ranking::rank;
 use crate::peering::ranking::AGGREGATORS;
 use crate::peering::timing::AVOIDANCE;
 use crate::peering::timing::DIGEST_TIMEOUT;
-use crate::peering::timing::FIRST_DIGEST_TIMEOUT;
 use crate::peering::timing::FORGET_AFTER;
 use crate::peering::timing::ISSUER_TIMEOUT;
 use crate::peering::timing::LISTING_WAIT;
@@ -33,10 +33,8 @@
 use crate::peering::timing::PEER_TIMEOUT;
 use crate::peering::timing::READER_SPREAD;
 use crate::peering::timing::READER_TIMEOUT;
-use crate::peering::timing::REPORT_TTL;
 use crate::peering::timing::ROUNDS_PER_FULL_EXCHANGE;
 use crate::peering::timing::SEED_INTERVAL;
-use crate::peering::timing::SUMMARY_INTERVAL;
 use crate::peering::timing::SUMMARY_TTL;
 
 /// The most hosts of a domain that a message names as possible aggregators.
@@ -50,91 +48,6 @@
 /// all hosts share.
 const ASSUMED_HOSTS: usize = 1_000;
 
-/// The last report of a member.
-#[derive(Debug)]
-struct ReceivedReport {
-    received_at: Millis,
-    sequence: u32,
-    wants_every_round: bool,
-    observations: Observations,
-}
-
-/// What this host knows of another one.
-#[derive(Debug)]
-struct KnownPeer {
-    peer: Peer,
-    incarnation: u64,
-    added_at: Millis,
-    heard_at: Option<Millis>,
-    // When another host last named it as alive.
-    listed_at: Option<Millis>,
-    digest_at: Option<Millis>,
-    // Since when this host has sent it reports.
-    reporting_since: Option<Millis>,
-    avoided_until: Millis,
-    is_stopping: bool,
-    is_issuer: bool,
-    reads_store: bool,
-    revision: u64,
-    report: Option<ReceivedReport>,
-}
-
-impl KnownPeer {
-    fn new(now: Millis, peer: Peer) -> Self {
-        Self {
-            peer,
-            incarnation: 0,
-            added_at: now,
-            heard_at: None,
-            listed_at: None,
-            digest_at: None,
-            reporting_since: None,
-            avoided_until: Millis::ZERO,
-            is_stopping: false,
-            is_issuer: false,
-            reads_store: false,
-            revision: 0,
-            report: None,
-        }
-    }
-
-    fn is_heard(&self, now: Millis) -> bool {
-        self.heard_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
-    }
-
-    fn is_alive(&self, now: Millis) -> bool {
-        let is_listed = self.listed_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT);
-        !self.is_stopping && now >= self.avoided_until && (self.is_heard(now) || is_listed)
-    }
-
-    fn last_sign(&self) -> Millis {
-        self.added_at
-            .max(self.heard_at.unwrap_or(Millis::ZERO))
-            .max(self.listed_at.unwrap_or(Millis::ZERO))
-    }
-
-    fn sends_digests(&self, now: Millis) -> bool {
-        self.digest_at.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
-    }
-
-    fn live_report(&self, now: Millis) -> Option<&ReceivedReport> {
-        self.report.as_ref().filter(|r| now.since(r.received_at) < REPORT_TTL)
-    }
-}
-
-/// What this host knows of another failure domain.
-#[derive(Debug)]
-struct KnownDomain {
-    updated_at: Millis,
-    // Whether the timeout since the last update has not passed yet.
-    is_heard: bool,
-    hosts: u16,
-    has_issuer: bool,
-    aggregators: Vec<Peer>,
-    // What its hosts observe; set only by a summary, which comes to aggregators.
-    observations: Option<Observations>,
-}
-
 /// A host from which newer changes can be fetched.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Source {
@@ -301,9 +214,10 @@
             .values()
             .filter(|k| k.peer.domain == self.own.domain && k.is_heard(now))
             .count();
-        let in_domain = match self.has_aggregator(now) {
-            true => self.members_in_digest.max(heard_in_domain),
-            false => heard_in_domain,
+        let in_domain = if self.has_aggregator(now) {
+            self.members_in_digest.max(heard_in_domain)
+        } else {
+            heard_in_domain
         };
         let others = self.domains.values().filter(|d| now.since(d.updated_at) < SUMMARY_TTL);
         in_domain + 1 + others.map(|d| usize::from(d.hosts)).sum::<usize>()
@@ -371,194 +285,24 @@
             self.aggregate(now, own, &observations, &aggregators, &mut out);
         }
         self.record_host_count(now);
-        self.without_reader_since = match self.hears_reader(now) {
-            true => None,
-            false => self.without_reader_since.or(Some(now)),
-        };
-        self.without_issuer_since = match own.is_issuer || self.hears_issuer(now) {
-            true => None,
-            false => self.without_issuer_since.or(Some(now)),
-        };
+        let since = self.without_reader_since.or(Some(now));
+        self.without_reader_since = since.filter(|_| !self.hears_reader(now));
+        let since = self.without_issuer_since.or(Some(now));
+        self.without_issuer_since = since.filter(|_| !own.is_issuer && !self.hears_issuer(now));
         out
     }
 
-    /// Applies a message of another host; returns the answer to send.
-    pub fn on_message(&mut self, now: Millis, own: &Status, message: Message) -> Option<Outgoing> {
-        let from = message.from.peer.clone();
-        if from.gossip == self.own.gossip {
-            return None;
-        }
-        self.record_sender(now, &message.from);
-        match message.content {
-            Content::Join => {
-                let peers = self.peers_for(now, own, &from.domain);
-                return Some(Outgoing { to: from.gossip, content: Content::Peers(peers) });
-            }
-            Content::Peers(peers) => self.on_listed(now, peers),
-            Content::Report { sequence, wants_every_round, observations } => {
-                let report =
-                    ReceivedReport { received_at: now, sequence, wants_every_round, observations };
-                self.on_report(&from, report);
-            }
-            Content::Digest { included, observations, surroundings } => {
-                if from.domain == self.own.domain {
-                    if let Some(surroundings) = surroundings {
-                        self.on_surroundings(now, surroundings);
-                    }
-                    self.on_digest(now, &from, &included, &observations);
-                }
-            }
-            Content::Summary { row, observations } => {
-                return self.on_summary(now, own, &from, row, observations);
-            }
-        }
-        None
-    }
-
     fn set_role(&mut self, is_aggregator: bool) {
         if is_aggregator != self.is_aggregator {
             self.is_aggregator = is_aggregator;
-            self.findings.push(match is_aggregator {
-                true => Finding::BecameAggregator,
-                false => Finding::CeasedAggregator,
+            self.findings.push(if is_aggregator {
+                Finding::BecameAggregator
+            } else {
+                Finding::CeasedAggregator
             });
         }
     }
 
-    fn record_sender(&mut self, now: Millis, status: &Status) {
-        let peer = &status.peer;
-        let known =
-            self.peers.entry(peer.gossip).or_insert_with(|| KnownPeer::new(now, peer.clone()));
-        if !known.is_heard(now) && peer.domain == self.own.domain {
-            self.findings.push(Finding::Found(peer.clone()));
-        }
-        if known.incarnation != status.incarnation {
-            *known = KnownPeer::new(now, peer.clone());
-            known.incarnation = status.incarnation;
-        }
-        known.heard_at = Some(now);
-        known.is_stopping = status.is_stopping;
-        known.is_issuer = status.is_issuer;
-        known.reads_store = status.reads_store;
-        known.revision = status.revision;
-    }
-
-    fn on_listed(&mut self, now: Millis, peers: Vec<Peer>) {
-        for peer in peers {
-            if peer.gossip == self.own.gossip {
-                continue;
-            }
-            let known = self.peers.entry(peer.gossip).or_insert_with(|| KnownPeer::new(now, peer));
-            known.listed_at = Some(now);
-        }
-    }
-
-    fn on_report(&mut self, from: &Peer, report: ReceivedReport) {
-        let Some(known) = self.peers.get_mut(&from.gossip) else {
-            return;
-        };
-        let is_newer = known.report.as_ref().is_none_or(|r| r.sequence < report.sequence);
-        if is_newer || planted!(PeeringOlderReport) {
-            known.report = Some(report);
-        }
-    }
-
-    fn on_surroundings(&mut self, now: Millis, surroundings: Surroundings) {
-        self.on_listed(now, surroundings.candidates);
-        // Two aggregators that believed each other would keep a lost domain alive; they believe only
-        // summaries.
-        if self.is_aggregator && !planted!(PeeringHearsay) {
-            return;
-        }
-        surroundings.domains.into_iter().for_each(|row| self.on_domain_row(now, row, None));
-        self.has_issuer_in_domain = surroundings.has_issuer;
-        self.other_domains = surroundings.observations;
-        self.other_domains_at = now;
-    }
-
-    fn on_digest(
-        &mut self,
-        now: Millis,
-        from: &Peer,
-        included: &[IncludedReport],
-        observations: &Observations,
-    ) {
-        if let Some(known) = self.peers.get_mut(&from.gossip) {
-            known.digest_at = Some(now);
-        }
-        self.members_in_digest = included.len();
-        let is_from_first = self.first_aggregator == Some(from.gossip);
-        if is_from_first {
-            self.first_digest_at = now;
-        }
-        // The other aggregator gets reports less often, so its sums are older.
-        let is_outdated = !is_from_first && now.since(self.first_digest_at) < FIRST_DIGEST_TIMEOUT;
-        if self.is_aggregator || is_outdated {
-            return;
-        }
-        let own_hash = short_hash(self.own.host.as_str());
-        let own_sequence = included.iter().find(|i| i.host == own_hash).map(|i| i.sequence);
-        let own_loads = self
-            .own_reports
-            .iter()
-            .find(|(sequence, _)| Some(*sequence) == own_sequence)
-            .map_or(&[][..], |(_, loads)| loads.as_slice());
-        let own_loads = if planted!(PeeringCountsOwnLoad) { &[][..] } else { own_loads };
-        let mut sum = ObservationSum::default();
-        sum.add(observations, 0);
-        sum.subtract_loads(own_loads);
-        let age = now.since(self.other_domains_at);
-        if age < REPORT_TTL {
-            sum.add(&self.other_domains, age.0);
-        }
-        self.others = Some(sum.finish());
-    }
-
-    /// Records what is known of another domain; `observations` are known only from its summary.
-    fn on_domain_row(&mut self, now: Millis, row: DomainRow, observations: Option<Observations>) {
-        if row.domain == self.own.domain {
-            return;
-        }
-        self.on_listed(now, row.aggregators.clone());
-        if !self.domains.get(&row.domain).is_some_and(|d| d.is_heard) {
-            self.findings.push(Finding::DomainFound(row.domain.clone()));
-        }
-        let known = self.domains.entry(row.domain).or_insert(KnownDomain {
-            updated_at: now,
-            is_heard: true,
-            hosts: 0,
-            has_issuer: false,
-            aggregators: Vec::new(),
-            observations: None,
-        });
-        known.updated_at = now;
-        known.is_heard = true;
-        known.hosts = row.hosts;
-        known.has_issuer = row.has_issuer;
-        known.aggregators = row.aggregators;
-        known.observations = observations;
-    }
-
-    fn on_summary(
-        &mut self,
-        now: Millis,
-        own: &Status,
-        from: &Peer,
-        row: DomainRow,
-        observations: Observations,
-    ) -> Option<Outgoing> {
-        if from.domain == self.own.domain || row.domain != from.domain {
-            return None;
-        }
-        self.on_domain_row(now, row, Some(observations));
-        if self.is_aggregator {
-            return None;
-        }
-        // The sender believes that this host is an aggregator; it learns of the present ones.
-        let peers = self.peers_for(now, own, &self.own.domain);
-        Some(Outgoing { to: from.gossip, content: Content::Peers(peers) })
-    }
-
     /// Returns the hosts of the own domain that are believed alive, this one included, in the order
     /// of their ranking.
     fn ranked(&self, now: Millis, own: &Status) -> Vec<&Peer> {
@@ -717,156 +461,6 @@
         self.round.is_multiple_of(ROUNDS_PER_FULL_EXCHANGE)
     }
 
-    /// Sums the reports and summaries, and sends the digests and summaries that are due.
-    fn aggregate(
-        &mut self,
-        now: Millis,
-        own: &Status,
-        observations: &Observations,
-        aggregators: &[Peer],
-        out: &mut Vec<Outgoing>,
-    ) {
-        let of_members = self.sum_of_members(now);
-        let of_other_domains = self.sum_of_other_domains(now);
-        let mut others = ObservationSum::default();
-        others.add(&of_members, 0);
-        others.add(&of_other_domains, 0);
-        self.others = Some(others.finish());
-        let mut of_domain = ObservationSum::default();
-        of_domain.add(&of_members, 0);
-        of_domain.add(observations, 0);
-        let of_domain = of_domain.finish();
-        let is_issuer_here =
-            |k: &KnownPeer| k.is_issuer && k.is_heard(now) && k.peer.domain == self.own.domain;
-        self.has_issuer_in_domain = own.is_issuer || self.peers.values().any(is_issuer_here);
-        self.send_digests(now, own, &of_domain, of_other_domains, out);
-        let is_first = aggregators.first().is_none_or(|p| p.gossip == self.own.gossip);
-        if is_first && now.since(self.last_summary) >= SUMMARY_INTERVAL {
-            self.last_summary = now;
-            self.send_summaries(now, own, of_domain, out);
-        }
-    }
-
-    /// Returns the sum of what the other hosts of the domain reported.
-    fn sum_of_members(&self, now: Millis) -> Observations {
-        let mut sum = ObservationSum::default();
-        for report in self.peers.values().filter_map(|k| k.live_report(now)) {
-            sum.add(&report.observations, now.since(report.received_at).0);
-        }
-        sum.finish()
-    }
-
-    /// Returns the sum of what the hosts of the other domains observe.
-    fn sum_of_other_domains(&self, now: Millis) -> Observations {
-        let mut sum = ObservationSum::default();
-        for known in self.domains.values() {
-            let age = now.since(known.updated_at);
-            if let Some(remote) = known.observations.as_ref().filter(|_| age < SUMMARY_TTL) {
-                sum.add(remote, age.0);
-            }
-        }
-        sum.finish()
-    }
-
-    /// Sends a digest to the members whose first aggregator this host is, and in a full exchange to
-    /// all that report to it.
-    fn send_digests(
-        &self,
-        now: Millis,
-        own: &Status,
-        of_domain: &Observations,
-        of_other_domains: Observations,
-        out: &mut Vec<Outgoing>,
-    ) {
-        let is_full = self.is_full_exchange();
-        let mut included: Vec<IncludedReport> = self
-            .peers
-            .values()
-            .filter_map(|k| Some((k, k.live_report(now)?)))
-            .map(|(k, report)| IncludedReport {
-                host: short_hash(k.peer.host.as_str()),
-                sequence: report.sequence,
-            })
-            .collect();
-        included.sort_unstable_by_key(|i| i.host);
-        let surroundings = is_full.then(|| Surroundings {
-            candidates: self.heard_candidates(now, own),
-            has_issuer: self.has_issuer_in_domain,
-            domains: self.domain_rows(now),
-            observations: of_other_domains,
-        });
-        let content = Content::Digest { included, observations: of_domain.clone(), surroundings };
-        for known in self.peers.values() {
-            let wants = known.live_report(now).is_some_and(|r| is_full || r.wants_every_round);
-            if wants {
-                out.push(Outgoing { to: known.peer.gossip, content: content.clone() });
-            }
-        }
-    }
-
-    /// Returns the other domains of which a summary has come lately.
-    fn domain_rows(&self, now: Millis) -> Vec<DomainRow> {
-        let is_fresh =
-            |d: &KnownDomain| d.observations.is_some() && now.since(d.updated_at) < SUMMARY_TTL;
-        let fresh = self.domains.iter().filter(|(_, d)| is_fresh(d));
-        fresh
-            .map(|(domain, d)| DomainRow {
-                domain: domain.clone(),
-                hosts: d.hosts,
-                has_issuer: d.has_issuer,
-                aggregators: d.aggregators.clone(),
-            })
-            .collect()
-    }
-
-    /// Sends a summary of this domain to the aggregators of each other one.
-    fn send_summaries(
-        &self,
-        now: Millis,
-        own: &Status,
-        observations: Observations,
-        out: &mut Vec<Outgoing>,
-    ) {
-        let row = DomainRow {
-            domain: self.own.domain.clone(),
-            hosts: self.reporters(now).len() as u16 + 1,
-            has_issuer: self.has_issuer_in_domain,
-            aggregators: self.heard_candidates(now, own).into_iter().take(AGGREGATORS).collect(),
-        };
-        let content = Content::Summary { row, observations };
-        for to in self.summary_receivers(now) {
-            out.push(Outgoing { to, content: content.clone() });
-        }
-    }
-
-    /// Returns the aggregators of the other domains, or of a domain where none is alive, one host
-    /// that once was.
-    fn summary_receivers(&self, now: Millis) -> Vec<SocketAddrV4> {
-        let mut by_domain: BTreeMap<&DomainName, Vec<&KnownPeer>> = BTreeMap::new();
-        for known in self.peers.values().filter(|k| k.peer.domain != self.own.domain) {
-            by_domain.entry(&known.peer.domain).or_default().push(known);
-        }
-        let mut receivers = Vec::new();
-        for (domain, peers) in by_domain {
-            // An old row names hosts that may have been replaced while the domain was not heard.
-            let row = self.domains.get(domain).filter(|d| now.since(d.updated_at) < SUMMARY_TTL);
-            let named = row.map_or(&[][..], |d| d.aggregators.as_slice());
-            let is_named = |k: &KnownPeer| named.iter().any(|p| p.gossip == k.peer.gossip);
-            let mut alive: Vec<&KnownPeer> =
-                peers.iter().copied().filter(|k| k.is_alive(now)).collect();
-            alive.sort_by_key(|k| (!is_named(k), rank(&k.peer)));
-            receivers.extend(alive.iter().take(AGGREGATORS).map(|k| k.peer.gossip));
-            if alive.is_empty() {
-                // A cut that has healed is noticed by whoever sends first.
-                let index = (now.0 / SUMMARY_INTERVAL.0) as usize % peers.len();
-                let mut all: Vec<SocketAddrV4> = peers.iter().map(|k| k.peer.gossip).collect();
-                all.sort_unstable();
-                receivers.push(all[index]);
-            }
-        }
-        receivers
-    }
-
     fn record_host_count(&mut self, now: Millis) {
         let is_known = self.is_aggregator || self.has_aggregator(now);
         if is_known {
