--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,6 +6,8 @@
 pub mod engine;
 pub mod load;
 pub mod membership;
+#[cfg(test)]
+mod membership_tests;
 pub mod path;
 pub mod plan;
 #[cfg(test)]
