Keep a safe request at a silent plain server that no other one can replace

What callers saw: a safe request ended with a 502 of the host after 100 to 400 ms at each server, an unknown outcome with most of its time left, when its servers fell silent for a second and would have answered.

Change: a silent plain server counts as lost only if an untried server that nobody suspects can take the request; else the request stays until its deadline.

Evidence: the test on the stand-in, with two servers that fall silent for 1.2 s, failed with 502 before and passes.

--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -56,7 +56,18 @@
             && gateway
                 .routing
                 .choose_target(&self.service, self.expected_load(), self.candidates())
-                .is_some()
+                .is_some_and(|target| self.may_replace_current(&target))
+    }
+
+    /// Returns whether `target` can replace a silent one. A plain server that is suspected or has had
+    /// the request is no better than the silent one, which may go on.
+    fn may_replace_current(&self, target: &Target) -> bool {
+        match target {
+            Target::Chain(_) => true,
+            Target::Server { server, .. } => {
+                !self.tried.contains(server) && self.gateway.routing.is_usable(server)
+            }
+        }
     }
 
     fn candidates(&self) -> Candidates<'_> {
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -40,13 +40,14 @@
     }
 
     /// Requests a silent model server's report to find out which server it waits for, and moves the
-    /// request to a chain without that one. A silent plain server counts as lost.
+    /// request to a chain without that one. A silent plain server counts as lost if another one can
+    /// take the request.
     pub(super) async fn check_silent_server(&mut self, timeout: Duration) -> ServerProgress {
         let chain = match self.current.as_ref().map(|c| c.target.clone()) {
             Some(Target::Chain(chain)) => chain,
             Some(Target::Server { server, .. }) => {
                 self.gateway.routing.suspect(&server, "silent");
-                return ServerProgress::Lost;
+                return self.lost_unless_alone();
             }
             None => return ServerProgress::Lost,
         };
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -322,6 +322,11 @@
         }
     }
 
+    /// Returns whether `server` may get requests: it is neither suspected nor in a backoff.
+    pub fn is_usable(&self, server: &ServerName) -> bool {
+        self.health.borrow().is_usable(self.clock.now(), server)
+    }
+
     /// Records a failure of the server at `address`, if one is listed there.
     pub fn suspect_address(&self, address: SocketAddrV4, why: &str) {
         if let Some(id) = self.server_at(address) {
