Let a begun stream await the retry budget instead of being broken off

What callers saw: the connection closed in the middle of a stream whose host had left a silent server for another one that declined, or whose server had broken it, with time left.

Cause: a host that found its share of the retry budget used ended the answer at once. The share is a sliding window that frees retries all the time; only the deadline is final.

Change: a begun, resumable answer awaits its retry until its deadline. Requests whose answer has not begun still end at once, since their callers can try another host.

In the simulated and the property tests an awaited retry counts as a retry.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -108,7 +108,7 @@
             let within_budget = self.rng.random_bool(0.9);
             let next =
                 request_state.on_end(end, RetryConditions { within_budget, within_deadline: true });
-            if next != NextStep::Retry {
+            if !matches!(next, NextStep::Retry | NextStep::AwaitBudget) {
                 return self.check_end(next, Some(end));
             }
         }
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -43,6 +43,9 @@
 pub enum NextStep {
     /// Send the request again, to a server that may have it.
     Retry,
+    /// Send the request again as soon as the retry budget allows it: the caller has a part of the
+    /// answer, which a break-off would lose.
+    AwaitBudget,
     /// Pass the server's own error on to the caller.
     PassOn,
     /// Tell the caller that the request did not run and will not run.
@@ -142,15 +145,19 @@
         let repeatable =
             !self.may_have_run || self.repeat.allows_rerun() || planted!(ForwardRepeatAfterRun);
         let resumable = !self.begun || self.repeat == RepeatPolicy::Resumable;
-        let affordable =
-            conditions.within_deadline && (conditions.within_budget || end == AttemptEnd::NotSent);
         // The server asked may take the request on a chain without the stage that declined.
         let may_return = self.begun || end == AttemptEnd::StageDeclined;
         let allowed = self.may_try_new_server() || (may_return && self.resends_left > 0);
-        if repeatable && resumable && affordable && allowed {
-            return NextStep::Retry;
+        if !(repeatable && resumable && allowed && conditions.within_deadline) {
+            return self.give_up(end);
+        }
+        if conditions.within_budget || end == AttemptEnd::NotSent {
+            NextStep::Retry
+        } else if self.begun {
+            NextStep::AwaitBudget
+        } else {
+            self.give_up(end)
         }
-        self.give_up(end)
     }
 
     /// Returns whether another attempt would follow if the present one ended with `end` now.
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -90,6 +90,18 @@
     assert_eq!(state.on_end(AttemptEnd::Broken, BUDGET_EXHAUSTED), NextStep::Unknown);
 }
 
+/// Guards against begun streams that are broken off for want of budget, with time left.
+#[test]
+fn a_begun_stream_awaits_the_budget_until_its_deadline() {
+    let mut state = RequestState::new(RepeatPolicy::Resumable, 3);
+    state.on_send(AttemptTarget::Untried);
+    state.on_answer_begun();
+    assert_eq!(state.on_end(AttemptEnd::Declined, BUDGET_EXHAUSTED), NextStep::AwaitBudget);
+    state.on_send(AttemptTarget::Untried);
+    let late = RetryConditions { within_deadline: false, ..BUDGET_EXHAUSTED };
+    assert_eq!(state.on_end(AttemptEnd::Broken, late), NextStep::BreakOff);
+}
+
 #[test]
 fn a_begun_stream_that_may_not_be_resumed_is_broken_off() {
     let mut state = RequestState::new(RepeatPolicy::Never, 2);
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -116,7 +116,9 @@
             ran |= may_have_run(end);
             servers_sent_to += u32::from(is_new && end != AttemptEnd::NotSent);
             match state.on_end(end, RetryConditions { within_budget, within_deadline }) {
-                NextStep::Retry => assert!(!ran || repeat.allows_rerun()),
+                NextStep::Retry | NextStep::AwaitBudget => {
+                    assert!(!ran || repeat.allows_rerun());
+                }
                 NextStep::Refuse => {
                     assert!(!ran, "reported as not run although it ran");
                     break;
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -216,7 +216,11 @@
                 &[("id", &self.id()), ("server", target.server()), ("why", &why)],
             );
             let conditions = self.retry_conditions(end);
-            let next = self.outcome.on_end(end, conditions);
+            let mut next = self.outcome.on_end(end, conditions);
+            if next == NextStep::AwaitBudget {
+                self.wait_for_retry().await;
+                next = NextStep::Retry;
+            }
             self.gateway.counters.attempt_ended(why, next == NextStep::Retry);
             if next != NextStep::Retry {
                 self.finish_unanswered(next, server_answer, StatusCode::BAD_GATEWAY).await;
@@ -285,7 +289,7 @@
                 }
             }
             NextStep::Refuse => self.answer_with_status(StatusCode::SERVICE_UNAVAILABLE),
-            NextStep::PassOn | NextStep::Unknown | NextStep::Retry => {
+            NextStep::PassOn | NextStep::Unknown | NextStep::Retry | NextStep::AwaitBudget => {
                 self.answer_with_status(unknown_status)
             }
         }
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -19,7 +19,7 @@
 
 /// The longest wait of a request whose caller has received nothing yet.
 const MAX_ROOM_WAIT: Millis = Millis(400);
-/// How often a waiting request checks for room.
+/// How often a waiting request checks for room or for a retry in the budget.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Exchange {
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Waits until the retry budget allows one more attempt, and takes it from the budget. The
+    /// deadline of the request ends the wait.
+    pub(super) async fn wait_for_retry(&self) {
+        let gateway = &self.gateway;
+        while !gateway.routing.take_retry(&self.service.name, gateway.hosts_sharing_retries()) {
+            time::sleep(ROOM_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns whether the request could be sent elsewhere at once if its present attempt ended
     /// because of silence.
     pub(super) fn may_go_elsewhere(&self) -> bool {
