--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -63,6 +63,8 @@
     ModelVersion;
     /// Names a plain service.
     ServiceName;
+    /// Names a part of a prompt; requests whose prompts share a part name it alike.
+    PromptPart;
 }
 
 /// Returns whether `text` may be used as a name in settings and configuration.
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -12,9 +12,11 @@
 use http::StatusCode;
 use http_body_util::Full;
 use quick_error::quick_error;
+use smallvec::SmallVec;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerEntry;
+use yuccanotch_core::name::PromptPart;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::placement::chain::Chain;
 use yuccanotch_core::placement::engine::LayerRange;
@@ -50,6 +52,9 @@
     pub max_tokens: Option<u32>,
     /// The caller's estimate of the number of tokens of the answer.
     pub expected_tokens: Option<u32>,
+    /// The parts of the prompt, in order; the last one belongs to this request alone or to its
+    /// session.
+    pub prompt_parts: SmallVec<[PromptPart; 4]>,
 }
 
 /// The values that the host sets on a request that it forwards to a server.
--- a/crates/gateway/src/exchange/request_log.rs
+++ b/crates/gateway/src/exchange/request_log.rs
@@ -1,7 +1,9 @@
 //! The log lines, counters and times of a request.
 
 use http::StatusCode;
+use smallvec::SmallVec;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::name::PromptPart;
 
 use crate::exchange::CurrentTarget;
 use crate::exchange::Exchange;
@@ -13,9 +15,16 @@
         let left = self.deadline.since(self.gateway.clock.now());
         self.target_text = describe_target(target);
         self.gateway.counters.attempt_sent();
+        let parts = self.caller.prompt_parts.iter().map(PromptPart::as_str);
+        let parts = parts.collect::<SmallVec<[&str; 4]>>().join(",");
         self.gateway.event_log.line(
             Event::RequestSent,
-            &[("id", &self.id()), ("chain", &self.target_text), ("left_ms", &left.0)],
+            &[
+                ("id", &self.id()),
+                ("chain", &self.target_text),
+                ("parts", &parts),
+                ("left_ms", &left.0),
+            ],
         );
     }
 
