--- a/crates/check/src/quarantine_case.rs
+++ b/crates/check/src/quarantine_case.rs
@@ -280,7 +280,7 @@
         let attempt = found.attempt;
         let crash_id = self.servers[server].crash_id();
         let id = RequestId(request as u128);
-        self.hosts[host].on_reserve(id, fingerprint, [crash_id.clone()]);
+        self.hosts[host].on_reserve(id, &[fingerprint], [crash_id.clone()]);
         if status != QuarantineStatus::Suspect {
             self.start_on_server(request, server);
             return;
@@ -315,7 +315,7 @@
         let id = RequestId(request as u128);
         let crash_id = self.servers[server].crash_id();
         let now = self.now;
-        self.hosts[host].on_start(now, id, fingerprint, [crash_id]);
+        self.hosts[host].on_start(now, id, &[fingerprint], [crash_id]);
         self.trace.add(format!("{} request {request} starts on {name}", self.now));
         self.servers[server].running_requests.insert(request);
         let span = self.rng.random_range(20..400);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -109,6 +109,8 @@
     RequestDeclined = 2107, Info, "request declined";
     /// An answer that had begun ended before it was complete.
     AnswerBrokenOff = 2108, Warn, "answer broken off";
+    /// A request is refused or not sent again, since one of its fingerprints crashes servers.
+    RequestQuarantined = 2109, Info, "request quarantined";
     /// A server is suspected to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
     /// A server is not suspected any more.
@@ -117,6 +119,12 @@
     ServerListChanged = 2203, Info, "server list changed";
     /// An entry of the store or of a list cannot be used.
     EntryRejected = 2204, Warn, "entry rejected";
+    /// A server refuses connections right after it broke one with a request in flight.
+    ServerCrashed = 2205, Warn, "server crashed";
+    /// A fingerprint explains several crashes; requests with it are refused.
+    QuarantineBegan = 2206, Warn, "quarantine began";
+    /// A fingerprint no longer explains crashes; requests with it are served.
+    QuarantineEnded = 2207, Info, "quarantine ended";
     /// A version of the configuration was adopted.
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -67,6 +67,8 @@
         StreamOrder = "stream_order",
         /// The stream ended inside an event.
         StreamPart = "stream_part",
+        /// A part of the prompt, or the request itself, crashes servers.
+        Quarantined = "quarantined",
         /// The caller closed its connection.
         CallerGone = "caller_gone",
     }
--- a/crates/core/src/peering/messages.rs
+++ b/crates/core/src/peering/messages.rs
@@ -8,6 +8,7 @@
 use crate::name::DomainName;
 use crate::name::HostName;
 use crate::peering::observations::Observations;
+use crate::quarantine::CrashNotice;
 
 /// A host as it is known to others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -118,6 +119,8 @@
     pub from: Status,
     /// What the message says.
     pub content: Content,
+    /// What the sender knows about requests that were in flight when servers crashed.
+    pub notices: Vec<CrashNotice>,
 }
 
 /// A message and the address to which it goes.
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -457,7 +457,8 @@
         }
     }
 
-    fn is_full_exchange(&self) -> bool {
+    /// Returns whether the messages of this round carry what changes less often.
+    pub fn is_full_exchange(&self) -> bool {
         self.round.is_multiple_of(ROUNDS_PER_FULL_EXCHANGE)
     }
 
--- a/crates/core/src/peering/sim.rs
+++ b/crates/core/src/peering/sim.rs
@@ -175,7 +175,8 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddrV4, content: Content) {
-        let message = Message { from: self.hosts[from].status.clone(), content };
+        let status = self.hosts[from].status.clone();
+        let message = Message { from: status, content, notices: Vec::new() };
         let bytes = encoded_len(&message);
         self.hosts[from].sent.add(bytes);
         self.next_message += 1;
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -1,5 +1,6 @@
 //! The suspects and quarantined fingerprints that one host knows.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -7,17 +8,39 @@
 
 use smallvec::SmallVec;
 
+use super::evidence::age;
+use super::evidence::find_causes;
+use super::evidence::moment;
+use super::evidence::Candidate;
+use super::evidence::CrashRecord;
+use super::evidence::Evidence;
+use super::evidence::Moment;
+use super::evidence::Thresholds;
 use super::messages::CrashId;
 use super::messages::CrashNotice;
 use super::messages::Fingerprint;
+use super::messages::Fingerprints;
 use super::messages::SuspectStart;
+use super::runs::RunningRequest;
 use crate::clock::Millis;
 use crate::defect::planted;
 use crate::ids::RequestId;
 use crate::name::ServerName;
 
-/// Number of counted crashes from which on a fingerprint may be quarantined.
-const CRASHES_TO_QUARANTINE: usize = 2;
+/// Number of separate crashes from which on a request may be quarantined.
+const REQUEST_CRASHES_TO_QUARANTINE: usize = 2;
+/// Number of separate crashes from which on a part of prompts may be quarantined. It is higher, since
+/// sound requests may share the part.
+const PART_CRASHES_TO_QUARANTINE: usize = 3;
+/// Number of crashes from which on a fingerprint is a candidate, and is evicted last.
+const MIN_CANDIDATE_CRASHES: usize = 2;
+/// How long after its last crash a refuted fingerprint is repeated to other hosts.
+const REFUTATION_SPAN: Millis = Millis(10_000);
+/// The number of crashes with a fingerprint for each one without it from which on the fingerprint may
+/// explain an outage of all servers.
+const MIN_COVERAGE_RATIO: usize = 4;
+/// Most changes that are kept until they are taken.
+const MAX_CHANGES: usize = 64;
 /// Most server losses that are kept to find common causes.
 const MAX_SERVER_LOSSES: usize = 256;
 
@@ -36,6 +59,14 @@
     pub capacity: usize,
     /// Most crashes that are kept per fingerprint.
     pub max_crashes: usize,
+    /// How long an attempt must have produced an answer to refute that a part of its prompt crashes
+    /// servers that begin to answer.
+    pub progress_proof: Millis,
+    /// How long an attempt whose connection broke may still be found to have been in flight at a
+    /// crash.
+    pub confirmation_ttl: Millis,
+    /// How long the success of a request with a part is remembered.
+    pub success_ttl: Millis,
 }
 
 impl Default for QuarantineSettings {
@@ -46,11 +77,25 @@
             common_cause_window: Millis(1_000),
             remote_run_ttl: Millis(30_000),
             capacity: 4_096,
-            max_crashes: 4,
+            max_crashes: 16,
+            progress_proof: Millis(1_000),
+            confirmation_ttl: Millis(2_000),
+            success_ttl: Millis(120_000),
         }
     }
 }
 
+/// A fingerprint that began or ceased to explain crashes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuarantineChange {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Whether it is quarantined now.
+    pub is_quarantined: bool,
+    /// The number of crashes at which it was in flight.
+    pub crashes: usize,
+}
+
 /// The status of a fingerprint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuarantineStatus {
@@ -62,40 +107,13 @@
     Quarantined,
 }
 
-/// A crash at which a fingerprint was in flight.
-#[derive(Debug)]
-struct CrashRecord {
-    crash: CrashId,
-    /// When this host learned that the fingerprint was in flight.
-    at: Millis,
-}
-
-#[derive(Debug)]
-struct SuspectEntry {
-    crashes: SmallVec<[CrashRecord; 2]>,
-    last_crash_at: Millis,
-}
-
-impl SuspectEntry {
-    fn was_running_on(&self, server: &ServerName) -> bool {
-        self.crashes.iter().any(|record| record.crash.server == *server)
-    }
-}
-
-#[derive(Debug)]
-struct RunningRequest {
-    fingerprint: Fingerprint,
-    /// When the attempt was sent to its servers; `None` while it is only reserved.
-    started: Option<Millis>,
-    /// The servers that the attempt runs on, each as the id of the crash that would end its boot.
-    servers: SmallVec<[CrashId; 4]>,
-}
-
 /// The crash of a server, whatever was in flight on it.
 #[derive(Debug)]
 struct ServerLoss {
     /// When this host learned of the crash.
-    at: Millis,
+    known_at: Millis,
+    /// When the crash became known to the first host.
+    at: Moment,
     crash: CrashId,
 }
 
@@ -103,11 +121,21 @@
 #[derive(Debug)]
 pub struct Quarantine {
     settings: QuarantineSettings,
-    entries: BTreeMap<Fingerprint, SuspectEntry>,
+    entries: BTreeMap<Fingerprint, Evidence>,
+    /// The entries that explain the crashes.
+    causes: HashSet<Fingerprint>,
     runs: HashMap<RequestId, RunningRequest>,
+    /// Attempts whose connection broke, with the time of the break.
+    broken_runs: VecDeque<(RunningRequest, Millis)>,
     /// Suspects in flight on other hosts, with the time at which their start was reported.
     remote_runs: HashMap<RequestId, (RunningRequest, Millis)>,
     losses: VecDeque<ServerLoss>,
+    /// When requests with parts that are in no crash last succeeded.
+    part_successes: HashMap<Fingerprint, Moment>,
+    /// When a request with a part first succeeded on this host.
+    first_success_at: Option<Moment>,
+    /// Changes that were not taken yet.
+    changes: VecDeque<QuarantineChange>,
 }
 
 impl Quarantine {
@@ -116,9 +144,14 @@
         Self {
             settings,
             entries: BTreeMap::new(),
+            causes: HashSet::new(),
             runs: HashMap::new(),
+            broken_runs: VecDeque::new(),
             remote_runs: HashMap::new(),
             losses: VecDeque::new(),
+            part_successes: HashMap::new(),
+            first_success_at: None,
+            changes: VecDeque::new(),
         }
     }
 
@@ -130,8 +163,8 @@
         if self.counted_crashes(entry).next().is_none() {
             return QuarantineStatus::Clear;
         }
-        let age = now.since(entry.last_crash_at);
-        if self.is_crash_cause(fingerprint, entry) {
+        let age = age(now, entry.last_crash_at);
+        if self.causes.contains(&fingerprint) {
             return if age < self.settings.quarantine_ttl {
                 QuarantineStatus::Quarantined
             } else {
@@ -145,6 +178,22 @@
         }
     }
 
+    /// Returns the first of `fingerprints` that is quarantined, and for how long it stays so.
+    pub fn find_quarantined(
+        &self,
+        now: Millis,
+        fingerprints: &[Fingerprint],
+    ) -> Option<(Fingerprint, Millis)> {
+        if self.causes.is_empty() {
+            return None;
+        }
+        let is_quarantined =
+            |f: &&Fingerprint| self.status(now, **f) == QuarantineStatus::Quarantined;
+        let found = *fingerprints.iter().find(is_quarantined)?;
+        let last_crash_at = self.entries.get(&found)?.last_crash_at;
+        Some((found, self.settings.quarantine_ttl.since(age(now, last_crash_at))))
+    }
+
     /// Returns the servers that must not run a suspect because another suspect runs there; none if
     /// the fingerprint is clear.
     pub fn excluded_servers(&self, now: Millis, fingerprint: Fingerprint) -> HashSet<ServerName> {
@@ -153,13 +202,14 @@
         {
             return HashSet::new();
         }
-        let own = self.runs.values().filter(|run| run.fingerprint != fingerprint);
-        let suspects =
-            own.filter(|run| self.status(now, run.fingerprint) != QuarantineStatus::Clear);
+        let is_other = |run: &&RunningRequest| !run.fingerprints.contains(&fingerprint);
+        let is_suspect = |run: &&RunningRequest| {
+            run.fingerprints.iter().any(|f| self.status(now, *f) != QuarantineStatus::Clear)
+        };
+        let suspects = self.runs.values().filter(is_other).filter(is_suspect);
         let span = self.settings.remote_run_ttl;
         let remote_runs = self.remote_runs.values().filter(|(_, at)| now.since(*at) < span);
-        let remote_runs =
-            remote_runs.map(|(run, _)| run).filter(|run| run.fingerprint != fingerprint);
+        let remote_runs = remote_runs.map(|(run, _)| run).filter(is_other);
         let runs = suspects.chain(remote_runs);
         runs.flat_map(|run| run.servers.iter().map(|at| at.server.clone())).collect()
     }
@@ -167,7 +217,7 @@
     /// Returns whether a request with the fingerprint is in flight on this host; a suspect must not
     /// run twice at a time.
     pub fn is_running(&self, fingerprint: Fingerprint) -> bool {
-        self.runs.values().any(|run| run.fingerprint == fingerprint)
+        self.runs.values().any(|run| run.fingerprints.contains(&fingerprint))
     }
 
     /// Reserves the servers that a suspect is about to run on, before other hosts are told.
@@ -177,11 +227,10 @@
     pub fn on_reserve(
         &mut self,
         request: RequestId,
-        fingerprint: Fingerprint,
+        fingerprints: &[Fingerprint],
         servers: impl IntoIterator<Item = CrashId>,
     ) {
-        let servers = servers.into_iter().collect();
-        self.runs.insert(request, RunningRequest { fingerprint, started: None, servers });
+        self.runs.insert(request, RunningRequest::new(fingerprints, None, servers));
     }
 
     /// Records the start of an attempt, which replaces the request's earlier attempt.
@@ -189,40 +238,82 @@
         &mut self,
         now: Millis,
         request: RequestId,
-        fingerprint: Fingerprint,
+        fingerprints: &[Fingerprint],
         servers: impl IntoIterator<Item = CrashId>,
     ) {
-        let servers = servers.into_iter().collect();
-        self.runs.insert(request, RunningRequest { fingerprint, started: Some(now), servers });
+        self.runs.insert(request, RunningRequest::new(fingerprints, Some(now), servers));
+    }
+
+    /// Records that an attempt has produced a part of its answer.
+    pub fn on_progress(&mut self, now: Millis, request: RequestId) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        let since = *run.progressing_since.get_or_insert(now);
+        if run.refutes_parts || now.since(since) < self.settings.progress_proof {
+            return;
+        }
+        run.refutes_parts = true;
+        let parts: Fingerprints =
+            run.fingerprints.iter().copied().filter(|f| f.is_part()).collect();
+        self.record_success(now, &parts);
+    }
+
+    /// Records that the connection of an attempt broke; a crash of its server that is found soon
+    /// after still counts against its fingerprints.
+    pub fn on_break(&mut self, now: Millis, request: RequestId) {
+        let span = self.settings.confirmation_ttl;
+        self.broken_runs.retain(|(_, at)| now.since(*at) < span);
+        if let Some(run) = self.runs.remove(&request) {
+            if self.broken_runs.len() == self.settings.capacity {
+                self.broken_runs.pop_front();
+            }
+            self.broken_runs.push_back((run, now));
+        }
     }
 
-    /// Records the end of a request; a suspect whose answer `is_complete` is cleared.
+    /// Records the end of a request. One whose answer `is_complete` refutes that its fingerprints
+    /// crash servers, unless the request itself is quarantined.
     pub fn on_end(&mut self, now: Millis, request: RequestId, is_complete: bool) {
         let Some(run) = self.runs.remove(&request) else {
             return;
         };
-        if is_complete && self.status(now, run.fingerprint) == QuarantineStatus::Suspect {
-            self.entries.remove(&run.fingerprint);
+        if !is_complete {
+            return;
         }
+        let may_clear =
+            |f: &Fingerprint| f.is_part() || self.status(now, *f) != QuarantineStatus::Quarantined;
+        let cleared: Fingerprints = run.fingerprints.iter().copied().filter(may_clear).collect();
+        self.record_success(now, &cleared);
     }
 
     /// Records the crash of a server, and returns the notices to send to the other hosts.
     ///
     /// The crash counts against each fingerprint that this host had in flight on the server.
     pub fn on_crash(&mut self, now: Millis, crash: &CrashId) -> Vec<CrashNotice> {
-        let lost_at = self.record_loss(now, crash);
+        let at = moment(now, Millis::ZERO);
+        let lost_at = self.record_loss(now, at, crash);
         // An attempt that began after the crash was known was sent to a dead server; it cannot be
         // the cause.
-        let was_running =
-            |run: &&RunningRequest| run.started.is_some_and(|started| started <= lost_at);
-        let on_server =
-            self.runs.values().filter(was_running).filter(|run| run.servers.contains(crash));
-        let running: HashSet<Fingerprint> = on_server.map(|run| run.fingerprint).collect();
-        for fingerprint in &running {
-            self.record_crash(now, *fingerprint, crash);
+        let was_running = |run: &&RunningRequest| {
+            run.servers.contains(crash) && run.started.is_some_and(|started| started <= lost_at)
+        };
+        let broken = self.broken_runs.iter().map(|(run, _)| run);
+        let mut started: HashMap<Fingerprint, Moment> = HashMap::new();
+        for run in self.runs.values().chain(broken).filter(was_running) {
+            let run_started = moment(run.started.unwrap_or_default(), Millis::ZERO);
+            for fingerprint in run.possible_causes() {
+                let last = started.entry(fingerprint).or_insert(run_started);
+                *last = run_started.max(*last);
+            }
+        }
+        let found: Vec<Fingerprint> = started.keys().copied().collect();
+        for (fingerprint, started) in started {
+            self.record_crash(fingerprint, CrashRecord { crash: crash.clone(), at, started });
         }
         self.evict(now);
-        running.iter().filter_map(|fingerprint| self.notice(*fingerprint)).collect()
+        self.update_causes();
+        found.into_iter().filter_map(|fingerprint| self.notice(now, fingerprint)).collect()
     }
 
     /// Records the start of a suspect on another host.
@@ -231,7 +322,7 @@
         self.remote_runs.retain(|_, (_, at)| now.since(*at) < span);
         if self.remote_runs.len() < self.settings.capacity {
             let SuspectStart { request, fingerprint, servers } = start;
-            let run = RunningRequest { fingerprint, started: Some(now), servers };
+            let run = RunningRequest::new(&[fingerprint], Some(now), servers);
             self.remote_runs.insert(request, (run, now));
         }
     }
@@ -241,20 +332,56 @@
         self.remote_runs.remove(&request);
     }
 
-    /// Records the crashes that another host reports for a fingerprint.
+    /// Records what another host knows about a fingerprint.
     pub fn on_notice(&mut self, now: Millis, notice: &CrashNotice) {
-        for crash in &notice.crashes {
-            self.record_loss(now, crash);
-            self.record_crash(now, notice.fingerprint, crash);
+        let mut changed = false;
+        if let Some(span) = notice.success_age {
+            let at = moment(now, span);
+            if let Some(entry) = self.entries.get_mut(&notice.fingerprint) {
+                changed |= entry.on_success(at);
+            } else if notice.fingerprint.is_part() {
+                self.remember_success(now, notice.fingerprint, at);
+            }
+        }
+        for report in &notice.crashes {
+            let record = CrashRecord::from_report(now, report);
+            self.record_loss(now, record.at, &report.crash);
+            changed |= self.record_crash(notice.fingerprint, record);
+        }
+        if let Some(entry) = self.entries.get_mut(&notice.fingerprint) {
+            let stands_out = notice.stands_out && !entry.crashes.is_empty();
+            changed |= stands_out && !entry.stands_out;
+            entry.stands_out |= stands_out;
+        }
+        if changed {
+            self.evict(now);
+            self.update_causes();
         }
-        self.evict(now);
     }
 
-    /// Returns notices of at most `max` fingerprints with a crash within the last `span`, to be
-    /// sent again to hosts that missed them.
+    /// Returns notices of at most `max` fingerprints with a crash within the last `span`, to be sent
+    /// again to hosts that missed them; those with the most crashes first. A fingerprint whose crashes
+    /// are refuted is repeated for a shorter time.
     pub fn recent_notices(&self, now: Millis, span: Millis, max: usize) -> Vec<CrashNotice> {
-        let recent = self.entries.iter().filter(|(_, entry)| now.since(entry.last_crash_at) < span);
-        recent.take(max).filter_map(|(fingerprint, _)| self.notice(*fingerprint)).collect()
+        let is_recent = |entry: &Evidence| {
+            let span = if entry.crashes.is_empty() { span.min(REFUTATION_SPAN) } else { span };
+            age(now, entry.last_crash_at) < span
+        };
+        let mut recent: Vec<(&Fingerprint, &Evidence)> =
+            self.entries.iter().filter(|(_, entry)| is_recent(entry)).collect();
+        recent.sort_by_key(|(_, entry)| Reverse(entry.crashes.len()));
+        recent.truncate(max);
+        let notice = |(fingerprint, entry): (&Fingerprint, &Evidence)| {
+            entry.to_notice(now, *fingerprint, self.stands_out(entry))
+        };
+        recent.into_iter().map(notice).collect()
+    }
+
+    /// Returns the fingerprints that are quarantined.
+    pub fn quarantined(&self, now: Millis) -> impl Iterator<Item = Fingerprint> + '_ {
+        let is_quarantined =
+            move |f: &Fingerprint| self.status(now, *f) == QuarantineStatus::Quarantined;
+        self.causes.iter().copied().filter(is_quarantined)
     }
 
     /// Returns the number of fingerprints that are kept.
@@ -267,83 +394,161 @@
         self.entries.is_empty()
     }
 
-    /// Returns whether a fingerprint is to be quarantined: it was in flight at two counted
-    /// crashes, at least one of which it does not share with another fingerprint that was in
-    /// flight at two counted crashes as well.
-    fn is_crash_cause(&self, fingerprint: Fingerprint, entry: &SuspectEntry) -> bool {
+    /// Returns the changes since the last call, at most [`MAX_CHANGES`].
+    pub fn take_changes(&mut self) -> Vec<QuarantineChange> {
+        self.changes.drain(..).collect()
+    }
+
+    /// Finds anew which fingerprints explain the crashes.
+    fn update_causes(&mut self) {
+        let causes = self.find_causes();
+        let changed: Vec<Fingerprint> =
+            self.causes.symmetric_difference(&causes).copied().collect();
+        for fingerprint in changed {
+            if self.changes.len() == MAX_CHANGES {
+                self.changes.pop_front();
+            }
+            self.changes.push_back(QuarantineChange {
+                fingerprint,
+                is_quarantined: causes.contains(&fingerprint),
+                crashes: self.entries.get(&fingerprint).map_or(0, |entry| entry.crashes.len()),
+            });
+        }
+        self.causes = causes;
+    }
+
+    fn find_causes(&self) -> HashSet<Fingerprint> {
         if planted!(ConvictOnFirstCrash) {
-            return !entry.crashes.is_empty();
+            let has_crash = self.entries.iter().filter(|(_, entry)| !entry.crashes.is_empty());
+            return has_crash.map(|(fingerprint, _)| *fingerprint).collect();
         }
-        if self.counted_crashes(entry).count() < CRASHES_TO_QUARANTINE {
+        let candidates = self.entries.iter().filter_map(|(fingerprint, entry)| {
+            let crashes: SmallVec<[&CrashRecord; 4]> = self.counted_crashes(entry).collect();
+            (crashes.len() >= MIN_CANDIDATE_CRASHES).then_some(Candidate {
+                fingerprint: *fingerprint,
+                crashes,
+                has_succeeded: entry.success_at.is_some(),
+                stands_out: self.stands_out(entry),
+            })
+        });
+        let thresholds = Thresholds {
+            request_events: REQUEST_CRASHES_TO_QUARANTINE,
+            part_events: PART_CRASHES_TO_QUARANTINE,
+            common_cause_window: self.settings.common_cause_window,
+        };
+        find_causes(candidates.collect(), thresholds)
+    }
+
+    /// Returns whether the crashes of a fingerprint cannot be a mere outage of the servers.
+    fn stands_out(&self, entry: &Evidence) -> bool {
+        entry.stands_out || self.covers_outage(entry)
+    }
+
+    /// Returns whether a fingerprint was in flight at nearly all crashes of its time and has never
+    /// succeeded, although others had before. That sets it apart if no request succeeds any more.
+    fn covers_outage(&self, entry: &Evidence) -> bool {
+        let (Some(first), Some(last)) = (entry.crashes.first(), entry.crashes.last()) else {
+            return false;
+        };
+        let others_succeeded = self.first_success_at.is_some_and(|at| at < first.at);
+        if entry.success_at.is_some() || !others_succeeded {
             return false;
         }
-        let others = self.entries.iter().filter(|(other, _)| **other != fingerprint);
-        let repeated = others
-            .filter(|(_, found)| self.counted_crashes(found).count() >= CRASHES_TO_QUARANTINE);
-        let shared: HashSet<&CrashId> =
-            repeated.flat_map(|(_, found)| self.counted_crashes(found)).collect();
-        self.counted_crashes(entry).any(|crash| !shared.contains(crash))
+        let losses = self.losses.iter().filter(|loss| (first.at..=last.at).contains(&loss.at));
+        let (covered, others): (Vec<_>, Vec<_>) = losses.partition(|l| entry.includes(&l.crash));
+        covered.len() >= MIN_COVERAGE_RATIO * others.len()
     }
 
     /// Returns the crashes that count against a fingerprint: all but the first one that probably
     /// has another cause.
-    fn counted_crashes<'a>(&'a self, entry: &'a SuspectEntry) -> impl Iterator<Item = &'a CrashId> {
+    fn counted_crashes<'a>(&'a self, entry: &'a Evidence) -> impl Iterator<Item = &'a CrashRecord> {
         let uncounted = entry.crashes.iter().position(|record| self.has_other_cause(entry, record));
-        let counted_crashes =
-            entry.crashes.iter().enumerate().filter(move |(i, _)| Some(*i) != uncounted);
-        counted_crashes.map(|(_, record)| &record.crash)
+        entry
+            .crashes
+            .iter()
+            .enumerate()
+            .filter(move |(i, _)| Some(*i) != uncounted)
+            .map(|(_, record)| record)
     }
 
     /// Returns whether a server on which the fingerprint was not in flight was lost at about the
     /// same time.
-    fn has_other_cause(&self, entry: &SuspectEntry, record: &CrashRecord) -> bool {
-        let span = self.settings.common_cause_window;
-        let together =
-            |loss: &&ServerLoss| loss.at.since(record.at) < span && record.at.since(loss.at) < span;
-        let mut losses = self.losses.iter().filter(together);
-        losses.any(|loss| !entry.was_running_on(&loss.crash.server))
+    fn has_other_cause(&self, entry: &Evidence, record: &CrashRecord) -> bool {
+        let span = self.settings.common_cause_window.0;
+        let together = |loss: &&ServerLoss| loss.at.abs_diff(record.at) < span;
+        self.losses.iter().filter(together).any(|loss| !entry.includes(&loss.crash))
     }
 
-    /// Adds a crash to a fingerprint, unless it is already known or the fingerprint has
-    /// `max_crashes`.
-    fn record_crash(&mut self, now: Millis, fingerprint: Fingerprint, crash: &CrashId) {
-        let max_crashes = self.settings.max_crashes;
-        let fresh = || SuspectEntry { crashes: SmallVec::new(), last_crash_at: now };
-        let entry = self.entries.entry(fingerprint).or_insert_with(fresh);
-        let known = entry.crashes.iter().any(|record| record.crash == *crash);
-        if !known && entry.crashes.len() < max_crashes {
-            entry.crashes.push(CrashRecord { crash: crash.clone(), at: now });
-            entry.last_crash_at = now;
+    /// Records that a request with `fingerprints` succeeded.
+    fn record_success(&mut self, now: Millis, fingerprints: &[Fingerprint]) {
+        let at = moment(now, Millis::ZERO);
+        let is_generation = fingerprints.iter().any(|f| f.is_part());
+        if is_generation {
+            self.first_success_at.get_or_insert(at);
+        }
+        let mut changed = false;
+        for (fingerprint, entry) in &mut self.entries {
+            if fingerprints.contains(fingerprint) {
+                changed |= entry.on_success(at);
+            } else if is_generation {
+                entry.on_other_success(at);
+            }
+        }
+        for part in fingerprints.iter().filter(|f| f.is_part()) {
+            if !self.entries.contains_key(part) {
+                self.remember_success(now, *part, at);
+            }
         }
+        if changed {
+            self.update_causes();
+        }
+    }
+
+    /// Remembers the success of a part that is in no crash, within the capacity.
+    fn remember_success(&mut self, now: Millis, part: Fingerprint, at: Moment) {
+        if self.part_successes.len() >= self.settings.capacity {
+            let span = self.settings.success_ttl;
+            self.part_successes.retain(|_, at| age(now, *at) < span);
+        }
+        if self.part_successes.len() < self.settings.capacity {
+            self.part_successes.insert(part, at);
+        }
+    }
+
+    /// Adds a crash to a fingerprint; returns whether it is new.
+    fn record_crash(&mut self, fingerprint: Fingerprint, record: CrashRecord) -> bool {
+        let max_crashes = self.settings.max_crashes;
+        let known_success = self.part_successes.remove(&fingerprint);
+        let entry = self.entries.entry(fingerprint).or_insert_with(|| Evidence::new(known_success));
+        entry.add_crash(record, max_crashes)
     }
 
-    /// Adds the loss of a server, if it is new, and returns when it became known.
-    fn record_loss(&mut self, now: Millis, crash: &CrashId) -> Millis {
+    /// Adds the loss of a server at the moment `at`, if it is new, and returns when it became known.
+    fn record_loss(&mut self, now: Millis, at: Moment, crash: &CrashId) -> Millis {
         if let Some(known) = self.losses.iter().find(|loss| loss.crash == *crash) {
-            return known.at;
+            return known.known_at;
         }
         if self.losses.len() == MAX_SERVER_LOSSES {
             self.losses.pop_front();
         }
-        self.losses.push_back(ServerLoss { at: now, crash: crash.clone() });
+        self.losses.push_back(ServerLoss { known_at: now, at, crash: crash.clone() });
         now
     }
 
-    fn notice(&self, fingerprint: Fingerprint) -> Option<CrashNotice> {
+    fn notice(&self, now: Millis, fingerprint: Fingerprint) -> Option<CrashNotice> {
         let entry = self.entries.get(&fingerprint)?;
-        let crashes: SmallVec<[CrashId; 2]> =
-            entry.crashes.iter().map(|record| record.crash.clone()).collect();
-        (!crashes.is_empty()).then_some(CrashNotice { fingerprint, crashes })
+        let stands_out = self.stands_out(entry);
+        (!entry.crashes.is_empty()).then(|| entry.to_notice(now, fingerprint, stands_out))
     }
 
     /// Removes expired fingerprints, and the oldest ones beyond the capacity, those with fewer than
     /// two crashes first.
     fn evict(&mut self, now: Millis) {
         let longest = self.settings.quarantine_ttl.max(self.settings.suspect_ttl);
-        self.entries.retain(|_, entry| now.since(entry.last_crash_at) < longest);
+        self.entries.retain(|_, entry| age(now, entry.last_crash_at) < longest);
         while self.entries.len() > self.settings.capacity {
             let oldest = self.entries.iter().min_by_key(|(_, entry)| {
-                (entry.crashes.len() >= CRASHES_TO_QUARANTINE, entry.last_crash_at)
+                (entry.crashes.len() >= MIN_CANDIDATE_CRASHES, entry.last_crash_at)
             });
             let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
                 return;
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -1,9 +1,13 @@
 //! Unit tests of suspects and quarantine.
 
+use smallvec::SmallVec;
+
 use super::*;
 use crate::clock::Millis;
 use crate::ids::RequestId;
+use crate::name::PromptPart;
 use crate::name::ServerName;
+use crate::name::ServiceName;
 use crate::name::TeamName;
 
 fn fingerprint(body: &str) -> Fingerprint {
@@ -25,7 +29,7 @@
     }
 
     fn start(&mut self, request: u128, body: &str, server: &str) {
-        self.state.on_start(self.now, RequestId(request), fingerprint(body), [crash(server)]);
+        self.state.on_start(self.now, RequestId(request), &[fingerprint(body)], [crash(server)]);
     }
 
     fn crash(&mut self, server: &str) -> Vec<CrashNotice> {
@@ -123,7 +127,7 @@
     let settings = QuarantineSettings { capacity: 8, ..QuarantineSettings::default() };
     let mut state = Quarantine::new(settings);
     for i in 0..50_u128 {
-        state.on_start(Millis(0), RequestId(i), fingerprint(&i.to_string()), [crash("a")]);
+        state.on_start(Millis(0), RequestId(i), &[fingerprint(&i.to_string())], [crash("a")]);
     }
     state.on_crash(Millis(1), &crash("a"));
     assert_eq!(state.len(), 8);
@@ -131,3 +135,170 @@
     state.on_crash(later, &crash("z"));
     assert!(state.is_empty());
 }
+
+fn part(name: &str) -> Fingerprint {
+    Fingerprint::of_part(&ServiceName::new("model"), &PromptPart::new(name))
+}
+
+/// A host and the time at which it acts.
+struct Host {
+    state: Quarantine,
+    now: Millis,
+    last_request: u128,
+}
+
+impl Host {
+    fn new() -> Self {
+        let state = Quarantine::new(QuarantineSettings::default());
+        Self { state, now: Millis(10_000), last_request: 0 }
+    }
+
+    fn wait(&mut self, span: u64) {
+        self.now = self.now + Millis(span);
+    }
+
+    /// Starts a request with a body of its own and `parts` on `server`.
+    fn start(&mut self, parts: &[&str], server: &str) -> RequestId {
+        self.last_request += 1;
+        let body = self.last_request.to_string();
+        let mut fingerprints = vec![fingerprint(&body)];
+        fingerprints.extend(parts.iter().map(|name| part(name)));
+        let request = RequestId(self.last_request);
+        self.state.on_start(self.now, request, &fingerprints, [crash(server)]);
+        request
+    }
+
+    fn succeed(&mut self, parts: &[&str]) {
+        let request = self.start(parts, "sound");
+        self.state.on_end(self.now, request, true);
+    }
+
+    /// Crashes `server` while a request with `parts` and a sound one are in flight there.
+    fn crash_with(&mut self, parts: &[&str], server: &str) {
+        self.wait(1_500);
+        let poison = self.start(parts, server);
+        let neighbour = self.start(&["first", "common"], server);
+        self.wait(50);
+        self.state.on_crash(self.now, &crash(server));
+        self.state.on_end(self.now, poison, false);
+        self.state.on_end(self.now, neighbour, false);
+    }
+
+    fn status(&self, name: &str) -> QuarantineStatus {
+        self.state.status(self.now, part(name))
+    }
+}
+
+/// Guards against a part of prompts that crashes one server after the other.
+#[test]
+fn a_part_in_flight_at_three_crashes_is_quarantined_and_what_came_with_it_is_not() {
+    let mut host = Host::new();
+    for server in ["a", "b", "c"] {
+        assert_ne!(host.status("poison"), QuarantineStatus::Quarantined);
+        host.crash_with(&["first", "poison"], server);
+        host.succeed(&["first", "common"]);
+    }
+    assert_eq!(host.status("poison"), QuarantineStatus::Quarantined);
+    assert_eq!(host.status("first"), QuarantineStatus::Clear);
+    assert_eq!(host.status("common"), QuarantineStatus::Clear);
+    let parts = [part("first"), part("poison")];
+    let found = host.state.find_quarantined(host.now, &parts);
+    assert_eq!(found.map(|(fingerprint, _)| fingerprint), Some(part("poison")));
+}
+
+#[test]
+fn a_part_is_found_in_an_outage_of_all_servers_if_all_others_succeeded_before() {
+    let mut host = Host::new();
+    host.succeed(&["first", "common"]);
+    for server in ["a", "b", "c"] {
+        host.crash_with(&["first", "poison"], server);
+    }
+    assert_eq!(host.status("poison"), QuarantineStatus::Quarantined);
+    assert_ne!(host.status("first"), QuarantineStatus::Quarantined);
+}
+
+/// Guards against the refusal of all requests after an outage of all servers.
+#[test]
+fn a_part_of_all_requests_is_not_quarantined_for_an_outage_without_any_success() {
+    let mut host = Host::new();
+    for server in ["a", "b", "c", "d", "e"] {
+        host.crash_with(&["first"], server);
+    }
+    assert_ne!(host.status("first"), QuarantineStatus::Quarantined);
+    assert_ne!(host.status("common"), QuarantineStatus::Quarantined);
+}
+
+#[test]
+fn servers_that_are_lost_together_count_as_one_crash() {
+    let mut host = Host::new();
+    host.succeed(&["first"]);
+    let requests: Vec<RequestId> =
+        ["a", "b", "c", "d"].into_iter().map(|server| host.start(&["rare"], server)).collect();
+    host.wait(100);
+    for server in ["a", "b", "c", "d"] {
+        host.state.on_crash(host.now, &crash(server));
+        host.wait(10);
+    }
+    requests.into_iter().for_each(|request| host.state.on_end(host.now, request, false));
+    assert_ne!(host.status("rare"), QuarantineStatus::Quarantined);
+}
+
+#[test]
+fn an_answer_that_goes_on_refutes_that_its_parts_crash_servers() {
+    let mut host = Host::new();
+    host.succeed(&["first"]);
+    for server in ["a", "b", "c"] {
+        host.crash_with(&["rare"], server);
+        let request = host.start(&["rare"], "d");
+        host.state.on_progress(host.now, request);
+        host.wait(1_000);
+        host.state.on_progress(host.now, request);
+    }
+    assert_eq!(host.status("rare"), QuarantineStatus::Clear);
+}
+
+#[test]
+fn hosts_that_hear_of_the_crashes_quarantine_the_part_also_when_their_clock_is_younger() {
+    let mut host = Host::new();
+    host.succeed(&["first", "common"]);
+    for server in ["a", "b", "c"] {
+        host.crash_with(&["first", "poison"], server);
+    }
+    let mut young = Quarantine::new(QuarantineSettings::default());
+    let now = Millis(5);
+    for notice in host.state.recent_notices(host.now, Millis(60_000), 32) {
+        young.on_notice(now, &notice);
+    }
+    assert_eq!(young.status(now, part("poison")), QuarantineStatus::Quarantined);
+    assert_ne!(young.status(now, part("first")), QuarantineStatus::Quarantined);
+    let later = now + QuarantineSettings::default().quarantine_ttl;
+    assert_eq!(young.status(later, part("poison")), QuarantineStatus::Clear);
+}
+
+#[test]
+fn a_success_elsewhere_ends_the_quarantine_of_a_part() {
+    let mut host = Host::new();
+    host.succeed(&["first", "common"]);
+    for server in ["a", "b", "c"] {
+        host.crash_with(&["first", "poison"], server);
+    }
+    let notice = CrashNotice {
+        fingerprint: part("poison"),
+        crashes: SmallVec::new(),
+        success_age: Some(Millis::ZERO),
+        stands_out: false,
+    };
+    host.state.on_notice(host.now, &notice);
+    assert_eq!(host.status("poison"), QuarantineStatus::Clear);
+}
+
+/// Guards against a crash that is found only after the caller of the request has its answer.
+#[test]
+fn a_request_whose_connection_broke_counts_at_the_crash_that_is_found_soon_after() {
+    let mut host = Host::new();
+    let request = host.start(&["rare"], "a");
+    host.state.on_break(host.now, request);
+    host.wait(20);
+    host.state.on_crash(host.now, &crash("a"));
+    assert_eq!(host.status("rare"), QuarantineStatus::Suspect);
+}
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -139,7 +139,7 @@
         }
         let state = &self.host.quarantine;
         let now = self.now();
-        state.lock().on_start(now, self.request, self.fingerprint, crash_ids.iter().cloned());
+        state.lock().on_start(now, self.request, &[self.fingerprint], crash_ids.iter().cloned());
         self.servers = crash_ids;
         true
     }
@@ -184,7 +184,7 @@
         if state.lock().is_running(self.fingerprint) {
             return false;
         }
-        state.lock().on_reserve(self.request, self.fingerprint, crash_ids.iter().cloned());
+        state.lock().on_reserve(self.request, &[self.fingerprint], crash_ids.iter().cloned());
         self.announced = true;
         let start = SuspectStart {
             request: self.request,
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -138,6 +138,8 @@
         self.gauge("yuccanotch_is_issuer", f64::from(u8::from(gateway.is_issuer.get())));
         let suspects = gateway.routing.health.borrow().suspects(now).count();
         self.gauge("yuccanotch_servers_suspected", suspects as f64);
+        let quarantined = gateway.crashes.quarantined_count();
+        self.gauge("yuccanotch_fingerprints_quarantined", quarantined as f64);
         self.handle.render()
     }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -31,6 +31,7 @@
 use crate::pool::PooledConnection;
 use crate::pool::Reuse;
 use crate::pool::SendError;
+use crate::quarantine;
 use crate::routing::Target;
 
 /// The largest accepted body of an answer that is not a stream, in bytes.
@@ -57,6 +58,8 @@
         }
         let req = self.build_request(target);
         self.log_sent(target);
+        let server = quarantine::crash_id(&gateway, target.server());
+        gateway.crashes.on_start(self.run, &self.fingerprints, server);
         let sent = self.send_request(&mut conn, req, target).await;
         let response = match sent {
             Ok(response) => response,
@@ -246,6 +249,7 @@
                 return unanswered(AttemptEnd::Broken, EndReason::StreamOrder);
             };
             if whole.count > 0 {
+                self.gateway.crashes.on_progress(self.run);
                 self.record_working();
                 self.record_event_time();
                 self.begin_answer(&head);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -29,7 +29,10 @@
 use yuccanotch_core::forward::routes::Route;
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::routes::Team;
+use yuccanotch_core::ids::RequestId;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::quarantine;
+use yuccanotch_core::quarantine::Fingerprints;
 
 use crate::adapter::CallerRequest;
 use crate::answer;
@@ -82,6 +85,11 @@
     target_text: String,
     current: Option<CurrentTarget>,
     end_reason: EndReason,
+    // The id of the request on this host, for the quarantine.
+    run: RequestId,
+    fingerprints: Fingerprints,
+    // When a refused caller may try again; `None` for a random short time.
+    retry_after: Option<Millis>,
 }
 
 /// The parts of an admitted request.
@@ -138,7 +146,17 @@
     ) -> Self {
         let Admitted { head, body, caller, route, service, team, started } = admitted;
         let wait = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let fingerprints = quarantine::fingerprints(
+            team.as_ref().map_or("", |t| t.name.as_str()),
+            head.uri.path_and_query().map_or("", |p| p.as_str()),
+            &body,
+            &service.name,
+            &caller.prompt_parts,
+        );
         Self {
+            run: gateway.crashes.next_request(),
+            fingerprints,
+            retry_after: None,
             deadline: started + wait.since(DEADLINE_MARGIN),
             outcome: RequestState::new(route.repeat, route.max_attempts),
             events: EventSplitter::new(caller.resume_after),
@@ -173,6 +191,12 @@
             _ = gone => None,
             ended = time::timeout(left, self.run_attempts()) => Some(ended),
         };
+        let is_complete = matches!(self.end_reason, EndReason::Answered | EndReason::Streamed);
+        if ended.is_none() {
+            self.gateway.crashes.on_break(self.run);
+        } else {
+            self.gateway.crashes.on_end(self.run, is_complete);
+        }
         match ended {
             None => {
                 self.end_reason = EndReason::CallerGone;
@@ -191,6 +215,9 @@
     /// Makes attempts until one succeeds or no further one is allowed, and sends the final answer.
     async fn run_attempts(&mut self) {
         loop {
+            if self.refuse_if_quarantined().await {
+                return;
+            }
             let Some(target) = self.wait_for_target().await else {
                 let lacks =
                     self.gateway.routing.describe_shortage(&self.service, self.expected_load());
@@ -202,12 +229,17 @@
                 self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await;
                 return;
             };
+            // Another host may have found a cause of crashes during the wait.
+            if self.refuse_if_quarantined().await {
+                return;
+            }
             let ended = self.attempt(&target).await;
             self.current = None;
             let AttemptResult::Unanswered { end, server_answer, why } = ended else {
                 return;
             };
             self.end_reason = why;
+            self.record_end_of_run(end, &target);
             if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
                 self.gateway.routing.record_fault(target.server());
             }
@@ -229,6 +261,38 @@
         }
     }
 
+    /// Ends the request without another attempt if one of its fingerprints is quarantined; returns
+    /// whether it did.
+    async fn refuse_if_quarantined(&mut self) -> bool {
+        let Some((fingerprint, left)) = self.gateway.crashes.find_quarantined(&self.fingerprints)
+        else {
+            return false;
+        };
+        self.gateway.event_log.line(
+            Event::RequestQuarantined,
+            &[("id", &self.id()), ("fingerprint", &fingerprint), ("for_ms", &left.0)],
+        );
+        self.end_reason = EndReason::Quarantined;
+        self.retry_after = Some(left);
+        let next = self.outcome.final_step();
+        self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await;
+        true
+    }
+
+    /// Records for the quarantine how an attempt on `target` ended.
+    fn record_end_of_run(&self, end: AttemptEnd, target: &Target) {
+        match end {
+            AttemptEnd::Broken => {
+                crate::quarantine::on_connection_broken(&self.gateway, self.run, target)
+            }
+            AttemptEnd::Silent => self.gateway.crashes.on_break(self.run),
+            AttemptEnd::NotSent
+            | AttemptEnd::Declined
+            | AttemptEnd::StageDeclined
+            | AttemptEnd::Failed => self.gateway.crashes.on_end(self.run, false),
+        }
+    }
+
     /// Returns whether the retry budget and the time left allow another attempt. A request that was
     /// never sent takes nothing from the budget.
     fn retry_conditions(&self, end: AttemptEnd) -> RetryConditions {
@@ -299,7 +363,8 @@
     fn answer_with_status(&mut self, status: StatusCode) {
         let mut fields: HeaderMap = self.gateway.adapter.own_headers(self.caller.id.as_deref());
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            fields.insert(header::RETRY_AFTER, retry_after());
+            let value = self.retry_after.map_or_else(retry_after, retry_after_span);
+            fields.insert(header::RETRY_AFTER, value);
         }
         self.log_done(status);
         if let Some(head_tx) = self.head_tx.take() {
@@ -313,7 +378,11 @@
 /// once.
 pub fn retry_after() -> HeaderValue {
     let (least, most) = RETRY_AFTER_MS;
-    let ms = rand::random_range(least..most);
-    let text = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+    retry_after_span(Millis(rand::random_range(least..most)))
+}
+
+/// Returns a `Retry-After` value of `span`.
+fn retry_after_span(span: Millis) -> HeaderValue {
+    let text = format!("{}.{:03}", span.0 / 1_000, span.0 % 1_000);
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peering::messages::Content;
 use yuccanotch_core::peering::messages::Message;
 use yuccanotch_core::peering::messages::Outgoing;
 use yuccanotch_core::peering::messages::Peer;
@@ -145,9 +146,18 @@
 }
 
 async fn send(gateway: &Gateway, socket: &UdpSocket, outgoing: Vec<Outgoing>) {
+    if outgoing.is_empty() {
+        return;
+    }
     let from = own_status(gateway);
+    let is_full_exchange = gateway.peers.node().is_full_exchange();
+    let notices = gateway.crashes.notices(is_full_exchange);
     for Outgoing { to, content } in outgoing {
-        let message = Message { from: from.clone(), content };
+        let notices = match content {
+            Content::Summary { .. } | Content::Peers(_) => gateway.crashes.notices(true),
+            _ => notices.clone(),
+        };
+        let message = Message { from: from.clone(), content, notices };
         let Ok(buf) = bincode::serde::encode_to_vec(&message, bincode::config::standard()) else {
             continue;
         };
@@ -195,6 +205,7 @@
     let now = gateway.clock.now();
     let status = own_status(gateway);
     gateway.views.on_peer_revision(message.from.revision);
+    gateway.crashes.on_notices(&message.notices);
     let answer = gateway.peers.node.borrow_mut().on_message(now, &status, message);
     log_findings(gateway);
     if !gateway.peers.node().is_aggregator() {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -42,6 +42,7 @@
 use crate::pool::Pool;
 use crate::pool::Reuse;
 use crate::probe_server;
+use crate::quarantine::CrashTracker;
 use crate::reload;
 use crate::reload::ReadSettings;
 use crate::reports::ReportCache;
@@ -133,6 +134,8 @@
     pub counters: Counters,
     /// Recent reports of model servers.
     pub reports: ReportCache,
+    /// Requests in flight and the server crashes that they may have caused.
+    pub crashes: CrashTracker,
     /// The other hosts, and what they observe.
     pub peers: Peers,
     /// Whether this host follows changes in the store itself.
@@ -185,6 +188,7 @@
             settings.changeable.repeats,
         );
         let reports_clock = clock.clone();
+        let crashes = CrashTracker::new(clock.clone(), event_log.clone());
         let peers = Peers::new(settings.own_peer(), &settings.changeable.seeds);
         let changeable = RefCell::new(Rc::new(settings.changeable.clone()));
         Ok(Rc::new(Self {
@@ -198,6 +202,7 @@
             routing,
             counters: Counters::new().map_err(io::Error::other)?,
             reports: ReportCache::new(reports_clock),
+            crashes,
             peers,
             follows_store: Cell::new(false),
             shutdown: Shutdown::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod net;
 pub mod pool;
 pub mod probe_server;
+pub mod quarantine;
 pub mod reload;
 pub mod reports;
 pub mod routing;
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,169 @@
+//! Refusal of requests that crash servers. The decisions are those of `core::quarantine`.
+//!
+//! A server whose connection breaks with a request in flight and that then refuses connections has
+//! crashed.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use yuccanotch_core::clock::Clock;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::event::Event;
+use yuccanotch_core::ids::RequestId;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::quarantine::CrashId;
+use yuccanotch_core::quarantine::CrashNotice;
+use yuccanotch_core::quarantine::Fingerprint;
+use yuccanotch_core::quarantine::Quarantine;
+use yuccanotch_core::quarantine::QuarantineSettings;
+
+use crate::event_log::EventLog;
+use crate::host::Gateway;
+use crate::net;
+use crate::routing::Target;
+
+/// The longest wait for a connection when it is checked whether a server still listens.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long after a crash its notice is part of full exchanges between hosts, so that hosts that
+/// start learn of it.
+const SHARED_SPAN: Millis = Millis(600_000);
+/// How long after a crash its notice is part of every message between hosts.
+const URGENT_SPAN: Millis = Millis(1_000);
+/// The most notices in a message of a full exchange, which must fit a datagram.
+const MAX_SHARED_NOTICES: usize = 32;
+/// The most notices in another message.
+const MAX_URGENT_NOTICES: usize = 8;
+
+/// The requests in flight and the crashes that this host knows.
+pub struct CrashTracker {
+    clock: Clock,
+    event_log: Rc<EventLog>,
+    state: RefCell<Quarantine>,
+    /// The servers that are being checked for a crash.
+    checks: RefCell<HashSet<ServerName>>,
+    last_request: Cell<u128>,
+}
+
+impl CrashTracker {
+    /// Creates a tracker that knows no crashes.
+    pub fn new(clock: Clock, event_log: Rc<EventLog>) -> Self {
+        Self {
+            clock,
+            event_log,
+            state: RefCell::new(Quarantine::new(QuarantineSettings::default())),
+            checks: RefCell::default(),
+            last_request: Cell::new(0),
+        }
+    }
+
+    /// Returns an id for one more request of this host.
+    pub fn next_request(&self) -> RequestId {
+        self.last_request.set(self.last_request.get() + 1);
+        RequestId(self.last_request.get())
+    }
+
+    /// Returns the first of `fingerprints` that is quarantined, and for how long it stays so.
+    pub fn find_quarantined(&self, fingerprints: &[Fingerprint]) -> Option<(Fingerprint, Millis)> {
+        self.state.borrow().find_quarantined(self.clock.now(), fingerprints)
+    }
+
+    /// Returns the number of fingerprints that are quarantined.
+    pub fn quarantined_count(&self) -> usize {
+        self.state.borrow().quarantined(self.clock.now()).count()
+    }
+
+    /// Records that `request` is in flight on the server `crash`.
+    pub fn on_start(&self, request: RequestId, fingerprints: &[Fingerprint], server: CrashId) {
+        self.state.borrow_mut().on_start(self.clock.now(), request, fingerprints, [server]);
+    }
+
+    /// Records that a part of the answer to `request` has arrived.
+    pub fn on_progress(&self, request: RequestId) {
+        self.state.borrow_mut().on_progress(self.clock.now(), request);
+        self.log_changes();
+    }
+
+    /// Records the end of an attempt whose server may still crash because of it.
+    pub fn on_break(&self, request: RequestId) {
+        self.state.borrow_mut().on_break(self.clock.now(), request);
+    }
+
+    /// Records the end of an attempt that no longer runs on its server.
+    pub fn on_end(&self, request: RequestId, is_complete: bool) {
+        self.state.borrow_mut().on_end(self.clock.now(), request, is_complete);
+        self.log_changes();
+    }
+
+    /// Records what other hosts know.
+    pub fn on_notices(&self, notices: &[CrashNotice]) {
+        if notices.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        notices.iter().for_each(|notice| state.on_notice(now, notice));
+        drop(state);
+        self.log_changes();
+    }
+
+    /// Returns what to tell other hosts: all that hosts that start need, or only what is new.
+    pub fn notices(&self, is_full_exchange: bool) -> Vec<CrashNotice> {
+        let (span, max) = if is_full_exchange {
+            (SHARED_SPAN, MAX_SHARED_NOTICES)
+        } else {
+            (URGENT_SPAN, MAX_URGENT_NOTICES)
+        };
+        self.state.borrow().recent_notices(self.clock.now(), span, max)
+    }
+
+    fn on_crash(&self, crash: &CrashId) {
+        let notices = self.state.borrow_mut().on_crash(self.clock.now(), crash);
+        self.event_log.line(
+            Event::ServerCrashed,
+            &[("server", &crash.server), ("boot", &crash.boot), ("in_flight", &notices.len())],
+        );
+        self.log_changes();
+    }
+
+    fn log_changes(&self) {
+        let changes = self.state.borrow_mut().take_changes();
+        for change in changes {
+            let event =
+                if change.is_quarantined { Event::QuarantineBegan } else { Event::QuarantineEnded };
+            self.event_log
+                .line(event, &[("fingerprint", &change.fingerprint), ("crashes", &change.crashes)]);
+        }
+    }
+}
+
+/// Returns the id of the crash that would end the present incarnation of `server`.
+pub fn crash_id(gateway: &Gateway, server: &ServerName) -> CrashId {
+    let born = gateway.views.servers().get(server).and_then(|entry| entry.born);
+    CrashId { server: server.clone(), boot: born.unwrap_or_default() }
+}
+
+/// Handles a connection to `target` that broke while `request` was in flight, and finds out in the
+/// background whether the server has crashed.
+pub fn on_connection_broken(gateway: &Rc<Gateway>, request: RequestId, target: &Target) {
+    gateway.crashes.on_break(request);
+    let server = target.server().clone();
+    if !gateway.crashes.checks.borrow_mut().insert(server.clone()) {
+        return;
+    }
+    let address = target.address();
+    let crash = crash_id(gateway, &server);
+    let gateway = gateway.clone();
+    tokio::task::spawn_local(async move {
+        let connected = net::connect(address, CHECK_TIMEOUT).await;
+        gateway.crashes.checks.borrow_mut().remove(&server);
+        if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+            gateway.routing.suspect(&server, "crashed");
+            gateway.pool.close_idle(address);
+            gateway.crashes.on_crash(&crash);
+        }
+    });
+}
