--- a/crates/check/src/claim_case.rs
+++ b/crates/check/src/claim_case.rs
@@ -6,9 +6,20 @@
 //! a caller is the one that the backend server gave. At the end the faults stop, and a final
 //! request for each key has to be answered.
 
+mod callers;
+mod calls;
+mod commits;
+mod dispatch;
+mod event;
+mod faults;
+mod invariants;
+mod network;
+mod outcomes;
+mod plan;
 mod process;
 mod simulation;
 mod store;
+mod store_calls;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -17,7 +28,7 @@
 use crate::case::CaseResult;
 use crate::trace::Trace;
 
-use self::simulation::Plan;
+use self::plan::Plan;
 use self::simulation::Simulation;
 
 /// Runs the claim modules under random faults and checks the invariants.
