--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -1,7 +1,7 @@
 //! Faults injected into engines.
 
+use crate::engine::event::Event;
 use crate::engine::server::RunKey;
-use crate::engine::simulation::Event;
 use crate::engine::simulation::PortChange;
 use crate::engine::simulation::Simulation;
 use crate::record::RunEnd;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,17 +1,23 @@
 //! Model engines, simulated in one process by a single scheduler thread.
 
+mod admission;
 mod cache;
+mod crash_mark;
 mod driver;
+mod event;
 mod faults;
 mod handler;
 mod links;
 mod orders;
+mod reports;
 mod run;
+mod run_ends;
 mod server;
 mod simulation;
+mod steps;
 mod weights;
 
-pub use simulation::CRASH_MARK;
+pub use crash_mark::CRASH_MARK;
 
 pub(crate) use driver::Driver;
 pub(crate) use handler::EngineHandler;
--- a/crates/standin/src/engine/weights.rs
+++ b/crates/standin/src/engine/weights.rs
@@ -3,7 +3,7 @@
 use yuccanotch_core::engine::Holding;
 
 use crate::engine::cache::PrefixCache;
-use crate::engine::simulation::Event;
+use crate::engine::event::Event;
 use crate::engine::simulation::Simulation;
 
 impl Simulation {
