Parse the command lines of the operators' tool in one place

Six commands repeated the loop over options, operand and help, and two repeated a type with nothing but the shared options. One parser takes the options of a command's own as a function and returns the shared ones, with the operand where there is one.

--- a/crates/ctl/src/cmd_diff.rs
+++ b/crates/ctl/src/cmd_diff.rs
@@ -2,13 +2,14 @@
 
 use std::path::PathBuf;
 
-use lexopt::Arg;
 use serde_json::Map;
 use serde_json::Value;
 use yuccanotch_core::config::check_document;
 use yuccanotch_core::config::parse_document;
 use yuccanotch_core::finding::pointer_token;
 
+use crate::command_line::parse_with_operand;
+use crate::command_line::CommandLine;
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::shared_options::SharedOptions;
@@ -35,24 +36,17 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut shared = SharedOptions::default();
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut patch = false;
-        let mut file = None;
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Value(path) if file.is_none() => file = Some(path.into()),
-                Arg::Long("patch") => patch = true,
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    shared.parse_option(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
-            }
-        }
-        let file = file.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
-        Ok(Some(Self { shared, patch, file }))
+        let line = parse_with_operand(parser, USAGE, |name, _| {
+            patch |= name == "patch";
+            Ok(name == "patch")
+        })?;
+        let args = |line: CommandLine| {
+            let file = line.operand.into();
+            Self { shared: line.shared, patch, file }
+        };
+        Ok(line.map(args))
     }
 }
 
--- a/crates/ctl/src/cmd_drain.rs
+++ b/crates/ctl/src/cmd_drain.rs
@@ -1,12 +1,13 @@
 //! `yuccanotch-ctl drain`: drains a backend server or an entry host.
 
-use lexopt::Arg;
 use lexopt::ValueExt;
 use serde_json::json;
 use serde_json::Value;
 use yuccanotch_core::config::publisher::ConfigChange;
 
 use crate::cmd_patch::check_store_is_current;
+use crate::command_line::parse_with_operand;
+use crate::command_line::CommandLine;
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::shared_options::SharedOptions;
@@ -37,24 +38,16 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut shared = SharedOptions::default();
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut undo = false;
-        let mut name = None;
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Value(value) if name.is_none() => name = Some(value.string()?),
-                Arg::Long("undo") => undo = true,
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(option) => {
-                    let option = option.to_owned();
-                    shared.parse_option(&option, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
-            }
-        }
-        let name = name.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
-        Ok(Some(Self { shared, undo, name }))
+        let line = parse_with_operand(parser, USAGE, |name, _| {
+            undo |= name == "undo";
+            Ok(name == "undo")
+        })?;
+        let Some(CommandLine { shared, operand }) = line else {
+            return Ok(None);
+        };
+        Ok(Some(Self { shared, undo, name: operand.string()? }))
     }
 }
 
--- a/crates/ctl/src/cmd_init.rs
+++ b/crates/ctl/src/cmd_init.rs
@@ -2,13 +2,14 @@
 
 use std::path::PathBuf;
 
-use lexopt::Arg;
 use lexopt::ValueExt;
 use yuccanotch_core::config::manifest::PatchId;
 use yuccanotch_core::config::parse_document;
 use yuccanotch_core::config::publisher::ConfigChange;
 use yuccanotch_core::ids::ConfigNumber;
 
+use crate::command_line::parse_with_operand;
+use crate::command_line::CommandLine;
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::shared_options::SharedOptions;
@@ -32,24 +33,17 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut shared = SharedOptions::default();
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut id = None;
-        let mut file = None;
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Value(path) if file.is_none() => file = Some(path.into()),
-                Arg::Long("id") => id = Some(parser.value()?.parse()?),
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    shared.parse_option(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
+        let line = parse_with_operand(parser, USAGE, |name, parser| {
+            match name {
+                "id" => id = Some(parser.value()?.parse()?),
+                _ => return Ok(false),
             }
-        }
-        let file = file.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
-        Ok(Some(Self { shared, id, file }))
+            Ok(true)
+        })?;
+        let args = |line: CommandLine| Self { shared: line.shared, id, file: line.operand.into() };
+        Ok(line.map(args))
     }
 }
 
--- a/crates/ctl/src/cmd_patch.rs
+++ b/crates/ctl/src/cmd_patch.rs
@@ -2,12 +2,13 @@
 
 use std::path::PathBuf;
 
-use lexopt::Arg;
 use lexopt::ValueExt;
 use yuccanotch_core::config::manifest::PatchId;
 use yuccanotch_core::config::publisher::ConfigChange;
 use yuccanotch_core::ids::ConfigNumber;
 
+use crate::command_line::parse_with_operand;
+use crate::command_line::CommandLine;
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::shared_options::SharedOptions;
@@ -37,27 +38,22 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut shared = SharedOptions::default();
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut base = None;
         let mut id = None;
-        let mut file = None;
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Value(path) if file.is_none() => file = Some(path.into()),
-                Arg::Long("base") => base = Some(ConfigNumber(parser.value()?.parse()?)),
-                Arg::Long("id") => id = Some(parser.value()?.parse()?),
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    shared.parse_option(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
+        let line = parse_with_operand(parser, USAGE, |name, parser| {
+            match name {
+                "base" => base = Some(ConfigNumber(parser.value()?.parse()?)),
+                "id" => id = Some(parser.value()?.parse()?),
+                _ => return Ok(false),
             }
-        }
-        let file = file.ok_or_else(|| CliError::Usage(USAGE.trim().to_owned()))?;
+            Ok(true)
+        })?;
+        let Some(CommandLine { shared, operand }) = line else {
+            return Ok(None);
+        };
         let base = base.ok_or_else(|| CliError::Usage("--base N is required".to_owned()))?;
-        Ok(Some(Self { shared, base, id, file }))
+        Ok(Some(Self { shared, base, id, file: operand.into() }))
     }
 }
 
--- a/crates/ctl/src/cmd_recover.rs
+++ b/crates/ctl/src/cmd_recover.rs
@@ -3,9 +3,9 @@
 use yuccanotch_core::config::document::Document;
 use yuccanotch_core::config::publisher::ConfigChange;
 
+use crate::command_line::parse_options;
 use crate::error::CliError;
 use crate::error::CliResult;
-use crate::shared_options::SharedOptions;
 use crate::util;
 
 const USAGE: &str = "
@@ -21,43 +21,30 @@
     -h, --help    Prints this text.
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    shared: SharedOptions,
-}
-
-impl Args {
-    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut args = Self::default();
-        let should_run = util::parse_options(parser, &mut args.shared, |_| false)?;
-        Ok(should_run.then_some(args))
-    }
-}
-
 /// Runs the command.
 ///
 /// # Errors
 ///
 /// Returns an error when no host answers or the store is not behind the hosts.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
-    let Some(args) = Args::parse(parser)? else {
+    let Some(shared) = parse_options(parser, |_, _| Ok(false))? else {
         outln!("{}", USAGE.trim());
         return Ok(());
     };
     let mut highest = None;
-    for client in args.shared.required_hosts()? {
+    for client in shared.required_hosts()? {
         match client.status() {
             Ok(status) => highest = highest.max(Some((status.config, client.address))),
             Err(e) => eprintln!("not asked: {e}"),
         }
     }
     let (_, address) = highest.ok_or_else(|| CliError::Failed("no host answered".to_owned()))?;
-    let hosts = args.shared.required_hosts()?;
+    let hosts = shared.required_hosts()?;
     let client = hosts.iter().find(|client| client.address == address);
     let held = client.ok_or_else(|| CliError::Failed("no host answered".to_owned()))?.config()?;
     let document = Document::try_from(held.declaration).map_err(CliError::Findings)?;
     outln!("highest: configuration {} on {address}", held.number);
     let change = ConfigChange::Recovery { highest: held.number, document };
-    util::publish(None, held.number, change, &args.shared.store()?)?;
+    util::publish(None, held.number, change, &shared.store()?)?;
     Ok(())
 }
--- a/crates/ctl/src/cmd_show.rs
+++ b/crates/ctl/src/cmd_show.rs
@@ -1,8 +1,8 @@
 //! `yuccanotch-ctl show`: prints the current configuration.
 
+use crate::command_line::parse_options;
 use crate::error::CliResult;
 use crate::shared_options::SharedOptions;
-use crate::util;
 
 const USAGE: &str = "
 Prints the current configuration as JSON.
@@ -14,7 +14,7 @@
     -h, --help    Prints this text.
 ";
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Args {
     shared: SharedOptions,
     number: bool,
@@ -22,14 +22,12 @@
 
 impl Args {
     fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut args = Self::default();
-        let Self { shared, number } = &mut args;
-        let parse_own = |name: &str| {
-            *number |= name == "number";
-            name == "number"
-        };
-        let should_run = util::parse_options(parser, shared, parse_own)?;
-        Ok(should_run.then_some(args))
+        let mut number = false;
+        let shared = parse_options(parser, |name, _| {
+            number |= name == "number";
+            Ok(name == "number")
+        })?;
+        Ok(shared.map(|shared| Self { shared, number }))
     }
 }
 
--- a/crates/ctl/src/cmd_status.rs
+++ b/crates/ctl/src/cmd_status.rs
@@ -1,9 +1,8 @@
 //! `yuccanotch-ctl status`: prints the configuration number of each entry host.
 
+use crate::command_line::parse_options;
 use crate::error::CliError;
 use crate::error::CliResult;
-use crate::shared_options::SharedOptions;
-use crate::util;
 
 const USAGE: &str = "
 Prints the configuration number of each entry host.
@@ -17,32 +16,19 @@
     -h, --help    Prints this text.
 ";
 
-#[derive(Debug, Default)]
-struct Args {
-    shared: SharedOptions,
-}
-
-impl Args {
-    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut args = Self::default();
-        let should_run = util::parse_options(parser, &mut args.shared, |_| false)?;
-        Ok(should_run.then_some(args))
-    }
-}
-
 /// Runs the command.
 ///
 /// # Errors
 ///
 /// Returns an error when hosts do not answer or hold different configurations.
 pub fn run(parser: lexopt::Parser) -> CliResult<()> {
-    let Some(args) = Args::parse(parser)? else {
+    let Some(shared) = parse_options(parser, |_, _| Ok(false))? else {
         outln!("{}", USAGE.trim());
         return Ok(());
     };
     let mut configurations = Vec::new();
     let mut unanswered = 0;
-    for client in args.shared.required_hosts()? {
+    for client in shared.required_hosts()? {
         match client.status() {
             Ok(status) => {
                 outln!(
@@ -62,7 +48,7 @@
             }
         }
     }
-    if let Ok(stored) = args.shared.read_config() {
+    if let Ok(stored) = shared.read_config() {
         let manifest = stored.manifest;
         outln!("store configuration {} patch {}", manifest.number, manifest.patch);
         configurations.push((manifest.number, manifest.patch.to_string()));
--- a/crates/ctl/src/cmd_wait.rs
+++ b/crates/ctl/src/cmd_wait.rs
@@ -3,13 +3,13 @@
 use std::thread;
 use std::time::Duration;
 
-use lexopt::Arg;
 use lexopt::ValueExt;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::ids::ConfigNumber;
 
 use crate::admin_client::AdminClient;
+use crate::command_line::parse_options;
 use crate::error::CliError;
 use crate::error::CliResult;
 use crate::shared_options::SharedOptions;
@@ -36,22 +36,20 @@
 }
 
 impl Args {
-    fn parse(mut parser: lexopt::Parser) -> CliResult<Option<Self>> {
-        let mut shared = SharedOptions::default();
+    fn parse(parser: lexopt::Parser) -> CliResult<Option<Self>> {
         let mut number = None;
         let mut timeout = DEFAULT_TIMEOUT;
-        while let Some(arg) = parser.next()? {
-            match arg {
-                Arg::Long("number") => number = Some(ConfigNumber(parser.value()?.parse()?)),
-                Arg::Long("timeout") => timeout = Millis(parser.value()?.parse()?),
-                Arg::Long("help") | Arg::Short('h') => return Ok(None),
-                Arg::Long(name) => {
-                    let name = name.to_owned();
-                    shared.parse_option(&name, &mut parser)?;
-                }
-                _ => return Err(arg.unexpected().into()),
+        let shared = parse_options(parser, |name, parser| {
+            match name {
+                "number" => number = Some(ConfigNumber(parser.value()?.parse()?)),
+                "timeout" => timeout = Millis(parser.value()?.parse()?),
+                _ => return Ok(false),
             }
-        }
+            Ok(true)
+        })?;
+        let Some(shared) = shared else {
+            return Ok(None);
+        };
         let number = number.ok_or_else(|| CliError::Usage("--number N is required".to_owned()))?;
         Ok(Some(Self { shared, number, timeout }))
     }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -20,6 +20,7 @@
 mod cmd_status;
 mod cmd_validate;
 mod cmd_wait;
+mod command_line;
 mod error;
 mod shared_options;
 mod util;
--- a/crates/ctl/src/util.rs
+++ b/crates/ctl/src/util.rs
@@ -1,4 +1,4 @@
-//! Helpers of several commands: option parsing, file input, patch ids and store procedures.
+//! Helpers of several commands: file input, patch ids and store procedures.
 
 use std::collections::hash_map::RandomState;
 use std::fs;
@@ -9,8 +9,6 @@
 use std::path::Path;
 use std::thread;
 
-use lexopt::Arg;
-use lexopt::Parser;
 use serde_json::Value;
 use yuccanotch_core::config::chunk_gc::ChunkCollector;
 use yuccanotch_core::config::manifest::PatchId;
@@ -24,32 +22,6 @@
 
 use crate::error::CliError;
 use crate::error::CliResult;
-use crate::shared_options::SharedOptions;
-
-/// Parses the options of a command that has no other arguments. `parse_own` handles the options of
-/// the command itself and returns whether the option is one of them; all others are parsed into
-/// `shared`. Returns `false` when help was requested and the command must not run.
-///
-/// # Errors
-///
-/// Returns an error for an unknown option or an invalid value.
-pub fn parse_options(
-    mut parser: Parser,
-    shared: &mut SharedOptions,
-    mut parse_own: impl FnMut(&str) -> bool,
-) -> CliResult<bool> {
-    while let Some(arg) = parser.next()? {
-        let name = match arg {
-            Arg::Long("help") | Arg::Short('h') => return Ok(false),
-            Arg::Long(name) => name.to_owned(),
-            other => return Err(other.unexpected().into()),
-        };
-        if !parse_own(&name) {
-            shared.parse_option(&name, &mut parser)?;
-        }
-    }
-    Ok(true)
-}
 
 /// Reads a file, or standard input for `-`.
 pub fn read_file(path: &Path) -> CliResult<Vec<u8>> {
