Read a record from a sealed segment in one place

The entry host and the claim case each looked up a key in a segment in the same way. The lookup belongs to the result type of the read and stands there now.

--- a/crates/check/src/claim_case/calls.rs
+++ b/crates/check/src/claim_case/calls.rs
@@ -1,7 +1,6 @@
 //! Claims of the calls that the processes have accepted.
 
 use rand::Rng;
-use yuccanotch_core::claim::decode_segment;
 use yuccanotch_core::claim::segment_key;
 use yuccanotch_core::claim::CallerReply;
 use yuccanotch_core::claim::ClaimKey;
@@ -112,12 +111,7 @@
     fn read_segment(&mut self, key: ClaimKey, id: u64) -> SegmentRead {
         let path = segment_key(key.slot(self.plan.slots), id);
         match self.store.call(StoreCall::Get { key: path }) {
-            StoreAnswer::Got(Ok(Some(found))) => {
-                let records = decode_segment(&found.value).unwrap_or_default();
-                let found = records.into_iter().find(|record| record.key == key);
-                found.map_or(SegmentRead::Missing, SegmentRead::Found)
-            }
-            StoreAnswer::Got(Ok(None)) => SegmentRead::Missing,
+            StoreAnswer::Got(read) => SegmentRead::from_store(read, key),
             _ => SegmentRead::Unavailable,
         }
     }
--- a/crates/core/src/claim/call.rs
+++ b/crates/core/src/claim/call.rs
@@ -2,6 +2,7 @@
 //!
 //! The driver makes the request that [`Step`] names and passes the result back as [`Input`].
 
+use super::encoding::decode_segment;
 use super::messages::HolderStatus;
 use super::messages::OpReply;
 use super::record::ClaimKey;
@@ -18,6 +19,8 @@
 use crate::defect::planted;
 use crate::reason::Outcome;
 use crate::reason::RefusalReason;
+use crate::store::StoreError;
+use crate::store::Versioned;
 
 const MAX_COMMIT_TRIES: u32 = 4;
 const MAX_STATUS_TRIES: u32 = 3;
@@ -103,6 +106,22 @@
     Unavailable,
 }
 
+impl SegmentRead {
+    /// Returns what a read of a sealed segment tells about a key; an unreadable segment counts as
+    /// one without records.
+    pub fn from_store(read: Result<Option<Versioned>, StoreError>, key: ClaimKey) -> Self {
+        match read {
+            Ok(Some(found)) => {
+                let records = decode_segment(&found.value).unwrap_or_default();
+                let found = records.into_iter().find(|record| record.key == key);
+                found.map_or(Self::Missing, Self::Found)
+            }
+            Ok(None) => Self::Missing,
+            Err(_) => Self::Unavailable,
+        }
+    }
+}
+
 /// The state of one call and its claim, under one nonce.
 #[derive(Debug)]
 pub struct CallClaim {
--- a/crates/entry/src/claims/commits.rs
+++ b/crates/entry/src/claims/commits.rs
@@ -1,6 +1,5 @@
 //! Commits of operations where the record of the key is kept: by this host or by another one.
 
-use yuccanotch_core::claim::decode_segment;
 use yuccanotch_core::claim::home_order;
 use yuccanotch_core::claim::segment_key;
 use yuccanotch_core::claim::BoundKey;
@@ -138,14 +137,6 @@
         let RecordLocation::Slot(slot) = location else {
             return SegmentRead::Missing;
         };
-        match self.store.get(&segment_key(*slot, id)) {
-            Ok(Some(found)) => {
-                let records = decode_segment(&found.value).unwrap_or_default();
-                let found = records.into_iter().find(|record| record.key == key);
-                found.map_or(SegmentRead::Missing, SegmentRead::Found)
-            }
-            Ok(None) => SegmentRead::Missing,
-            Err(_) => SegmentRead::Unavailable,
-        }
+        SegmentRead::from_store(self.store.get(&segment_key(*slot, id)), key)
     }
 }
