Assemble the gossip of both kinds in one place

Gossip within a domain and across domains repeated the same assembly; they differ in the batch of server changes and in the reachability of domains, which are now its arguments.

--- a/crates/core/src/fleet/gossip.rs
+++ b/crates/core/src/fleet/gossip.rs
@@ -1,6 +1,7 @@
 //! Construction of gossip for messages to other hosts, and processing of received messages.
 
 use rand::seq::IteratorRandom as _;
+use smallvec::SmallVec;
 
 use super::messages::FleetMessage;
 use super::messages::FleetReply;
@@ -11,6 +12,7 @@
 use super::messages::ShortId;
 use super::node::FleetAction;
 use super::node::FleetNode;
+use super::servers::UpdateBatch;
 use super::timing::Stamp;
 use crate::clock::Millis;
 use crate::name::DomainName;
@@ -37,18 +39,8 @@
             domain: ShortId::of(domain.as_str()),
             age: now.stamp.age_of(*at),
         });
-        Gossip {
-            stamp: now.stamp,
-            digest: self.members.digest(),
-            heard: heard.collect(),
-            members: self
-                .members
-                .take_least_sent(self.timing.max_members_per_message, limit)
-                .into(),
-            loads: batch.loads,
-            details: batch.details,
-            listed: batch.listed,
-        }
+        let heard = heard.collect();
+        self.gossip_with(now.stamp, limit, heard, batch)
     }
 
     /// Returns the changes that are due for a host of `remote_domain`.
@@ -61,14 +53,23 @@
         let now = self.now(now);
         let own = &self.identity.domain;
         let batch = self.servers.take_cross_domain_batch(now, own, remote_domain, &self.timing);
+        self.gossip_with(now.stamp, limit, SmallVec::new(), batch)
+    }
+
+    /// Adds the changes of entry hosts that are due to those of servers and failure domains.
+    fn gossip_with(
+        &mut self,
+        stamp: Stamp,
+        limit: u32,
+        heard: SmallVec<[ReachabilityUpdate; 4]>,
+        batch: UpdateBatch,
+    ) -> Gossip {
+        let max_members = self.timing.max_members_per_message;
         Gossip {
-            stamp: now.stamp,
+            stamp,
             digest: self.members.digest(),
-            heard: Default::default(),
-            members: self
-                .members
-                .take_least_sent(self.timing.max_members_per_message, limit)
-                .into(),
+            heard,
+            members: self.members.take_least_sent(max_members, limit).into(),
             loads: batch.loads,
             details: batch.details,
             listed: batch.listed,
