--- a/crates/check/src/cmd_claim_figures.rs
+++ b/crates/check/src/cmd_claim_figures.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use lexopt::Arg;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -27,6 +26,7 @@
 use yuccanotch_core::name::HostName;
 use yuccanotch_core::store::Versioned;
 
+use crate::command_line::should_run;
 use crate::error::CliResult;
 
 const USAGE: &str = "
@@ -48,15 +48,10 @@
 /// # Errors
 ///
 /// Returns an error when the command line is invalid.
-pub fn run(mut parser: lexopt::Parser) -> CliResult<()> {
-    if let Some(arg) = parser.next()? {
-        return match arg {
-            Arg::Long("help") | Arg::Short('h') => {
-                outln!("{}", USAGE.trim());
-                Ok(())
-            }
-            _ => Err(arg.unexpected().into()),
-        };
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    if !should_run(parser)? {
+        outln!("{}", USAGE.trim());
+        return Ok(());
     }
     outln!("batch  writes/claim  bytes/claim  bytes/write  CPU us/claim  takeover reads  records");
     for batch in BATCH_SIZES {
--- a/crates/check/src/cmd_route_figures.rs
+++ b/crates/check/src/cmd_route_figures.rs
@@ -3,7 +3,6 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use lexopt::Arg;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -42,6 +41,7 @@
 use yuccanotch_core::stream::Event;
 use yuccanotch_core::stream::StreamSpec;
 
+use crate::command_line::should_run;
 use crate::error::CliResult;
 
 const USAGE: &str = "
@@ -67,15 +67,10 @@
 /// # Errors
 ///
 /// Returns an error when the command line is invalid.
-pub fn run(mut parser: lexopt::Parser) -> CliResult<()> {
-    if let Some(arg) = parser.next()? {
-        return match arg {
-            Arg::Long("help") | Arg::Short('h') => {
-                outln!("{}", USAGE.trim());
-                Ok(())
-            }
-            arg => Err(arg.unexpected().into()),
-        };
+pub fn run(parser: lexopt::Parser) -> CliResult<()> {
+    if !should_run(parser)? {
+        outln!("{}", USAGE.trim());
+        return Ok(());
     }
     FLEET_SIZES.iter().for_each(|count| measure_routing(*count));
     measure_frames();
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -21,6 +21,7 @@
 mod cmd_route_bench;
 mod cmd_route_figures;
 mod cmd_slopes;
+mod command_line;
 mod config_case;
 mod config_store;
 mod error;
