Send nothing new to a server that says in an answer that it is leaving

Cause: the host learned of a leaving server only from the list in the store. The header that leaving servers put on all their answers was passed on and otherwise ignored.

Change: the answers to requests, refusals, reports and orders are read for it. The list of servers keeps the announcement beside its entries, by the start of the incarnation: the entry counts as leaving, so no request, chain or plan uses it, and reloads or an entry written anew do not undo it. A later incarnation is ready again. Hosts pass on what a server told them in the observations of each round.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -19,6 +19,7 @@
 use yuccanotch_core::forward::outcome::NextStep;
 use yuccanotch_core::forward::outcome::RequestState;
 use yuccanotch_core::forward::outcome::RetryConditions;
+use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::routes::RepeatPolicy;
 use yuccanotch_core::forward::servers::ServerChange;
 use yuccanotch_core::forward::servers::ServerEntry;
@@ -85,7 +86,8 @@
     };
     sim.run_request()?;
     sim.check_chains()?;
-    sim.check_server_list()
+    sim.check_server_list()?;
+    sim.check_announced_leaving()
 }
 
 impl Simulation<'_> {
@@ -279,6 +281,47 @@
             Some(_) => Err("a lapsed entry is kept forever".to_owned()),
         }
     }
+
+    /// Checks that a server that has announced that it is leaving counts as leaving through changes
+    /// of its entry, until a later incarnation is listed.
+    fn check_announced_leaving(&mut self) -> CaseResult {
+        let mut list = ServerList::default();
+        let mut now = Millis(self.rng.random_range(1_000..9_000));
+        let mut entry = ServerEntry { born: Some(1_000), ..server_entry(ServerState::Ready) };
+        list.on_change(now, ServerChange::Put(entry.clone()));
+        let mut announced = None;
+        for _ in 0..8 {
+            now = now + Millis(self.rng.random_range(1..2_000));
+            match self.rng.random_range(0..6) {
+                0 => {
+                    announced = entry.born;
+                    list.on_leaving(now, &entry.id, entry.born, LeavingSource::Answer);
+                }
+                1 => {
+                    let earlier = self.rng.random_range(0..900);
+                    list.on_leaving(now, &entry.id, Some(earlier), LeavingSource::Host);
+                }
+                2 => list.on_change(now, ServerChange::Gone(entry.id.clone())),
+                3 => list.on_list(now, Vec::new()),
+                4 => {
+                    entry.born = entry.born.map(|born| born + 1_000);
+                    list.on_change(now, ServerChange::Put(entry.clone()));
+                }
+                _ => list.on_list(now, vec![entry.clone()]),
+            }
+            list.on_tick(now);
+            let is_leaving = announced.is_some() && announced == entry.born;
+            let expected = if is_leaving { ServerState::Leaving } else { ServerState::Ready };
+            let state = list.get(&entry.id).map(|e| e.state);
+            if state.is_some_and(|state| state != expected) {
+                return Err(format!(
+                    "state {state:?} of the incarnation {:?}, announced: {announced:?}",
+                    entry.born
+                ));
+            }
+        }
+        Ok(())
+    }
 }
 
 fn event_bytes(id: u64) -> Vec<u8> {
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -109,6 +109,8 @@
         ChainWithGap => "chain-with-gap",
         /// The entry of a leaving server that no longer exists is kept after a store outage.
         LeavingEntryKept => "leaving-entry-kept",
+        /// A server that has announced that it is leaving gets new work after its entry is read again.
+        LeavingForgottenOnReload => "leaving-forgotten-on-reload",
         /// An answer may change the model version after its first token.
         VersionUnpinned => "version-unpinned",
     }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -117,6 +117,8 @@
     ServerListChanged = 2203, Info, "server list changed";
     /// An entry of the store or of a list cannot be used.
     EntryRejected = 2204, Warn, "entry rejected";
+    /// A server has announced that it is leaving, before the list of servers says so.
+    ServerLeaving = 2205, Info, "server leaving";
     /// A version of the configuration was adopted.
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -5,10 +5,13 @@
 pub mod events;
 pub mod health;
 pub mod item_log;
+pub mod leaving;
 pub mod outcome;
 pub mod reason;
 pub mod routes;
 pub mod servers;
 #[cfg(test)]
+mod servers_tests;
+#[cfg(test)]
 mod tests;
 pub mod waiting;
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -72,6 +72,16 @@
     }
 }
 
+reasons! {
+    /// How a host learned that a server is leaving, before the list of servers said so.
+    LeavingSource {
+        /// The server announced it in an answer to this host.
+        Answer = "answer",
+        /// Another host passed the announcement on.
+        Host = "host",
+    }
+}
+
 reasons! {
     /// The reason for which a request was rejected before admission.
     Rejection {
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -7,6 +7,8 @@
 
 use crate::clock::Millis;
 use crate::defect::planted;
+use crate::forward::leaving::LeavingServers;
+use crate::forward::reason::LeavingSource;
 use crate::name::DomainName;
 use crate::name::ServerName;
 use crate::name::ServiceName;
@@ -79,6 +81,8 @@
 #[derive(Debug, Default)]
 pub struct ServerList {
     listed: HashMap<ServerName, ListedServer>,
+    // Outlives the entries, which may be older than the announcements.
+    leaving: LeavingServers,
     grace_until: Millis,
     generation: u64,
 }
@@ -103,7 +107,10 @@
     /// Applies one change to the list.
     pub fn on_change(&mut self, now: Millis, change: ServerChange) {
         match change {
-            ServerChange::Put(entry) => {
+            ServerChange::Put(mut entry) => {
+                if self.leaving.includes(&entry) && !planted!(LeavingForgottenOnReload) {
+                    entry.state = ServerState::Leaving;
+                }
                 let is_unchanged = self
                     .listed
                     .get(&entry.id)
@@ -130,6 +137,34 @@
         self.generation += 1;
     }
 
+    /// Records that the incarnation of the server `id` that started at `born` is leaving, whatever
+    /// its entry says; returns whether that is news.
+    pub fn on_leaving(
+        &mut self,
+        now: Millis,
+        id: &ServerName,
+        born: Option<u64>,
+        source: LeavingSource,
+    ) -> bool {
+        if !self.leaving.insert(now, id, born, source) {
+            return false;
+        }
+        let leaving = &self.leaving;
+        let listed = self.listed.get_mut(id).filter(|listed| leaving.includes(&listed.entry));
+        let Some(listed) = listed.filter(|listed| listed.entry.state == ServerState::Ready) else {
+            return false;
+        };
+        listed.entry.state = ServerState::Leaving;
+        self.generation += 1;
+        true
+    }
+
+    /// Returns the listed servers that have announced to this host itself that they are leaving,
+    /// with their starts.
+    pub fn announced_leaving(&self) -> impl Iterator<Item = (&ServerName, Option<u64>)> {
+        self.leaving.received().filter(|(id, _)| self.listed.contains_key(*id))
+    }
+
     /// Records that the store answers again after it was unreachable. Entries may have expired in
     /// the meantime, so removals are delayed for [`LAPSE_GRACE`].
     pub fn on_store_recovered(&mut self, now: Millis) {
@@ -146,8 +181,10 @@
         self.grace_until = self.grace_until.max(now + span.min(LAPSE_GRACE));
     }
 
-    /// Drops entries whose grace period is over.
+    /// Drops entries whose grace period is over, and announcements of servers that are gone.
     pub fn on_tick(&mut self, now: Millis) {
+        let listed = &self.listed;
+        self.leaving.on_tick(now, |id| listed.contains_key(id));
         let before = self.listed.len();
         self.listed.retain(|_, listed| listed.removal_at.is_none_or(|at| now < at));
         if self.listed.len() != before {
--- a/crates/core/src/peering/observations.rs
+++ b/crates/core/src/peering/observations.rs
@@ -1,6 +1,7 @@
 //! Observations of hosts about backend servers, and their sums over hosts.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -59,6 +60,15 @@
     pub tenths: u16,
 }
 
+/// A server that has announced to a host that it is leaving.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct LeavingRow {
+    /// The short hash of the server's name.
+    pub server: u32,
+    /// When that incarnation of the server started, in ms since the Unix epoch.
+    pub born: Option<u64>,
+}
+
 /// Observations of one or several hosts about servers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Observations {
@@ -68,6 +78,8 @@
     pub suspects: Vec<SuspectRow>,
     /// Servers that were found slow.
     pub slow: Vec<SlowRow>,
+    /// Servers that are leaving.
+    pub leaving: Vec<LeavingRow>,
 }
 
 /// Adds up observations: loads are summed, of suspicions and slowness the strongest counts.
@@ -76,6 +88,7 @@
     loads: HashMap<u32, LoadRow>,
     suspects: HashMap<u32, u16>,
     slow: HashMap<u32, u16>,
+    leaving: HashSet<LeavingRow>,
 }
 
 impl ObservationSum {
@@ -95,6 +108,7 @@
             let most = self.slow.entry(row.server).or_default();
             *most = row.tenths.max(*most);
         }
+        self.leaving.extend(&observations.leaving);
     }
 
     /// Takes loads out of the sums that were added to them before.
@@ -117,6 +131,7 @@
             loads,
             suspects: suspects.take(MAX_ROWS).collect(),
             slow: slow.take(MAX_ROWS).collect(),
+            leaving: self.leaving.into_iter().take(MAX_ROWS).collect(),
         }
     }
 }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -93,6 +93,8 @@
     pub keep_alive: Option<Millis>,
     /// Whether the server closes the connection after this answer.
     pub closes: bool,
+    /// Whether the server announces that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// A call to the store, a key-value store with revisions and leases.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -16,6 +16,7 @@
 use metrics_exporter_prometheus::PrometheusRecorder;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::reason::EndReason;
+use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::reason::Rejection;
 
 use crate::host::Gateway;
@@ -37,6 +38,7 @@
     sent: Counter,
     moves: Counter,
     moves_refused: Counter,
+    leaving: HashMap<LeavingSource, Counter>,
     first_event: Histogram,
     longest_gap: Histogram,
 }
@@ -69,6 +71,13 @@
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
             moves: counter(&recorder, "yuccanotch_moves_total", None),
             moves_refused: counter(&recorder, "yuccanotch_moves_refused_total", None),
+            leaving: LeavingSource::ALL
+                .iter()
+                .map(|s| {
+                    let name = "yuccanotch_servers_leaving_total";
+                    (*s, counter(&recorder, name, Some(s.as_str())))
+                })
+                .collect(),
             first_event: histogram("yuccanotch_first_event_ms"),
             longest_gap: histogram("yuccanotch_longest_gap_ms"),
             recorder,
@@ -110,6 +119,13 @@
         }
     }
 
+    /// Counts a server of which this host learned from `source` that it is leaving.
+    pub fn server_leaving(&self, source: LeavingSource) {
+        if let Some(counter) = self.leaving.get(&source) {
+            counter.increment(1);
+        }
+    }
+
     /// Records the time to the first event of a stream and its longest gap between events.
     pub fn stream_ended(&self, first_event: Millis, longest_gap: Millis) {
         self.first_event.record(first_event.0 as f64);
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -64,6 +64,7 @@
         };
         let (head, body) = response.into_parts();
         let reply = gateway.adapter.decode_reply(&head);
+        gateway.record_announcements(target.address(), &reply);
         if let Some(ended) = self.check_reply(&head, &reply, target) {
             return ended;
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::messages::Message;
 use yuccanotch_core::peering::messages::Outgoing;
@@ -23,6 +24,7 @@
 use yuccanotch_core::peering::node::Finding;
 use yuccanotch_core::peering::node::Node;
 use yuccanotch_core::peering::observations::short_hash;
+use yuccanotch_core::peering::observations::LeavingRow;
 use yuccanotch_core::peering::observations::LoadRow;
 use yuccanotch_core::peering::observations::Observations;
 use yuccanotch_core::peering::observations::SlowRow;
@@ -187,7 +189,16 @@
         server: short_hash(server.as_str()),
         tenths: (factor * 10.0) as u16,
     });
-    Observations { loads: loads.collect(), suspects: suspects.collect(), slow: slow.collect() }
+    let servers = gateway.views.servers();
+    let leaving = servers
+        .announced_leaving()
+        .map(|(server, born)| LeavingRow { server: short_hash(server.as_str()), born });
+    Observations {
+        loads: loads.collect(),
+        suspects: suspects.collect(),
+        slow: slow.collect(),
+        leaving: leaving.collect(),
+    }
 }
 
 /// Applies a message of another host; returns the answer.
@@ -236,6 +247,12 @@
             health.on_peer_suspicion(now, server, Millis(u64::from(row.ms)));
         }
     }
+    drop(servers);
+    for row in &others.leaving {
+        if let Some(server) = names.by_hash.get(&row.server) {
+            gateway.record_leaving(server, row.born, LeavingSource::Host);
+        }
+    }
 }
 
 fn log_findings(gateway: &Gateway) {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -303,6 +303,7 @@
         let response = conn.send(req).await.ok()?;
         let (head, body) = response.into_parts();
         let reply = self.adapter.decode_reply(&head);
+        self.record_announcements(address, &reply);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
         if !reply.closes {
             self.pool.release(conn, reply.keep_alive);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`adapter::ProtocolAdapter`] translates the messages of the platform that the host runs on.
 
 pub mod adapter;
+mod announcements;
 pub mod answer;
 pub mod callers;
 pub mod counters;
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -12,10 +12,12 @@
 use yuccanotch_core::forward::item_log::Changes;
 use yuccanotch_core::forward::item_log::ItemChange;
 use yuccanotch_core::forward::item_log::ItemLog;
+use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerChange;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerList;
+use yuccanotch_core::name::ServerName;
 
 use crate::adapter::ProtocolAdapter;
 use crate::adapter::StoreKeys;
@@ -172,6 +174,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Records that the incarnation of `server` that started at `born` is leaving, whatever the list
+    /// says; returns whether that is news.
+    pub fn on_server_leaving(
+        &self,
+        server: &ServerName,
+        born: Option<u64>,
+        source: LeavingSource,
+    ) -> bool {
+        let now = self.clock.now();
+        if !self.servers.borrow_mut().on_leaving(now, server, born, source) {
+            return false;
+        }
+        self.event_log
+            .line(Event::ServerLeaving, &[("server", server), ("source", &source.as_str())]);
+        self.changed.notify_waiters();
+        true
+    }
+
     /// Returns the store revision up to which all changes are applied.
     pub fn revision(&self) -> u64 {
         self.items.borrow().revision()
