Leave a server alone for the time that it asks for when it turns a request away

Cause: a 503 with Retry-After was a decline like any other: the server got requests again after 250 ms, counted as bad (hosts told each other after the second one), and callers waited 400 ms for servers that wanted nothing and then heard a random time.

Change: the pause is kept beside the health, at most 120 s, to the latest end that was asked for. Until then the server gets no requests, no orders to hold layers and no checks of its speed from this host; stages that a running request already has may stay. Requests choose again at once, as after any decline, within the retry budget. If all servers of a service, or all holders of a layer, are in a pause, callers that have received nothing are refused at once, and Retry-After names the end of the first pause that lets them through and up to 100 ms more. Negative times and text begin no pause and are logged; a year is cut to the longest pause.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -19,6 +19,8 @@
 use yuccanotch_core::forward::outcome::NextStep;
 use yuccanotch_core::forward::outcome::RequestState;
 use yuccanotch_core::forward::outcome::RetryConditions;
+use yuccanotch_core::forward::pauses::Pauses;
+use yuccanotch_core::forward::pauses::RequestedPause;
 use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::routes::RepeatPolicy;
 use yuccanotch_core::forward::servers::ServerChange;
@@ -42,6 +44,9 @@
 /// Longer than the time for which the list keeps a lapsed entry.
 const PAST_RETENTION: Millis = Millis(60_000);
 
+/// The longest pause that a server gets.
+const LONGEST_PAUSE: Millis = Millis(120_000);
+
 /// What happened at the servers and at the caller, recorded independently of the router.
 #[derive(Debug, Default)]
 struct GroundTruth {
@@ -87,7 +92,8 @@
     sim.run_request()?;
     sim.check_chains()?;
     sim.check_server_list()?;
-    sim.check_announced_leaving()
+    sim.check_announced_leaving()?;
+    sim.check_pauses()
 }
 
 impl Simulation<'_> {
@@ -322,6 +328,38 @@
         }
         Ok(())
     }
+
+    /// Checks that a server gets requests again neither before nor long after the pauses that it
+    /// asks for.
+    fn check_pauses(&mut self) -> CaseResult {
+        let mut pauses = Pauses::default();
+        let server = ServerName::new("s-0");
+        let mut now = Millis(self.rng.random_range(1_000..9_000));
+        let mut expected_end = Millis::ZERO;
+        for _ in 0..8 {
+            now = now + Millis(self.rng.random_range(1..3_000));
+            let seconds = match self.rng.random_range(0..8) {
+                0 => f64::NAN,
+                1 => -1.5,
+                2 => 1e300,
+                _ => f64::from(self.rng.random_range(0..5_000_u32)) / 1_000.0,
+            };
+            let span = RequestedPause::from_seconds(seconds).span;
+            if span > LONGEST_PAUSE {
+                return Err(format!("a pause of {span} after {seconds} s were asked for"));
+            }
+            expected_end = expected_end.max(now + span);
+            pauses.begin(now, &server, span);
+            if self.rng.random_bool(0.3) {
+                pauses.on_tick(now);
+            }
+            let left = pauses.left(now, &server);
+            if left != expected_end.since(now) {
+                return Err(format!("{left} left of a pause until {expected_end}, at {now}"));
+            }
+        }
+        Ok(())
+    }
 }
 
 fn event_bytes(id: u64) -> Vec<u8> {
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -111,6 +111,8 @@
         LeavingEntryKept => "leaving-entry-kept",
         /// A server that has announced that it is leaving gets new work after its entry is read again.
         LeavingForgottenOnReload => "leaving-forgotten-on-reload",
+        /// A server's request for a shorter pause ends a longer one early.
+        PauseCutShort => "pause-cut-short",
         /// An answer may change the model version after its first token.
         VersionUnpinned => "version-unpinned",
     }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -119,6 +119,10 @@
     EntryRejected = 2204, Warn, "entry rejected";
     /// A server has announced that it is leaving, before the list of servers says so.
     ServerLeaving = 2205, Info, "server leaving";
+    /// A server has turned a request away and asked for a pause.
+    ServerPaused = 2206, Info, "server paused";
+    /// A server has asked for a pause that is too long, negative or no number.
+    PauseNotFollowed = 2207, Warn, "pause not followed";
     /// A version of the configuration was adopted.
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -7,6 +7,9 @@
 pub mod item_log;
 pub mod leaving;
 pub mod outcome;
+pub mod pauses;
+#[cfg(test)]
+mod pauses_tests;
 pub mod reason;
 pub mod routes;
 pub mod servers;
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -37,6 +37,8 @@
         Streamed = "streamed",
         /// No server, or no chain, had capacity left.
         NoRoom = "no_room",
+        /// All servers, or all holders of a layer, have asked for a pause.
+        AllPaused = "all_paused",
         /// The deadline or the timeout of the route passed.
         Deadline = "deadline",
         /// The connection to the server could not be opened.
@@ -82,6 +84,18 @@
     }
 }
 
+reasons! {
+    /// How a host treats the pause that a server asks for.
+    PauseKind {
+        /// The pause lasts as long as the server asks for.
+        AsAsked = "as_asked",
+        /// The server asks for more than the longest pause, which it gets.
+        Shortened = "shortened",
+        /// What the server asks for is negative or no number; no pause begins.
+        Unusable = "unusable",
+    }
+}
+
 reasons! {
     /// The reason for which a request was rejected before admission.
     Rejection {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use quick_error::quick_error;
 use yuccanotch_core::clock::Millis;
+use yuccanotch_core::forward::pauses::RequestedPause;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::name::ServerName;
@@ -95,6 +96,8 @@
     pub closes: bool,
     /// Whether the server announces that it is leaving.
     pub is_leaving: bool,
+    /// The pause that the server asks for, in an answer that turns a request away.
+    pub pause: Option<RequestedPause>,
 }
 
 /// A call to the store, a key-value store with revisions and leases.
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -14,6 +14,10 @@
         if reply.is_leaving {
             self.record_leaving_at(address);
         }
+        if let Some(pause) = reply.pause {
+            self.counters.pause_asked(pause.kind);
+            self.routing.record_pause(address, pause);
+        }
     }
 
     /// Records that the server at `address` is leaving. An address that was given to another server
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -17,6 +17,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::reason::LeavingSource;
+use yuccanotch_core::forward::reason::PauseKind;
 use yuccanotch_core::forward::reason::Rejection;
 
 use crate::host::Gateway;
@@ -39,6 +40,7 @@
     moves: Counter,
     moves_refused: Counter,
     leaving: HashMap<LeavingSource, Counter>,
+    pauses: HashMap<PauseKind, Counter>,
     first_event: Histogram,
     longest_gap: Histogram,
 }
@@ -78,6 +80,13 @@
                     (*s, counter(&recorder, name, Some(s.as_str())))
                 })
                 .collect(),
+            pauses: PauseKind::ALL
+                .iter()
+                .map(|k| {
+                    let name = "yuccanotch_server_pauses_total";
+                    (*k, counter(&recorder, name, Some(k.as_str())))
+                })
+                .collect(),
             first_event: histogram("yuccanotch_first_event_ms"),
             longest_gap: histogram("yuccanotch_longest_gap_ms"),
             recorder,
@@ -126,6 +135,13 @@
         }
     }
 
+    /// Counts a pause that a server asked for.
+    pub fn pause_asked(&self, kind: PauseKind) {
+        if let Some(counter) = self.pauses.get(&kind) {
+            counter.increment(1);
+        }
+    }
+
     /// Records the time to the first event of a stream and its longest gap between events.
     pub fn stream_ended(&self, first_event: Millis, longest_gap: Millis) {
         self.first_event.record(first_event.0 as f64);
@@ -154,6 +170,8 @@
         self.gauge("yuccanotch_is_issuer", f64::from(u8::from(gateway.is_issuer.get())));
         let suspects = gateway.routing.health.borrow().suspects(now).count();
         self.gauge("yuccanotch_servers_suspected", suspects as f64);
+        let paused = gateway.routing.pauses.borrow().count(now);
+        self.gauge("yuccanotch_servers_paused", paused as f64);
         self.handle.render()
     }
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -43,6 +43,9 @@
 /// The shortest and longest time that a refused caller is told to wait before it tries again, in
 /// ms.
 const RETRY_AFTER_MS: (u64, u64) = (400, 1_600);
+/// The longest time that is added to the end of a pause for callers that are refused because of it,
+/// in ms.
+const MAX_PAUSE_SPREAD_MS: u64 = 100;
 /// How long before the caller's deadline the host sends its final answer.
 const DEADLINE_MARGIN: Millis = Millis(8);
 /// The time that must be left until the deadline for another attempt.
@@ -197,7 +200,8 @@
                 self.gateway
                     .event_log
                     .line(Event::AttemptEnded, &[("id", &self.id()), ("lacks", &lacks)]);
-                self.end_reason = EndReason::NoRoom;
+                let all_paused = self.gateway.routing.time_all_paused(&self.service).is_some();
+                self.end_reason = if all_paused { EndReason::AllPaused } else { EndReason::NoRoom };
                 let next = self.outcome.final_step();
                 self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await;
                 return;
@@ -295,7 +299,8 @@
     fn answer_with_status(&mut self, status: StatusCode) {
         let mut fields: HeaderMap = self.gateway.adapter.own_headers(self.caller.id.as_deref());
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            fields.insert(header::RETRY_AFTER, retry_after());
+            let pause = self.gateway.routing.time_all_paused(&self.service);
+            fields.insert(header::RETRY_AFTER, pause.map_or_else(retry_after, retry_after_pause));
         }
         self.log_done(status);
         if let Some(head_tx) = self.head_tx.take() {
@@ -309,7 +314,17 @@
 /// once.
 pub fn retry_after() -> HeaderValue {
     let (least, most) = RETRY_AFTER_MS;
-    let ms = rand::random_range(least..most);
-    let text = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+    retry_after_value(Millis(rand::random_range(least..most)))
+}
+
+/// Returns the `Retry-After` value of a refusal because servers are in a pause for `left` more; a
+/// little longer, so that refused callers do not all return at once.
+fn retry_after_pause(left: Millis) -> HeaderValue {
+    retry_after_value(left + Millis(rand::random_range(0..MAX_PAUSE_SPREAD_MS)))
+}
+
+/// Encodes a `Retry-After` value, in seconds.
+fn retry_after_value(span: Millis) -> HeaderValue {
+    let text = format!("{}.{:03}", span.0 / 1_000, span.0 % 1_000);
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -37,13 +37,21 @@
                 .flatten();
             let unavailable =
                 matches!(candidates, Candidates::Tried(tried) if !routing.is_listed(tried));
-            if found.is_some() || unavailable || self.gateway.clock.now() >= until {
+            let is_over = unavailable || self.gateway.clock.now() >= until;
+            if found.is_some() || is_over || self.must_not_wait() {
                 return found;
             }
             let _ = time::timeout(ROOM_CHECK_INTERVAL, routing.capacity_freed.notified()).await;
         }
     }
 
+    /// Returns whether the wait would be for the end of pauses that servers asked for, which is for
+    /// the caller to wait for while it has received nothing.
+    fn must_not_wait(&self) -> bool {
+        self.progress() == Progress::NotBegun
+            && self.gateway.routing.time_all_paused(&self.service).is_some()
+    }
+
     /// Returns whether the request could be sent elsewhere at once if its present attempt ended
     /// because of silence.
     pub(super) fn may_go_elsewhere(&self) -> bool {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -410,6 +410,9 @@
 /// Requests new reports from the servers that this host found slow.
 fn recheck_slow_servers(gateway: &Rc<Gateway>) {
     for (server, _) in gateway.reports.slow_servers(gateway.clock.now()) {
+        if gateway.routing.is_paused(&server) {
+            continue;
+        }
         let address = gateway.views.servers().get(&server).map(|e| e.address);
         let Some(address) = address else {
             continue;
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -249,7 +249,8 @@
         .collect()
 }
 
-/// Returns the servers that differ from the plan and have no recent order, with the layers to hold.
+/// Returns the servers that differ from the plan, have no recent order and are in no pause, with the
+/// layers to hold.
 fn due_orders(
     gateway: &Gateway,
     service: &Service,
@@ -266,7 +267,8 @@
             let holds_layers = held_layers(e) == Some(layers);
             let recently_ordered =
                 sent_orders.get(&e.id).is_some_and(|o| now.since(o.sent_at) < ORDER_RETRY_INTERVAL);
-            (!holds_layers && !recently_ordered).then(|| (e.clone(), layers))
+            let may_order = !recently_ordered && !gateway.routing.is_paused(&e.id);
+            (!holds_layers && may_order).then(|| (e.clone(), layers))
         })
         .collect()
 }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -15,6 +15,11 @@
 use yuccanotch_core::forward::budget::RetryBudget;
 use yuccanotch_core::forward::budget::RetryBudgetLimits;
 use yuccanotch_core::forward::health::Health;
+use yuccanotch_core::forward::pauses;
+use yuccanotch_core::forward::pauses::PausedHolder;
+use yuccanotch_core::forward::pauses::Pauses;
+use yuccanotch_core::forward::pauses::RequestedPause;
+use yuccanotch_core::forward::reason::PauseKind;
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerState;
@@ -102,6 +107,8 @@
     pub loads: RefCell<ServerLoads>,
     /// The health of servers as this host knows it.
     pub health: RefCell<Health>,
+    /// The servers that have asked this host for a pause.
+    pub pauses: RefCell<Pauses>,
     // Requests of this host in progress at each plain server.
     plain_active: RefCell<HashMap<ServerName, u32>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -127,6 +134,7 @@
             retry_limits: Cell::new(retry_limits),
             loads: RefCell::default(),
             health: RefCell::default(),
+            pauses: RefCell::default(),
             plain_active: RefCell::default(),
             budgets: RefCell::default(),
             waiting: RefCell::default(),
@@ -180,7 +188,7 @@
         profile: &EngineProfile,
         needs: ChainNeeds<'_>,
     ) -> Option<Chain> {
-        let holders = self.collect_holders(service, profile);
+        let holders = self.collect_holders(service, profile, needs.current);
         path::choose_chain(profile, &holders, needs)
     }
 
@@ -190,7 +198,7 @@
         let Some(profile) = &service.engine else {
             return "no server".to_owned();
         };
-        let holders = self.collect_holders(service, profile);
+        let holders = self.collect_holders(service, profile, None);
         let needs = ChainNeeds { domain: &self.domain, tokens, current: None, allowed_first: None };
         match path::explain_no_chain(profile, &holders, needs) {
             NoChain::LayerUnavailable { layer, holders } => {
@@ -223,15 +231,27 @@
         }
     }
 
-    fn collect_holders(&self, service: &Service, profile: &EngineProfile) -> Vec<LayerHolder> {
+    /// Returns the servers that may be stages of a chain. One that is in a pause may only stay a
+    /// stage of the chain `current`.
+    fn collect_holders(
+        &self,
+        service: &Service,
+        profile: &EngineProfile,
+        current: Option<&Chain>,
+    ) -> Vec<LayerHolder> {
         let now = self.clock.now();
         let health = self.health.borrow();
+        let pauses = self.pauses.borrow();
+        let is_current = |id: &ServerName| {
+            current.is_some_and(|chain| chain.stages().iter().any(|s| s.server == *id))
+        };
         let loads = self.loads.borrow();
         let servers = self.views.servers();
         servers
             .iter()
             .filter(|e| e.service == service.name && e.state == ServerState::Ready)
             .filter(|e| health.is_usable(now, &e.id))
+            .filter(|e| !pauses.includes(now, &e.id) || is_current(&e.id))
             .filter_map(|e| {
                 let engine = e.engine.as_ref()?;
                 let kind = profile.kind(&engine.kind)?;
@@ -260,6 +280,7 @@
         };
         let now = self.clock.now();
         let health = self.health.borrow();
+        let pauses = self.pauses.borrow();
         let plain_active = self.plain_active.borrow();
         let servers = self.views.servers();
         let mut rng = rand::rng();
@@ -277,6 +298,7 @@
             .iter()
             .filter(|e| e.service == service.name && e.state == ServerState::Ready)
             .filter(|e| !must_be_tried || tried.contains(&e.id))
+            .filter(|e| !pauses.includes(now, &e.id))
             .map(|e| (cost(e) + rng.random::<f64>() * 0.5, e))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, e)| Target::Server { server: e.id.clone(), address: e.address })
@@ -329,11 +351,61 @@
         }
     }
 
+    /// Records that the server at `address` asked for a pause.
+    pub fn record_pause(&self, address: SocketAddrV4, pause: RequestedPause) {
+        let now = self.clock.now();
+        let servers = self.views.servers();
+        for entry in servers.iter().filter(|e| e.address == address) {
+            let is_first = self.pauses.borrow_mut().begin(now, &entry.id, pause.span);
+            let event = match pause.kind {
+                PauseKind::AsAsked if !is_first => continue,
+                PauseKind::AsAsked => Event::ServerPaused,
+                PauseKind::Shortened | PauseKind::Unusable => Event::PauseNotFollowed,
+            };
+            self.event_log.line(
+                event,
+                &[("server", &entry.id), ("for_ms", &pause.span.0), ("kind", &pause.kind)],
+            );
+        }
+    }
+
+    /// Returns whether the server `id` is in a pause.
+    pub fn is_paused(&self, id: &ServerName) -> bool {
+        self.pauses.borrow().includes(self.clock.now(), id)
+    }
+
+    /// Returns how long no request of `service` can be served because all its servers, or all
+    /// holders of a layer, are in a pause; `None` if that is not so.
+    pub fn time_all_paused(&self, service: &Service) -> Option<Millis> {
+        let now = self.clock.now();
+        let pauses = self.pauses.borrow();
+        if pauses.count(now) == 0 {
+            return None;
+        }
+        let layers = service.engine.as_ref().map_or(1, |profile| profile.layers);
+        let servers = self.views.servers();
+        let holders: Vec<PausedHolder> = servers
+            .iter()
+            .filter(|e| e.service == service.name && e.state == ServerState::Ready)
+            .filter_map(|e| {
+                let layers = match &service.engine {
+                    Some(_) => e.engine.as_ref()?.layers?,
+                    None => LayerRange::new(0, layers),
+                };
+                Some(PausedHolder { layers, left: pauses.left(now, &e.id) })
+            })
+            .collect();
+        pauses::time_without_holder(layers, &holders)
+    }
+
     /// Records that a server declined a request: the one at the address `at_fault`, or else the one
-    /// asked. Returns the name of that server.
+    /// asked. Returns the name of that server. One that asked for a pause instead is left in peace
+    /// for as long as it asked.
     pub fn record_decline(&self, asked: &ServerName, at_fault: Option<SocketAddrV4>) -> ServerName {
         let id = at_fault.and_then(|a| self.server_at(a)).unwrap_or_else(|| asked.clone());
-        self.health.borrow_mut().on_declined(self.clock.now(), &id);
+        if !self.is_paused(&id) {
+            self.health.borrow_mut().on_declined(self.clock.now(), &id);
+        }
         id
     }
 
@@ -410,9 +482,10 @@
         f(waiting.entry(service.clone()).or_default())
     }
 
-    /// Removes the loads of hosts that have been silent for too long.
+    /// Removes the loads of hosts that have been silent for too long, and pauses that are over.
     pub fn on_tick(&self, now: Millis) {
         self.loads.borrow_mut().on_tick(now);
+        self.pauses.borrow_mut().on_tick(now);
     }
 }
 
