Order what hosts know by the era of the store and its revision

Cause: a store that comes back from an older copy gives out revisions again. Hosts compared revisions alone, so after such a return they ignored every change until the revisions had caught up: a configuration, a leaving server, an entry written again. The issuer's fencing number fell with the revision.

Change: Store-Era is read from all answers of the store. The client of the store encodes era and revision in one number, the era in the upper bits, and the store's own revision again in calls; so lists, the item log, messages between hosts, the choice of a source of changes and fencing numbers are ordered by both. An answer of an ended era is discarded; a watch that meets another era starts from the whole list. Entries of that list that differ from what is known are held back for 2 s, in which servers write again; what the list lacks is kept as long, and a removed server is not taken from it unless it has started anew. An issuer, or the entry of an aggregator, of an ended era counts as gone, and its lease is neither renewed nor released.

A host that starts within the 2 s still takes the older copy as it is.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -27,6 +27,7 @@
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerList;
 use yuccanotch_core::forward::servers::ServerState;
+use yuccanotch_core::forward::servers::LAPSE_GRACE;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
@@ -93,7 +94,8 @@
     sim.check_chains()?;
     sim.check_server_list()?;
     sim.check_announced_leaving()?;
-    sim.check_pauses()
+    sim.check_pauses()?;
+    sim.check_older_copy()
 }
 
 impl Simulation<'_> {
@@ -360,6 +362,49 @@
         }
         Ok(())
     }
+
+    /// Checks that the older copy of a restored store replaces what is known of a server only if the
+    /// server has not written its entry again in time.
+    fn check_older_copy(&mut self) -> CaseResult {
+        let entry_with = |slots| ServerEntry { slots, ..server_entry(ServerState::Ready) };
+        let mut list = ServerList::default();
+        let mut now = Millis(self.rng.random_range(1_000..9_000));
+        list.on_change(now, ServerChange::Put(entry_with(9)));
+        let restored_at = now;
+        list.on_store_restored(now);
+        let id = entry_with(9).id;
+        let lacks_server = self.rng.random_bool(0.3);
+        list.on_older_copy(
+            now,
+            if lacks_server {
+                ServerChange::Gone(id.clone())
+            } else {
+                ServerChange::Put(entry_with(8))
+            },
+        );
+        let mut expected = Some(9);
+        let mut is_written = false;
+        for _ in 0..10 {
+            now = now + Millis(self.rng.random_range(1..500));
+            if self.rng.random_bool(0.1) {
+                list.on_change(now, ServerChange::Put(entry_with(10)));
+                is_written = true;
+            }
+            list.on_tick(now);
+            let is_over = now.since(restored_at) >= LAPSE_GRACE;
+            expected = match (is_written, is_over, lacks_server) {
+                (true, _, _) => Some(10),
+                (false, false, _) => expected,
+                (false, true, true) => None,
+                (false, true, false) => Some(8),
+            };
+            let slots = list.get(&id).map(|e| e.slots);
+            if slots != expected {
+                return Err(format!("the entry has slots {slots:?}, expected: {expected:?}"));
+            }
+        }
+        Ok(())
+    }
 }
 
 fn event_bytes(id: u64) -> Vec<u8> {
--- a/crates/check/src/item_log_case.rs
+++ b/crates/check/src/item_log_case.rs
@@ -1,5 +1,6 @@
 //! Randomised case of the changes that hosts pass to each other: whatever the order in which hosts
-//! read from the store and from each other, none goes back, and all end with the items of the store.
+//! read from the store and from each other, none goes back, and all end with the items of the store,
+//! also when the store comes back from an older copy.
 
 use std::collections::BTreeMap;
 
@@ -10,12 +11,16 @@
 use yuccanotch_core::forward::item_log::Changes;
 use yuccanotch_core::forward::item_log::ItemChange;
 use yuccanotch_core::forward::item_log::ItemLog;
+use yuccanotch_core::forward::revision::era_of;
+use yuccanotch_core::forward::revision::order_over_eras;
 
 use crate::case::CaseResult;
 use crate::trace::Trace;
 
 /// The number of steps of a run.
 const STEPS: u32 = 120;
+/// The number of kinds of steps beside copies of the store and returns from them.
+const COMMON_STEPS: u32 = 28;
 /// The number of keys.
 const KEYS: u32 = 6;
 
@@ -46,26 +51,47 @@
     }
 }
 
-/// The store: the present items and every change.
-#[derive(Debug, Default)]
+/// The store: the present items and every change, in the present era.
+#[derive(Clone, Debug, Default)]
 struct Store {
     items: BTreeMap<String, (u64, Bytes)>,
     history: Vec<ItemChange>,
-    revision: u64,
+    era: u64,
+    own_revision: u64,
 }
 
 impl Store {
+    /// Returns the present revision as hosts order it.
+    fn revision(&self) -> u64 {
+        order_over_eras(self.era, self.own_revision)
+    }
+
     fn change(&mut self, key: String, value: Option<Bytes>) {
-        self.revision += 1;
+        self.own_revision += 1;
+        let revision = self.revision();
         match &value {
             Some(value) => {
-                self.items.insert(key.clone(), (self.revision, value.clone()));
+                self.items.insert(key.clone(), (revision, value.clone()));
             }
             None => {
                 self.items.remove(&key);
             }
         }
-        self.history.push(ItemChange { key, revision: self.revision, value });
+        self.history.push(ItemChange { key, revision, value });
+    }
+
+    /// Comes back from `copy`, in the next era, with the revisions of the copy.
+    fn restore(&mut self, copy: &Self) {
+        let era = self.era + 1;
+        *self = copy.clone();
+        self.era = era;
+        let own_revision = |ordered: u64| ordered - order_over_eras(copy.era, 0);
+        for (revision, _) in self.items.values_mut() {
+            *revision = order_over_eras(era, own_revision(*revision));
+        }
+        for change in &mut self.history {
+            change.revision = order_over_eras(era, own_revision(change.revision));
+        }
     }
 
     fn all(&self) -> Changes {
@@ -74,12 +100,17 @@
             revision: *revision,
             value: Some(value.clone()),
         });
-        Changes { is_complete: true, revision: self.revision, items: items.collect() }
+        Changes { is_complete: true, revision: self.revision(), items: items.collect() }
     }
 
-    fn after(&self, revision: u64) -> Changes {
+    /// Returns the answer to a host that has read up to `revision` in `era`; a host that has read an
+    /// earlier era reads everything.
+    fn after(&self, revision: u64, era: u64) -> Changes {
+        if era != self.era {
+            return self.all();
+        }
         let items = self.history.iter().filter(|c| c.revision > revision).cloned().collect();
-        Changes { is_complete: false, revision: self.revision, items }
+        Changes { is_complete: false, revision: self.revision(), items }
     }
 }
 
@@ -91,34 +122,40 @@
 pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut store = Store::default();
+    let mut copy = store.clone();
     let mut hosts: Vec<Host> = (0..rng.random_range(2..5)).map(|_| Host::default()).collect();
     // Answers of the store that are still on their way, with the index of the receiver.
     let mut delayed: Vec<(usize, Changes)> = Vec::new();
     for _ in 0..STEPS {
         let index = rng.random_range(0..hosts.len());
-        match rng.random_range(0..7) {
-            0..=2 => {
+        match rng.random_range(0..COMMON_STEPS + 1) {
+            0..=11 => {
                 let key = format!("k{}", rng.random_range(0..KEYS));
                 let is_removal = rng.random_bool(0.3) && store.items.contains_key(&key);
-                let value = Bytes::from(format!("v{}", store.revision + 1));
+                let value = Bytes::from(format!("v{}-{}", store.era, store.own_revision + 1));
                 trace.add(format!("change {key} removal {is_removal}"));
                 store.change(key, (!is_removal).then_some(value));
             }
-            3 => {
+            12..=15 => {
                 trace.add(format!("host {index} reads all"));
                 delayed.push((index, store.all()));
             }
-            4 => {
+            16..=19 => {
                 trace.add(format!("host {index} watches"));
                 let revision = hosts[index].log.revision();
-                delayed.push((index, store.after(revision)));
+                delayed.push((index, store.after(revision, era_of(revision))));
             }
-            5 => {
+            20..=23 => {
                 if let Some((to, changes)) = delayed.pop() {
                     trace.add(format!("answer to host {to}"));
                     hosts[to].merge(changes)?;
                 }
             }
+            COMMON_STEPS if rng.random_bool(0.5) => copy = store.clone(),
+            COMMON_STEPS => {
+                trace.add(format!("the store comes back from revision {}", copy.own_revision));
+                store.restore(&copy);
+            }
             _ => {
                 let from = rng.random_range(0..hosts.len());
                 trace.add(format!("host {index} fetches from host {from}"));
@@ -130,7 +167,7 @@
         hosts[to].merge(changes)?;
     }
     let revision = hosts[0].log.revision();
-    hosts[0].merge(store.after(revision))?;
+    hosts[0].merge(store.after(revision, era_of(revision)))?;
     for index in 1..hosts.len() {
         fetch(&mut hosts, index, index - 1)?;
         if hosts[index].items != store.items {
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -113,6 +113,10 @@
         LeavingForgottenOnReload => "leaving-forgotten-on-reload",
         /// A server's request for a shorter pause ends a longer one early.
         PauseCutShort => "pause-cut-short",
+        /// Revisions of the store are compared without the era.
+        RevisionWithoutEra => "revision-without-era",
+        /// The older copy of a restored store replaces what is known of servers at once.
+        OlderCopyAdopted => "older-copy-adopted",
         /// An answer may change the model version after its first token.
         VersionUnpinned => "version-unpinned",
     }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -131,6 +131,8 @@
     StoreLost = 2401, Warn, "store lost";
     /// Calls of a gateway to the store succeed again.
     StoreRegained = 2402, Info, "store regained";
+    /// The store has come back from an older copy of its data.
+    StoreRestored = 2403, Warn, "store restored";
     /// Another gateway host of the same failure domain was heard, for the first time or again.
     PeerFound = 2501, Info, "peer found";
     /// Another gateway host has not been heard from for longer than the timeout.
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -11,6 +11,9 @@
 #[cfg(test)]
 mod pauses_tests;
 pub mod reason;
+pub mod revision;
+#[cfg(test)]
+mod revision_tests;
 pub mod routes;
 pub mod servers;
 #[cfg(test)]
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -18,6 +18,9 @@
 /// again.
 pub const LAPSE_GRACE: Millis = Millis(2_000);
 
+/// How long the list remembers entries that were removed.
+const DEPARTED_TTL: Millis = Millis(60_000);
+
 /// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerState {
@@ -77,12 +80,22 @@
     removal_at: Option<Millis>,
 }
 
+/// An entry that was removed, which an older copy of the store may still have.
+#[derive(Clone, Copy, Debug)]
+struct DepartedServer {
+    born: Option<u64>,
+    removed_at: Millis,
+}
+
 /// The list of servers that this host uses.
 #[derive(Debug, Default)]
 pub struct ServerList {
     listed: HashMap<ServerName, ListedServer>,
     // Outlives the entries, which may be older than the announcements.
     leaving: LeavingServers,
+    // Entries of an older copy of the store that differ from what is known.
+    held: HashMap<ServerName, ServerEntry>,
+    departed: HashMap<ServerName, DepartedServer>,
     grace_until: Millis,
     generation: u64,
 }
@@ -108,6 +121,8 @@
     pub fn on_change(&mut self, now: Millis, change: ServerChange) {
         match change {
             ServerChange::Put(mut entry) => {
+                self.held.remove(&entry.id);
+                self.departed.remove(&entry.id);
                 if self.leaving.includes(&entry) && !planted!(LeavingForgottenOnReload) {
                     entry.state = ServerState::Leaving;
                 }
@@ -124,7 +139,42 @@
         }
     }
 
+    /// Applies a change that comes from the first list that was read after the store came back from
+    /// an older copy; see [`Self::on_store_restored`].
+    ///
+    /// What differs from what is known is held back for [`LAPSE_GRACE`], since servers write their
+    /// entries again; an entry that was removed is not taken from the copy at all.
+    pub fn on_older_copy(&mut self, now: Millis, change: ServerChange) {
+        let is_held = match &change {
+            ServerChange::Put(entry) => self.is_known_better(entry) && !planted!(OlderCopyAdopted),
+            ServerChange::Gone(_) => false,
+        };
+        match change {
+            ServerChange::Put(entry) if is_held => {
+                if self.listed.contains_key(&entry.id) {
+                    self.held.insert(entry.id.clone(), entry);
+                }
+            }
+            change => self.on_change(now, change),
+        }
+    }
+
+    /// Returns whether this host may know a later state of the incarnation that `entry` of an older
+    /// copy describes.
+    fn is_known_better(&self, entry: &ServerEntry) -> bool {
+        let is_later =
+            |born: Option<u64>| matches!((entry.born, born), (Some(e), Some(b)) if e > b);
+        if let Some(departed) = self.departed.get(&entry.id) {
+            return !is_later(departed.born);
+        }
+        let known = self.listed.get(&entry.id).map(|listed| &listed.entry);
+        known.is_some_and(|known| {
+            known != entry && entry.state == ServerState::Ready && !is_later(known.born)
+        })
+    }
+
     fn on_gone(&mut self, now: Millis, id: &ServerName) {
+        self.held.remove(id);
         let Some(listed) = self.listed.get_mut(id) else {
             return;
         };
@@ -133,8 +183,15 @@
             listed.removal_at.get_or_insert(self.grace_until);
             return;
         }
-        self.listed.remove(id);
-        self.generation += 1;
+        self.remove(now, id);
+    }
+
+    fn remove(&mut self, now: Millis, id: &ServerName) {
+        if let Some(listed) = self.listed.remove(id) {
+            let departed = DepartedServer { born: listed.entry.born, removed_at: now };
+            self.departed.insert(id.clone(), departed);
+            self.generation += 1;
+        }
     }
 
     /// Records that the incarnation of the server `id` that started at `born` is leaving, whatever
@@ -171,6 +228,12 @@
         self.grace_until = now + LAPSE_GRACE;
     }
 
+    /// Records that the store has come back from an older copy, which lacks what was written since;
+    /// removals are delayed for [`LAPSE_GRACE`].
+    pub fn on_store_restored(&mut self, now: Millis) {
+        self.grace_until = self.grace_until.max(now + LAPSE_GRACE);
+    }
+
     /// Returns how much longer removals are delayed.
     pub fn removal_delay(&self, now: Millis) -> Millis {
         self.grace_until.since(now)
@@ -185,11 +248,16 @@
     pub fn on_tick(&mut self, now: Millis) {
         let listed = &self.listed;
         self.leaving.on_tick(now, |id| listed.contains_key(id));
-        let before = self.listed.len();
-        self.listed.retain(|_, listed| listed.removal_at.is_none_or(|at| now < at));
-        if self.listed.len() != before {
-            self.generation += 1;
+        self.departed.retain(|_, departed| now.since(departed.removed_at) < DEPARTED_TTL);
+        if now >= self.grace_until {
+            for (_, entry) in std::mem::take(&mut self.held) {
+                self.on_change(now, ServerChange::Put(entry));
+            }
         }
+        let is_over = |listed: &ListedServer| listed.removal_at.is_some_and(|at| now >= at);
+        let over = self.listed.iter().filter(|(_, listed)| is_over(listed));
+        let over: Vec<ServerName> = over.map(|(id, _)| id.clone()).collect();
+        over.iter().for_each(|id| self.remove(now, id));
     }
 
     /// Returns a number that increases with each change of the list.
--- a/crates/core/src/forward/servers_tests.rs
+++ b/crates/core/src/forward/servers_tests.rs
@@ -8,6 +8,7 @@
 use super::servers::ServerEntry;
 use super::servers::ServerList;
 use super::servers::ServerState;
+use super::servers::LAPSE_GRACE;
 use crate::clock::Millis;
 use crate::name::DomainName;
 use crate::name::ServerName;
@@ -94,3 +95,63 @@
     list.on_change(NOW, ServerChange::Put(ready(None)));
     assert_eq!(state_of(&list), Some(ServerState::Ready));
 }
+
+fn with_slots(slots: u32) -> ServerEntry {
+    ServerEntry { slots, ..ready(Some(7)) }
+}
+
+fn slots_of(list: &ServerList) -> Option<u32> {
+    list.get(&ServerName::new("s-0")).map(|e| e.slots)
+}
+
+#[test]
+fn what_an_older_copy_says_of_a_known_server_is_held_back_until_servers_have_written_again() {
+    let mut list = list_of(with_slots(9));
+    list.on_store_restored(NOW);
+    list.on_older_copy(NOW, ServerChange::Put(with_slots(8)));
+    list.on_tick(NOW + LAPSE_GRACE - Millis(1));
+    assert_eq!(slots_of(&list), Some(9));
+    list.on_tick(NOW + LAPSE_GRACE);
+    assert_eq!(slots_of(&list), Some(8), "the server has not written again");
+}
+
+#[test]
+fn an_entry_written_again_replaces_what_was_held_back() {
+    let mut list = list_of(with_slots(9));
+    list.on_store_restored(NOW);
+    list.on_older_copy(NOW, ServerChange::Put(with_slots(8)));
+    list.on_change(NOW + Millis(300), ServerChange::Put(with_slots(10)));
+    list.on_tick(NOW + LAPSE_GRACE);
+    assert_eq!(slots_of(&list), Some(10));
+}
+
+#[test]
+fn a_server_that_an_older_copy_lacks_is_kept_until_servers_have_written_again() {
+    let mut list = list_of(with_slots(9));
+    list.on_store_restored(NOW);
+    list.on_older_copy(NOW, ServerChange::Gone(ServerName::new("s-0")));
+    list.on_tick(NOW + LAPSE_GRACE - Millis(1));
+    assert_eq!(slots_of(&list), Some(9));
+    list.on_tick(NOW + LAPSE_GRACE);
+    assert_eq!(slots_of(&list), None);
+}
+
+#[test]
+fn a_removed_server_is_not_taken_from_an_older_copy_unless_it_has_started_anew() {
+    let mut list = list_of(ready(Some(7)));
+    list.on_change(NOW, ServerChange::Gone(ServerName::new("s-0")));
+    list.on_store_restored(NOW);
+    list.on_older_copy(NOW, ServerChange::Put(ready(Some(7))));
+    list.on_tick(NOW + LAPSE_GRACE);
+    assert_eq!(state_of(&list), None);
+    list.on_older_copy(NOW, ServerChange::Put(ready(Some(8))));
+    assert_eq!(state_of(&list), Some(ServerState::Ready));
+}
+
+#[test]
+fn an_older_copy_does_not_make_a_leaving_server_ready_before_it_has_written_again() {
+    let mut list = list_of(ServerEntry { state: ServerState::Leaving, ..ready(Some(7)) });
+    list.on_store_restored(NOW);
+    list.on_older_copy(NOW, ServerChange::Put(ready(Some(7))));
+    assert_eq!(state_of(&list), Some(ServerState::Leaving));
+}
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -14,6 +14,8 @@
 use quick_error::quick_error;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::pauses::RequestedPause;
+use yuccanotch_core::forward::revision::order_over_eras;
+use yuccanotch_core::forward::revision::revision_of;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::name::ServerName;
@@ -217,6 +219,49 @@
     LeaseGone,
 }
 
+impl StoreCall {
+    /// Returns the call with the store's own revisions in place of ordered ones.
+    pub(crate) fn with_store_revisions(&self) -> Self {
+        let mut call = self.clone();
+        match &mut call {
+            Self::Watch { after, .. } => *after = revision_of(*after),
+            Self::Write { expected, .. } => {
+                expected.iter_mut().for_each(|(_, revision)| *revision = revision_of(*revision));
+            }
+            _ => {}
+        }
+        call
+    }
+}
+
+impl StoreReply {
+    /// Returns the answer, of the era `era`, with ordered revisions in place of the store's own.
+    pub(crate) fn with_ordered_revisions(mut self, era: u64) -> Self {
+        let order = |revision: &mut u64| *revision = order_over_eras(era, *revision);
+        let order_all = |items: &mut [Item]| items.iter_mut().for_each(|i| order(&mut i.revision));
+        match &mut self {
+            Self::Item(item) => item.iter_mut().for_each(|i| order(&mut i.revision)),
+            Self::Items { items, as_of, .. } => {
+                order_all(items);
+                order(as_of);
+            }
+            Self::Events { events, as_of } => {
+                for event in events {
+                    match event {
+                        StoreEvent::Put(item) => order(&mut item.revision),
+                        StoreEvent::Removed { revision, .. } => order(revision),
+                    }
+                }
+                order(as_of);
+            }
+            Self::Written { revision } => order(revision),
+            Self::Conflict { items } => order_all(items),
+            Self::HistoryGone | Self::Lease { .. } | Self::LeaseGone => {}
+        }
+        self
+    }
+}
+
 quick_error! {
     /// Why the store gave no usable answer.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -233,6 +278,10 @@
         Malformed(why: String) {
             display("malformed answer: {why}")
         }
+        /// The answer is of an era of the store that has ended.
+        Outdated(era: u64) {
+            display("answer of the ended era {era}")
+        }
     }
 }
 
@@ -313,7 +362,10 @@
     /// Encodes a call to the store.
     fn encode_store_call(&self, call: &StoreCall) -> WholeRequest;
 
-    /// Decodes the store's answer to `call`.
+    /// Returns the era of the store that its answer names; 0 if it names none.
+    fn store_era(&self, fields: &HeaderMap) -> u64;
+
+    /// Decodes the store's answer to `call`, with the store's own revisions.
     ///
     /// # Errors
     ///
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -19,6 +19,8 @@
 use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::reason::PauseKind;
 use yuccanotch_core::forward::reason::Rejection;
+use yuccanotch_core::forward::revision::era_of;
+use yuccanotch_core::forward::revision::revision_of;
 
 use crate::host::Gateway;
 
@@ -159,7 +161,9 @@
         let version = gateway.views.configuration().map_or(0, |c| c.version);
         let lost = gateway.store.lost_since().map_or(Millis::ZERO, |at| now.since(at));
         self.gauge("yuccanotch_configuration_version", version as f64);
-        self.gauge("yuccanotch_store_revision", gateway.views.revision() as f64);
+        self.gauge("yuccanotch_store_revision", revision_of(gateway.views.revision()) as f64);
+        self.gauge("yuccanotch_store_era", era_of(gateway.views.revision()) as f64);
+        self.gauge("yuccanotch_store_restores", gateway.views.restores() as f64);
         self.gauge("yuccanotch_store_lost_ms", lost.0 as f64);
         self.gauge("yuccanotch_store_calls", gateway.store.calls() as f64);
         self.gauge("yuccanotch_servers", gateway.views.servers().len() as f64);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::reason::LeavingSource;
+use yuccanotch_core::forward::revision::era_of;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::messages::Message;
 use yuccanotch_core::peering::messages::Outgoing;
@@ -205,6 +206,7 @@
 fn on_message(gateway: &Rc<Gateway>, message: Message) -> Option<Outgoing> {
     let now = gateway.clock.now();
     let status = own_status(gateway);
+    gateway.store.on_era(era_of(message.from.revision));
     gateway.views.on_peer_revision(message.from.revision);
     let answer = gateway.peers.node.borrow_mut().on_message(now, &status, message);
     log_findings(gateway);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -453,7 +453,7 @@
             Ok(()) => backoff.reset(),
             Err(_) => backoff.pause().await,
         }
-        if lease.as_ref().is_some_and(|held| held.is_gone) {
+        if lease.as_ref().is_some_and(|held| held.is_gone || held.era != gateway.store.era()) {
             lease = None;
         }
     }
@@ -462,6 +462,7 @@
 /// The lease of this host's entry in the store.
 struct Lease {
     id: u64,
+    era: u64,
     renew_at: Millis,
     is_gone: bool,
 }
@@ -479,6 +480,7 @@
 async fn write_listing(gateway: &Gateway) -> Result<Lease, StoreError> {
     read_listing(gateway).await?;
     let granted = gateway.store.call(&StoreCall::Grant { ttl: LISTING_TTL }).await?;
+    let era = gateway.store.era();
     let StoreReply::Lease { lease: Some(id) } = granted else {
         return Err(StoreError::Malformed("the answer names no lease".to_owned()));
     };
@@ -486,7 +488,7 @@
     let puts = vec![(key, gossip::encode_own_peer(gateway), id)];
     let call = StoreCall::Write { expected: Vec::new(), puts, removes: Vec::new() };
     gateway.store.call(&call).await?;
-    Ok(Lease { id, renew_at: next_listing_renewal(gateway), is_gone: false })
+    Ok(Lease { id, era, renew_at: next_listing_renewal(gateway), is_gone: false })
 }
 
 fn next_listing_renewal(gateway: &Gateway) -> Millis {
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -11,6 +11,7 @@
 use tokio::time;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::revision::era_of;
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerState;
@@ -89,8 +90,8 @@
     }
 }
 
-/// Tries to become the issuer; returns `None` if another host is. The revision of the write becomes
-/// the fencing token, since it grows from one issuer to the next.
+/// Tries to become the issuer; returns `None` if another host is. The revision of the write, ordered
+/// over eras, becomes the fencing token, since it grows from one issuer to the next.
 async fn acquire_lease(gateway: &Gateway) -> Result<Option<Term>, StoreError> {
     let renewed_at = gateway.clock.now();
     let StoreReply::Lease { lease: Some(lease) } =
@@ -98,6 +99,7 @@
     else {
         return Ok(None);
     };
+    let era = gateway.store.era();
     let value = Bytes::copy_from_slice(gateway.settings.host.as_str().as_bytes());
     let call = StoreCall::Write {
         expected: vec![(ISSUER_KEY.to_owned(), 0)],
@@ -105,7 +107,10 @@
         removes: Vec::new(),
     };
     match gateway.store.call(&call).await? {
+        // The lease is of an era that has ended since.
+        StoreReply::Written { revision } if era_of(revision) != era => Ok(None),
         StoreReply::Written { revision } => Ok(Some(Term { lease, fence: revision, renewed_at })),
+        _ if gateway.store.era() != era => Ok(None),
         _ => {
             // If this call is lost, the lease expires on its own.
             let _ = gateway.store.call(&StoreCall::Release { lease }).await;
@@ -121,6 +126,10 @@
     let mut membership = MembershipTracker::default();
     let mut next_renewal = gateway.clock.now() + RENEWAL_INTERVAL;
     loop {
+        // A lease of an ended era may have been given out again: it is neither renewed nor released.
+        if gateway.store.era() != era_of(term.fence) {
+            return;
+        }
         if gateway.shutdown.is_stopping() {
             let _ = gateway.store.call(&StoreCall::Release { lease: term.lease }).await;
             return;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,6 +11,7 @@
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::revision::era_of;
 
 use crate::adapter::Item;
 use crate::adapter::ProtocolAdapter;
@@ -37,6 +38,8 @@
     clock: Clock,
     event_log: Rc<EventLog>,
     lost_since: Cell<Option<Millis>>,
+    // The latest era that an answer or another host has named.
+    era: Cell<u64>,
     calls: Cell<u64>,
 }
 
@@ -56,6 +59,7 @@
             clock,
             event_log,
             lost_since: Cell::new(None),
+            era: Cell::new(0),
             calls: Cell::new(0),
         })
     }
@@ -86,7 +90,7 @@
             .acquire(self.address, Reuse::Allowed)
             .await
             .map_err(|e| unanswered(e.to_string()))?;
-        let req = self.adapter.encode_store_call(call);
+        let req = self.adapter.encode_store_call(&call.with_store_revisions());
         let response = match conn.send(req).await {
             Ok(response) => response,
             Err(SendError::NotSent(why) | SendError::Broken(why)) => return Err(unanswered(why)),
@@ -98,7 +102,24 @@
             .map_err(|e| unanswered(e.to_string()))?
             .to_bytes();
         self.pool.release(conn, None);
-        self.adapter.decode_store_reply(call, head.status, &body)
+        let era = self.adapter.store_era(&head.headers);
+        self.on_era(era);
+        let reply = self.adapter.decode_store_reply(call, head.status, &body)?;
+        if era < self.era.get() {
+            return Err(StoreError::Outdated(era));
+        }
+        Ok(reply.with_ordered_revisions(era))
+    }
+
+    /// Records that the store is in `era` or a later one.
+    pub fn on_era(&self, era: u64) {
+        self.era.set(self.era.get().max(era));
+    }
+
+    /// Returns the latest era of the store that is known. What the store granted in an earlier one
+    /// is void.
+    pub fn era(&self) -> u64 {
+        self.era.get()
     }
 
     fn record_reachability(&self, result: &Result<StoreReply, StoreError>) {
@@ -155,6 +176,9 @@
                 return Err(StoreError::Malformed("the answer has no page of items".to_owned()));
             };
             let as_of = *first_as_of.get_or_insert(as_of);
+            if era_of(as_of) < self.era() {
+                return Err(StoreError::Outdated(era_of(as_of)));
+            }
             after = items.last().map(|i| i.key.clone());
             all.extend(items);
             if !more || after.is_none() {
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -13,6 +13,7 @@
 use yuccanotch_core::forward::item_log::ItemChange;
 use yuccanotch_core::forward::item_log::ItemLog;
 use yuccanotch_core::forward::reason::LeavingSource;
+use yuccanotch_core::forward::revision::era_of;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerChange;
 use yuccanotch_core::forward::servers::ServerEntry;
@@ -33,6 +34,7 @@
     items: RefCell<ItemLog>,
     keys: StoreKeys,
     servers_read: Cell<bool>,
+    restores: Cell<u64>,
     // The last revision, newer than this host's, that another host has reported.
     peer_revision: Cell<u64>,
     peer_is_newer: Notify,
@@ -40,6 +42,15 @@
     pub changed: Notify,
 }
 
+/// Whether changes may be older than what is known, although their era is later.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Origin {
+    /// The store as it is.
+    Present,
+    /// The first list after the store came back from an older copy.
+    OlderCopy,
+}
+
 impl Views {
     /// Creates a view with no configuration and no servers.
     pub fn new(
@@ -56,6 +67,7 @@
             servers: RefCell::default(),
             items: RefCell::default(),
             servers_read: Cell::new(false),
+            restores: Cell::new(0),
             peer_revision: Cell::new(0),
             peer_is_newer: Notify::new(),
             changed: Notify::new(),
@@ -107,8 +119,12 @@
     /// Applies changes that come from `source`, as far as they are newer than what is known.
     pub fn merge(&self, changes: Changes, source: &str) {
         let is_complete = changes.is_complete;
+        let origin = self.origin_of(&changes);
+        if origin == Origin::OlderCopy {
+            self.on_store_restored(era_of(changes.revision), source);
+        }
         let applied = self.items.borrow_mut().merge(changes);
-        self.apply(applied, source);
+        self.apply(applied, source, origin);
         if is_complete {
             self.servers_read.set(true);
             let count = self.servers.borrow().len();
@@ -120,15 +136,38 @@
         }
     }
 
+    /// Returns whether changes may come from an older copy of the store than this host has seen.
+    fn origin_of(&self, changes: &Changes) -> Origin {
+        let is_later_era = era_of(changes.revision) > era_of(self.revision());
+        if self.servers_read() && changes.is_complete && is_later_era {
+            Origin::OlderCopy
+        } else {
+            Origin::Present
+        }
+    }
+
+    fn on_store_restored(&self, era: u64, source: &str) {
+        let before = era_of(self.revision());
+        self.servers.borrow_mut().on_store_restored(self.clock.now());
+        self.restores.set(self.restores.get() + 1);
+        self.event_log
+            .line(Event::StoreRestored, &[("era", &era), ("before", &before), ("source", &source)]);
+    }
+
+    /// Returns how often the store has come back from an older copy.
+    pub fn restores(&self) -> u64 {
+        self.restores.get()
+    }
+
     /// Applies changes that are newer than what was known. If they hold several configurations,
     /// only the last one is adopted.
-    fn apply(&self, changes: Vec<ItemChange>, source: &str) {
+    fn apply(&self, changes: Vec<ItemChange>, source: &str, origin: Origin) {
         let mut configuration = None;
         for change in changes {
             if change.key == self.keys.configuration {
                 configuration = change.value.or(configuration);
             } else if change.key.starts_with(&self.keys.servers) {
-                self.on_server_change(self.decode_change(&change));
+                self.on_server_change(self.decode_change(&change), origin);
             }
         }
         if let Some(value) = configuration {
@@ -150,9 +189,13 @@
         self.items.borrow().changes_after(revision)
     }
 
-    fn on_server_change(&self, change: ServerChange) {
+    fn on_server_change(&self, change: ServerChange, origin: Origin) {
         let before = self.servers.borrow().generation();
-        self.servers.borrow_mut().on_change(self.clock.now(), change.clone());
+        let now = self.clock.now();
+        match origin {
+            Origin::Present => self.servers.borrow_mut().on_change(now, change.clone()),
+            Origin::OlderCopy => self.servers.borrow_mut().on_older_copy(now, change.clone()),
+        }
         if self.servers.borrow().generation() == before {
             return;
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -9,6 +9,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::item_log::Changes;
 use yuccanotch_core::forward::item_log::ItemChange;
+use yuccanotch_core::forward::revision::era_of;
 
 use crate::adapter::Item;
 use crate::adapter::StoreCall;
@@ -87,13 +88,13 @@
     ItemChange { key: item.key, revision: item.revision, value: Some(item.value) }
 }
 
-/// Applies changes from the revision `after` on, until the store no longer keeps the history or
-/// this host no longer has to.
+/// Applies changes from the revision `after` on, until the store no longer keeps the history, has
+/// come back from an older copy, or this host no longer has to.
 async fn follow(gateway: &Gateway, keys: &StoreKeys, mut after: u64) {
     let store = &gateway.store;
     let views = &gateway.views;
     let mut backoff = Backoff::default();
-    while should_follow(gateway) {
+    while should_follow(gateway) && era_of(after) == store.era() {
         let was_lost = store.lost_since().is_some();
         let (least, most) = WATCH_WAIT_MS;
         let wait = Millis(rand::rng().random_range(least..=most));
@@ -103,6 +104,8 @@
             () = wait_until_behind(views) => continue,
         };
         match answer {
+            // The changes before these are those of another era.
+            Ok(StoreReply::Events { as_of, .. }) if era_of(as_of) != era_of(after) => return,
             Ok(StoreReply::Events { events, as_of }) => {
                 if was_lost {
                     views.on_store_recovered();
