--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -19,11 +19,15 @@
 use yuccanotch_core::forward::outcome::NextStep;
 use yuccanotch_core::forward::outcome::RequestState;
 use yuccanotch_core::forward::outcome::RetryConditions;
+use yuccanotch_core::forward::pauses::Pauses;
+use yuccanotch_core::forward::pauses::RequestedPause;
+use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::routes::RepeatPolicy;
 use yuccanotch_core::forward::servers::ServerChange;
 use yuccanotch_core::forward::servers::ServerEntry;
 use yuccanotch_core::forward::servers::ServerList;
 use yuccanotch_core::forward::servers::ServerState;
+use yuccanotch_core::forward::servers::LAPSE_GRACE;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
@@ -41,6 +45,9 @@
 /// Longer than the time for which the list keeps a lapsed entry.
 const PAST_RETENTION: Millis = Millis(60_000);
 
+/// The longest pause that a server gets.
+const LONGEST_PAUSE: Millis = Millis(120_000);
+
 /// What happened at the servers and at the caller, recorded independently of the router.
 #[derive(Debug, Default)]
 struct GroundTruth {
@@ -85,7 +92,10 @@
     };
     sim.run_request()?;
     sim.check_chains()?;
-    sim.check_server_list()
+    sim.check_server_list()?;
+    sim.check_announced_leaving()?;
+    sim.check_pauses()?;
+    sim.check_older_copy()
 }
 
 impl Simulation<'_> {
@@ -279,6 +289,122 @@
             Some(_) => Err("a lapsed entry is kept forever".to_owned()),
         }
     }
+
+    /// Checks that a server that has announced that it is leaving counts as leaving through changes
+    /// of its entry, until a later incarnation is listed.
+    fn check_announced_leaving(&mut self) -> CaseResult {
+        let mut list = ServerList::default();
+        let mut now = Millis(self.rng.random_range(1_000..9_000));
+        let mut entry = ServerEntry { born: Some(1_000), ..server_entry(ServerState::Ready) };
+        list.on_change(now, ServerChange::Put(entry.clone()));
+        let mut announced = None;
+        for _ in 0..8 {
+            now = now + Millis(self.rng.random_range(1..2_000));
+            match self.rng.random_range(0..6) {
+                0 => {
+                    announced = entry.born;
+                    list.on_leaving(now, &entry.id, entry.born, LeavingSource::Answer);
+                }
+                1 => {
+                    let earlier = self.rng.random_range(0..900);
+                    list.on_leaving(now, &entry.id, Some(earlier), LeavingSource::Host);
+                }
+                2 => list.on_change(now, ServerChange::Gone(entry.id.clone())),
+                3 => list.on_list(now, Vec::new()),
+                4 => {
+                    entry.born = entry.born.map(|born| born + 1_000);
+                    list.on_change(now, ServerChange::Put(entry.clone()));
+                }
+                _ => list.on_list(now, vec![entry.clone()]),
+            }
+            list.on_tick(now);
+            let is_leaving = announced.is_some() && announced == entry.born;
+            let expected = if is_leaving { ServerState::Leaving } else { ServerState::Ready };
+            let state = list.get(&entry.id).map(|e| e.state);
+            if state.is_some_and(|state| state != expected) {
+                return Err(format!(
+                    "state {state:?} of the incarnation {:?}, announced: {announced:?}",
+                    entry.born
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that a server gets requests again neither before nor long after the pauses that it
+    /// asks for.
+    fn check_pauses(&mut self) -> CaseResult {
+        let mut pauses = Pauses::default();
+        let server = ServerName::new("s-0");
+        let mut now = Millis(self.rng.random_range(1_000..9_000));
+        let mut expected_end = Millis::ZERO;
+        for _ in 0..8 {
+            now = now + Millis(self.rng.random_range(1..3_000));
+            let seconds = match self.rng.random_range(0..8) {
+                0 => f64::NAN,
+                1 => -1.5,
+                2 => 1e300,
+                _ => f64::from(self.rng.random_range(0..5_000_u32)) / 1_000.0,
+            };
+            let span = RequestedPause::from_seconds(seconds).span;
+            if span > LONGEST_PAUSE {
+                return Err(format!("a pause of {span} after {seconds} s were asked for"));
+            }
+            expected_end = expected_end.max(now + span);
+            pauses.begin(now, &server, span);
+            if self.rng.random_bool(0.3) {
+                pauses.on_tick(now);
+            }
+            let left = pauses.left(now, &server);
+            if left != expected_end.since(now) {
+                return Err(format!("{left} left of a pause until {expected_end}, at {now}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Checks that the older copy of a restored store replaces what is known of a server only if the
+    /// server has not written its entry again in time.
+    fn check_older_copy(&mut self) -> CaseResult {
+        let entry_with = |slots| ServerEntry { slots, ..server_entry(ServerState::Ready) };
+        let mut list = ServerList::default();
+        let mut now = Millis(self.rng.random_range(1_000..9_000));
+        list.on_change(now, ServerChange::Put(entry_with(9)));
+        let restored_at = now;
+        list.on_store_restored(now);
+        let id = entry_with(9).id;
+        let lacks_server = self.rng.random_bool(0.3);
+        list.on_older_copy(
+            now,
+            if lacks_server {
+                ServerChange::Gone(id.clone())
+            } else {
+                ServerChange::Put(entry_with(8))
+            },
+        );
+        let mut expected = Some(9);
+        let mut is_written = false;
+        for _ in 0..10 {
+            now = now + Millis(self.rng.random_range(1..500));
+            if self.rng.random_bool(0.1) {
+                list.on_change(now, ServerChange::Put(entry_with(10)));
+                is_written = true;
+            }
+            list.on_tick(now);
+            let is_over = now.since(restored_at) >= LAPSE_GRACE;
+            expected = match (is_written, is_over, lacks_server) {
+                (true, _, _) => Some(10),
+                (false, false, _) => expected,
+                (false, true, true) => None,
+                (false, true, false) => Some(8),
+            };
+            let slots = list.get(&id).map(|e| e.slots);
+            if slots != expected {
+                return Err(format!("the entry has slots {slots:?}, expected: {expected:?}"));
+            }
+        }
+        Ok(())
+    }
 }
 
 fn event_bytes(id: u64) -> Vec<u8> {
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -109,6 +109,14 @@
         ChainWithGap => "chain-with-gap",
         /// The entry of a leaving server that no longer exists is kept after a store outage.
         LeavingEntryKept => "leaving-entry-kept",
+        /// A server that has announced that it is leaving gets new work after its entry is read again.
+        LeavingForgottenOnReload => "leaving-forgotten-on-reload",
+        /// A server's request for a shorter pause ends a longer one early.
+        PauseCutShort => "pause-cut-short",
+        /// Revisions of the store are compared without the era.
+        RevisionWithoutEra => "revision-without-era",
+        /// The older copy of a restored store replaces what is known of servers at once.
+        OlderCopyAdopted => "older-copy-adopted",
         /// An answer may change the model version after its first token.
         VersionUnpinned => "version-unpinned",
     }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -119,12 +119,18 @@
     ServerListChanged = 2203, Info, "server list changed";
     /// An entry of the store or of a list cannot be used.
     EntryRejected = 2204, Warn, "entry rejected";
+    /// A server has announced that it is leaving, before the list of servers says so.
+    ServerLeaving = 2205, Info, "server leaving";
+    /// A server has turned a request away and asked for a pause.
+    ServerPaused = 2206, Info, "server paused";
+    /// A server has asked for a pause that is too long, negative or no number.
+    PauseNotFollowed = 2207, Warn, "pause not followed";
     /// A server refuses connections right after it broke one with a request in flight.
-    ServerCrashed = 2205, Warn, "server crashed";
+    ServerCrashed = 2208, Warn, "server crashed";
     /// A fingerprint explains several crashes; requests with it are refused.
-    QuarantineBegan = 2206, Warn, "quarantine began";
+    QuarantineBegan = 2209, Warn, "quarantine began";
     /// A fingerprint no longer explains crashes; requests with it are served.
-    QuarantineEnded = 2207, Info, "quarantine ended";
+    QuarantineEnded = 2210, Info, "quarantine ended";
     /// A version of the configuration was adopted.
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
@@ -133,6 +139,8 @@
     StoreLost = 2401, Warn, "store lost";
     /// Calls of a gateway to the store succeed again.
     StoreRegained = 2402, Info, "store regained";
+    /// The store has come back from an older copy of its data.
+    StoreRestored = 2403, Warn, "store restored";
     /// Another gateway host of the same failure domain was heard, for the first time or again.
     PeerFound = 2501, Info, "peer found";
     /// Another gateway host has not been heard from for longer than the timeout.
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -7,6 +7,8 @@
 
 use crate::clock::Millis;
 use crate::defect::planted;
+use crate::forward::leaving::LeavingServers;
+use crate::forward::reason::LeavingSource;
 use crate::name::DomainName;
 use crate::name::ServerName;
 use crate::name::ServiceName;
@@ -16,6 +18,9 @@
 /// again.
 pub const LAPSE_GRACE: Millis = Millis(2_000);
 
+/// How long the list remembers entries that were removed.
+const DEPARTED_TTL: Millis = Millis(60_000);
+
 /// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerState {
@@ -75,10 +80,22 @@
     removal_at: Option<Millis>,
 }
 
+/// An entry that was removed, which an older copy of the store may still have.
+#[derive(Clone, Copy, Debug)]
+struct DepartedServer {
+    born: Option<u64>,
+    removed_at: Millis,
+}
+
 /// The list of servers that this host uses.
 #[derive(Debug, Default)]
 pub struct ServerList {
     listed: HashMap<ServerName, ListedServer>,
+    // Outlives the entries, which may be older than the announcements.
+    leaving: LeavingServers,
+    // Entries of an older copy of the store that differ from what is known.
+    held: HashMap<ServerName, ServerEntry>,
+    departed: HashMap<ServerName, DepartedServer>,
     grace_until: Millis,
     generation: u64,
 }
@@ -103,7 +120,12 @@
     /// Applies one change to the list.
     pub fn on_change(&mut self, now: Millis, change: ServerChange) {
         match change {
-            ServerChange::Put(entry) => {
+            ServerChange::Put(mut entry) => {
+                self.held.remove(&entry.id);
+                self.departed.remove(&entry.id);
+                if self.leaving.includes(&entry) && !planted!(LeavingForgottenOnReload) {
+                    entry.state = ServerState::Leaving;
+                }
                 let is_unchanged = self
                     .listed
                     .get(&entry.id)
@@ -117,7 +139,42 @@
         }
     }
 
+    /// Applies a change that comes from the first list that was read after the store came back from
+    /// an older copy; see [`Self::on_store_restored`].
+    ///
+    /// What differs from what is known is held back for [`LAPSE_GRACE`], since servers write their
+    /// entries again; an entry that was removed is not taken from the copy at all.
+    pub fn on_older_copy(&mut self, now: Millis, change: ServerChange) {
+        let is_held = match &change {
+            ServerChange::Put(entry) => self.is_known_better(entry) && !planted!(OlderCopyAdopted),
+            ServerChange::Gone(_) => false,
+        };
+        match change {
+            ServerChange::Put(entry) if is_held => {
+                if self.listed.contains_key(&entry.id) {
+                    self.held.insert(entry.id.clone(), entry);
+                }
+            }
+            change => self.on_change(now, change),
+        }
+    }
+
+    /// Returns whether this host may know a later state of the incarnation that `entry` of an older
+    /// copy describes.
+    fn is_known_better(&self, entry: &ServerEntry) -> bool {
+        let is_later =
+            |born: Option<u64>| matches!((entry.born, born), (Some(e), Some(b)) if e > b);
+        if let Some(departed) = self.departed.get(&entry.id) {
+            return !is_later(departed.born);
+        }
+        let known = self.listed.get(&entry.id).map(|listed| &listed.entry);
+        known.is_some_and(|known| {
+            known != entry && entry.state == ServerState::Ready && !is_later(known.born)
+        })
+    }
+
     fn on_gone(&mut self, now: Millis, id: &ServerName) {
+        self.held.remove(id);
         let Some(listed) = self.listed.get_mut(id) else {
             return;
         };
@@ -126,8 +183,43 @@
             listed.removal_at.get_or_insert(self.grace_until);
             return;
         }
-        self.listed.remove(id);
+        self.remove(now, id);
+    }
+
+    fn remove(&mut self, now: Millis, id: &ServerName) {
+        if let Some(listed) = self.listed.remove(id) {
+            let departed = DepartedServer { born: listed.entry.born, removed_at: now };
+            self.departed.insert(id.clone(), departed);
+            self.generation += 1;
+        }
+    }
+
+    /// Records that the incarnation of the server `id` that started at `born` is leaving, whatever
+    /// its entry says; returns whether that is news.
+    pub fn on_leaving(
+        &mut self,
+        now: Millis,
+        id: &ServerName,
+        born: Option<u64>,
+        source: LeavingSource,
+    ) -> bool {
+        if !self.leaving.insert(now, id, born, source) {
+            return false;
+        }
+        let leaving = &self.leaving;
+        let listed = self.listed.get_mut(id).filter(|listed| leaving.includes(&listed.entry));
+        let Some(listed) = listed.filter(|listed| listed.entry.state == ServerState::Ready) else {
+            return false;
+        };
+        listed.entry.state = ServerState::Leaving;
         self.generation += 1;
+        true
+    }
+
+    /// Returns the listed servers that have announced to this host itself that they are leaving,
+    /// with their starts.
+    pub fn announced_leaving(&self) -> impl Iterator<Item = (&ServerName, Option<u64>)> {
+        self.leaving.received().filter(|(id, _)| self.listed.contains_key(*id))
     }
 
     /// Records that the store answers again after it was unreachable. Entries may have expired in
@@ -136,6 +228,12 @@
         self.grace_until = now + LAPSE_GRACE;
     }
 
+    /// Records that the store has come back from an older copy, which lacks what was written since;
+    /// removals are delayed for [`LAPSE_GRACE`].
+    pub fn on_store_restored(&mut self, now: Millis) {
+        self.grace_until = self.grace_until.max(now + LAPSE_GRACE);
+    }
+
     /// Returns how much longer removals are delayed.
     pub fn removal_delay(&self, now: Millis) -> Millis {
         self.grace_until.since(now)
@@ -146,13 +244,20 @@
         self.grace_until = self.grace_until.max(now + span.min(LAPSE_GRACE));
     }
 
-    /// Drops entries whose grace period is over.
+    /// Drops entries whose grace period is over, and announcements of servers that are gone.
     pub fn on_tick(&mut self, now: Millis) {
-        let before = self.listed.len();
-        self.listed.retain(|_, listed| listed.removal_at.is_none_or(|at| now < at));
-        if self.listed.len() != before {
-            self.generation += 1;
+        let listed = &self.listed;
+        self.leaving.on_tick(now, |id| listed.contains_key(id));
+        self.departed.retain(|_, departed| now.since(departed.removed_at) < DEPARTED_TTL);
+        if now >= self.grace_until {
+            for (_, entry) in std::mem::take(&mut self.held) {
+                self.on_change(now, ServerChange::Put(entry));
+            }
         }
+        let is_over = |listed: &ListedServer| listed.removal_at.is_some_and(|at| now >= at);
+        let over = self.listed.iter().filter(|(_, listed)| is_over(listed));
+        let over: Vec<ServerName> = over.map(|(id, _)| id.clone()).collect();
+        over.iter().for_each(|id| self.remove(now, id));
     }
 
     /// Returns a number that increases with each change of the list.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -16,7 +16,11 @@
 use metrics_exporter_prometheus::PrometheusRecorder;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::reason::EndReason;
+use yuccanotch_core::forward::reason::LeavingSource;
+use yuccanotch_core::forward::reason::PauseKind;
 use yuccanotch_core::forward::reason::Rejection;
+use yuccanotch_core::forward::revision::era_of;
+use yuccanotch_core::forward::revision::revision_of;
 
 use crate::host::Gateway;
 
@@ -37,6 +41,8 @@
     sent: Counter,
     moves: Counter,
     moves_refused: Counter,
+    leaving: HashMap<LeavingSource, Counter>,
+    pauses: HashMap<PauseKind, Counter>,
     first_event: Histogram,
     longest_gap: Histogram,
 }
@@ -69,6 +75,20 @@
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
             moves: counter(&recorder, "yuccanotch_moves_total", None),
             moves_refused: counter(&recorder, "yuccanotch_moves_refused_total", None),
+            leaving: LeavingSource::ALL
+                .iter()
+                .map(|s| {
+                    let name = "yuccanotch_servers_leaving_total";
+                    (*s, counter(&recorder, name, Some(s.as_str())))
+                })
+                .collect(),
+            pauses: PauseKind::ALL
+                .iter()
+                .map(|k| {
+                    let name = "yuccanotch_server_pauses_total";
+                    (*k, counter(&recorder, name, Some(k.as_str())))
+                })
+                .collect(),
             first_event: histogram("yuccanotch_first_event_ms"),
             longest_gap: histogram("yuccanotch_longest_gap_ms"),
             recorder,
@@ -110,6 +130,20 @@
         }
     }
 
+    /// Counts a server of which this host learned from `source` that it is leaving.
+    pub fn server_leaving(&self, source: LeavingSource) {
+        if let Some(counter) = self.leaving.get(&source) {
+            counter.increment(1);
+        }
+    }
+
+    /// Counts a pause that a server asked for.
+    pub fn pause_asked(&self, kind: PauseKind) {
+        if let Some(counter) = self.pauses.get(&kind) {
+            counter.increment(1);
+        }
+    }
+
     /// Records the time to the first event of a stream and its longest gap between events.
     pub fn stream_ended(&self, first_event: Millis, longest_gap: Millis) {
         self.first_event.record(first_event.0 as f64);
@@ -127,7 +161,9 @@
         let version = gateway.views.configuration().map_or(0, |c| c.version);
         let lost = gateway.store.lost_since().map_or(Millis::ZERO, |at| now.since(at));
         self.gauge("yuccanotch_configuration_version", version as f64);
-        self.gauge("yuccanotch_store_revision", gateway.views.revision() as f64);
+        self.gauge("yuccanotch_store_revision", revision_of(gateway.views.revision()) as f64);
+        self.gauge("yuccanotch_store_era", era_of(gateway.views.revision()) as f64);
+        self.gauge("yuccanotch_store_restores", gateway.views.restores() as f64);
         self.gauge("yuccanotch_store_lost_ms", lost.0 as f64);
         self.gauge("yuccanotch_store_calls", gateway.store.calls() as f64);
         self.gauge("yuccanotch_servers", gateway.views.servers().len() as f64);
@@ -140,6 +176,8 @@
         self.gauge("yuccanotch_servers_suspected", suspects as f64);
         let quarantined = gateway.crashes.quarantined_count();
         self.gauge("yuccanotch_fingerprints_quarantined", quarantined as f64);
+        let paused = gateway.routing.pauses.borrow().count(now);
+        self.gauge("yuccanotch_servers_paused", paused as f64);
         self.handle.render()
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,6 +15,8 @@
 use tokio::time;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::reason::LeavingSource;
+use yuccanotch_core::forward::revision::era_of;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::messages::Content;
 use yuccanotch_core::peering::messages::Message;
@@ -24,6 +26,7 @@
 use yuccanotch_core::peering::node::Finding;
 use yuccanotch_core::peering::node::Node;
 use yuccanotch_core::peering::observations::short_hash;
+use yuccanotch_core::peering::observations::LeavingRow;
 use yuccanotch_core::peering::observations::LoadRow;
 use yuccanotch_core::peering::observations::Observations;
 use yuccanotch_core::peering::observations::SlowRow;
@@ -197,13 +200,23 @@
         server: short_hash(server.as_str()),
         tenths: (factor * 10.0) as u16,
     });
-    Observations { loads: loads.collect(), suspects: suspects.collect(), slow: slow.collect() }
+    let servers = gateway.views.servers();
+    let leaving = servers
+        .announced_leaving()
+        .map(|(server, born)| LeavingRow { server: short_hash(server.as_str()), born });
+    Observations {
+        loads: loads.collect(),
+        suspects: suspects.collect(),
+        slow: slow.collect(),
+        leaving: leaving.collect(),
+    }
 }
 
 /// Applies a message of another host; returns the answer.
 fn on_message(gateway: &Rc<Gateway>, message: Message) -> Option<Outgoing> {
     let now = gateway.clock.now();
     let status = own_status(gateway);
+    gateway.store.on_era(era_of(message.from.revision));
     gateway.views.on_peer_revision(message.from.revision);
     gateway.crashes.on_notices(&message.notices);
     let answer = gateway.peers.node.borrow_mut().on_message(now, &status, message);
@@ -247,6 +260,12 @@
             health.on_peer_suspicion(now, server, Millis(u64::from(row.ms)));
         }
     }
+    drop(servers);
+    for row in &others.leaving {
+        if let Some(server) = names.by_hash.get(&row.server) {
+            gateway.record_leaving(server, row.born, LeavingSource::Host);
+        }
+    }
 }
 
 fn log_findings(gateway: &Gateway) {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -308,6 +308,7 @@
         let response = conn.send(req).await.ok()?;
         let (head, body) = response.into_parts();
         let reply = self.adapter.decode_reply(&head);
+        self.record_announcements(address, &reply);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
         if !reply.closes {
             self.pool.release(conn, reply.keep_alive);
@@ -414,6 +415,9 @@
 /// Requests new reports from the servers that this host found slow.
 fn recheck_slow_servers(gateway: &Rc<Gateway>) {
     for (server, _) in gateway.reports.slow_servers(gateway.clock.now()) {
+        if gateway.routing.is_paused(&server) {
+            continue;
+        }
         let address = gateway.views.servers().get(&server).map(|e| e.address);
         let Some(address) = address else {
             continue;
@@ -454,7 +458,7 @@
             Ok(()) => backoff.reset(),
             Err(_) => backoff.pause().await,
         }
-        if lease.as_ref().is_some_and(|held| held.is_gone) {
+        if lease.as_ref().is_some_and(|held| held.is_gone || held.era != gateway.store.era()) {
             lease = None;
         }
     }
@@ -463,6 +467,7 @@
 /// The lease of this host's entry in the store.
 struct Lease {
     id: u64,
+    era: u64,
     renew_at: Millis,
     is_gone: bool,
 }
@@ -480,6 +485,7 @@
 async fn write_listing(gateway: &Gateway) -> Result<Lease, StoreError> {
     read_listing(gateway).await?;
     let granted = gateway.store.call(&StoreCall::Grant { ttl: LISTING_TTL }).await?;
+    let era = gateway.store.era();
     let StoreReply::Lease { lease: Some(id) } = granted else {
         return Err(StoreError::Malformed("the answer names no lease".to_owned()));
     };
@@ -487,7 +493,7 @@
     let puts = vec![(key, gossip::encode_own_peer(gateway), id)];
     let call = StoreCall::Write { expected: Vec::new(), puts, removes: Vec::new() };
     gateway.store.call(&call).await?;
-    Ok(Lease { id, renew_at: next_listing_renewal(gateway), is_gone: false })
+    Ok(Lease { id, era, renew_at: next_listing_renewal(gateway), is_gone: false })
 }
 
 fn next_listing_renewal(gateway: &Gateway) -> Millis {
