Tell other domains at once that a silent server answers again

The load of a server that is ready goes to other failure domains only once in each refresh period of 8 s. A change to silent was sent at once, the change back was not, since only updates with a stamp counted as new.

An update is now due when its stamp differs from the one last sent, also when the server has become ready and so has none. The new test fails without the change.

--- a/crates/core/src/fleet/servers.rs
+++ b/crates/core/src/fleet/servers.rs
@@ -139,8 +139,8 @@
 struct DomainSendLog(HashMap<(UpdateKind, ShortId), (Millis, Option<Stamp>)>);
 
 impl DomainSendLog {
-    /// Returns whether an update is due, because it is new or its refresh period has passed, and
-    /// records it as sent if so.
+    /// Returns whether an update is due, because its stamp differs from the one last sent or its
+    /// refresh period has passed, and records it as sent if so.
     fn mark_sent_if_due(
         &mut self,
         now: Now,
@@ -154,9 +154,8 @@
             UpdateKind::Detail | UpdateKind::HostList => timing.cross_domain_detail_refresh_period,
         };
         let sent = self.0.get(&(kind, id));
-        let due = sent.is_none_or(|(time, stamp)| {
-            now.time.since(*time) >= refresh_period || (at.is_some() && at != *stamp)
-        });
+        let due = sent
+            .is_none_or(|(time, stamp)| now.time.since(*time) >= refresh_period || at != *stamp);
         if due {
             self.0.insert((kind, id), (now.time, at));
         }
@@ -405,6 +404,8 @@
             {
                 batch.details.extend(record.detail(now.stamp));
             }
+            // The load of a ready server has no stamp and is sent once in each refresh period, and
+            // when the server has just become ready.
             let at = record.load_stamp.filter(|_| record.condition != ServerCondition::Ready);
             if batch.loads.len() < timing.max_loads_per_message
                 && sent.mark_sent_if_due(now, UpdateKind::Load, record.id, at, timing)
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -10,6 +10,8 @@
 use super::node::FleetNode;
 use super::node::HostIdentity;
 use super::servers::DeclaredServer;
+use super::servers::Now;
+use super::servers::ServerTable;
 use super::timing::Stamp;
 use super::timing::Timing;
 use super::FleetMessage;
@@ -260,3 +262,22 @@
         assert!(now < start || node.is_reachable(now, &"marka".into()), "cut off at {now}");
     }
 }
+
+#[test]
+fn another_domain_is_told_at_once_that_a_silent_server_answers_again() {
+    let timing = Timing::default();
+    let name = ServerName::from("engine-1");
+    let mut table = ServerTable::default();
+    table.declare(&[DeclaredServer { name: name.clone(), domain: "sahab".into() }]);
+    let mut observe = |ms: u64, report: Option<LoadReport>| {
+        let now = Now { time: Millis(ms), stamp: Stamp::at(START_UNIX_TIME + Millis(ms)) };
+        table.observe(now, &name, report, &timing);
+        let batch = table.take_cross_domain_batch(now, &"sahab".into(), &"marka".into(), &timing);
+        batch.loads.iter().map(|load| load.condition).collect::<Vec<_>>()
+    };
+    assert_eq!(observe(1_000, Some(report(false))), [ServerCondition::Ready]);
+    assert!(observe(2_000, None).is_empty());
+    assert_eq!(observe(3_000, None), [ServerCondition::Silent]);
+    assert_eq!(observe(4_000, Some(report(false))), [ServerCondition::Ready]);
+    assert!(observe(5_000, Some(report(false))).is_empty());
+}
