Let a request wait for a chain while a server of its model restarts

A request none of whose attempts may have run was refused as no_chain after 1 s. The servers of a crashed stage take longer to restart, so a request that came while both replicas of a stage were down was refused although an earlier one would have waited for them.

Such a request now waits up to 5 s while a server that holds layers of its model version is suspected not to answer. Without any such server it is still refused after 1 s. The new test fails without the change (no_chain, not_run).

--- a/crates/entry/src/pipelines/runner.rs
+++ b/crates/entry/src/pipelines/runner.rs
@@ -10,6 +10,7 @@
 use yuccanotch_core::engine::prefix_hashes;
 use yuccanotch_core::engine::CancelRequest;
 use yuccanotch_core::engine::Chain;
+use yuccanotch_core::engine::Holding;
 use yuccanotch_core::engine::RunRequest;
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event as LogEvent;
@@ -57,6 +58,10 @@
 /// Longest wait for a chain while no attempt of the request may have run.
 const MAX_CHAIN_WAIT: Millis = Millis(1_000);
 
+/// Longest wait for a chain while a server that holds layers of the model does not answer, and no
+/// attempt of the request may have run.
+const MAX_RESTART_WAIT: Millis = Millis(5_000);
+
 /// Longest wait for a chain after an attempt that may have run.
 const MAX_RESUME_WAIT: Millis = Millis(15_000);
 
@@ -374,12 +379,27 @@
         } else if self.may_have_run {
             // The servers of a crashed stage need time to restart.
             (MAX_RESUME_WAIT, RefusalReason::NoChain)
+        } else if self.has_silent_server() {
+            (MAX_RESTART_WAIT, RefusalReason::NoChain)
         } else {
             (MAX_CHAIN_WAIT, RefusalReason::NoChain)
         };
         (now.since(started) >= limit).then_some(reason)
     }
 
+    /// Returns whether a server that holds layers of the request's model version is suspected not to
+    /// answer.
+    fn has_silent_server(&self) -> bool {
+        let holds_model = |holding: &Holding| {
+            holding.model == self.job.model && holding.version == *self.stream.version()
+        };
+        let view = self.host.fleet.view();
+        let mut silent = view.servers.values().filter(|server| server.suspected);
+        silent.any(|server| {
+            server.report.as_ref().is_some_and(|report| report.holdings.iter().any(holds_model))
+        })
+    }
+
     /// Switches to the version on which new requests run now, unless a token was released; returns
     /// whether the version changed.
     fn switch_to_serving_version(&mut self) -> bool {
--- a/crates/entry/tests/pipelines.rs
+++ b/crates/entry/tests/pipelines.rs
@@ -4,10 +4,13 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
 
 use deployment::prompt_with;
 use deployment::Collector;
 use deployment::TestDeployment;
+use yuccanotch_core::name::ServerName;
 use yuccanotch_core::reason::Outcome;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_entry::pipelines::AnswerSummary;
@@ -119,3 +122,26 @@
     assert!(deployment.standin.record().runs.is_empty());
     deployment.stop();
 }
+
+#[test]
+fn a_request_that_begins_while_all_servers_of_a_stage_restart_waits_for_them() {
+    const RESTART_MS: u64 = 3_500;
+    let deployment = TestDeployment::start();
+    let crashed = ["e1-0", "e1-1"].map(ServerName::from);
+    for target in crashed.clone() {
+        let req = FaultRequest { fault: Fault::EngineCrash { target }, for_ms: RESTART_MS };
+        deployment.standin.inject(req).expect("a known server");
+    }
+    let is_suspected = |name: &ServerName| {
+        deployment.running().host.fleet.view().servers.get(name).is_some_and(|s| s.suspected)
+    };
+    while !crashed.iter().all(is_suspected) {
+        thread::sleep(Duration::from_millis(10));
+    }
+    let prompt = "a quote";
+    let mut sink = Collector::default();
+    let summary = deployment.run(&deployment.job(prompt), &mut sink).expect("a whole answer");
+    assert_eq!(summary.attempts, 1);
+    assert_eq!(sink.tokens, deployment.expected(prompt));
+    deployment.stop();
+}
