Keep requests that were in flight at a crash off the servers of suspects

A request whose crash probably had another cause counts as clear and was sent to any server, also to one on which a suspect was announced. If the suspect crashed it, both were in flight at the same two crashes; the quarantine can't tell them apart then and the suspect stayed free.

Servers on which suspects run are now closed to each fingerprint with a recent crash, not only to those that count as suspect. The new unit test fails without the change.

--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -146,11 +146,12 @@
     }
 
     /// Returns the servers that must not run a suspect because another suspect runs there; none if
-    /// the fingerprint is clear.
+    /// the fingerprint was in flight at no recent crash.
+    ///
+    /// A fingerprint whose crash probably had another cause is kept off suspects too: if it were in
+    /// flight at the next crash of one, neither could be told from the other.
     pub fn excluded_servers(&self, now: Millis, fingerprint: Fingerprint) -> HashSet<ServerName> {
-        if self.status(now, fingerprint) == QuarantineStatus::Clear
-            || planted!(SuspectsShareServers)
-        {
+        if !self.has_recent_crash(now, fingerprint) || planted!(SuspectsShareServers) {
             return HashSet::new();
         }
         let own = self.runs.values().filter(|run| run.fingerprint != fingerprint);
@@ -164,6 +165,11 @@
         runs.flat_map(|run| run.servers.iter().map(|at| at.server.clone())).collect()
     }
 
+    fn has_recent_crash(&self, now: Millis, fingerprint: Fingerprint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| now.since(entry.last_crash_at) < self.settings.suspect_ttl)
+    }
+
     /// Returns whether a request with the fingerprint is in flight on this host; a suspect must not
     /// run twice at a time.
     pub fn is_running(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -118,6 +118,23 @@
     assert_eq!(fixture.status("late"), QuarantineStatus::Clear);
 }
 
+#[test]
+fn a_request_whose_crash_probably_had_another_cause_is_kept_off_suspects() {
+    let mut fixture = Fixture::new();
+    fixture.start(1, "one", "a");
+    fixture.start(2, "two", "b");
+    fixture.state.on_crash(fixture.now, &crash("a"));
+    fixture.state.on_crash(fixture.now, &crash("b"));
+    assert_eq!(fixture.status("one"), QuarantineStatus::Clear);
+    let start = SuspectStart {
+        request: RequestId(4),
+        fingerprint: fingerprint("three"),
+        servers: [crash("c")].into_iter().collect(),
+    };
+    fixture.state.on_remote_start(fixture.now, start);
+    assert!(fixture.state.excluded_servers(fixture.now, fingerprint("one")).contains("c"));
+}
+
 #[test]
 fn memory_is_bounded_and_expires() {
     let settings = QuarantineSettings { capacity: 8, ..QuarantineSettings::default() };
