Let messages of the simulated exchange overtake each other, and digests be lost

The simulated network of the exchange between hosts delivered all messages in order, so that no older report could arrive after a newer one, and no host was without digests of an aggregator that it still heard.

Every message of a chosen number is now late by two to three rounds, and a host can lose its digests and summaries while its small messages arrive, as on a path that drops fragments. Two new tests use both: an overtaken report is ignored, and a domain is heard while the digests of its first aggregator are lost.

--- a/crates/core/src/peering/sim.rs
+++ b/crates/core/src/peering/sim.rs
@@ -1,5 +1,5 @@
-//! A simulated cluster for tests and randomised runs: every message takes one step, and hosts can
-//! crash, freeze, start anew and be cut off.
+//! A simulated cluster for tests and randomised runs: messages can be lost and overtake each other,
+//! and hosts can crash, freeze, start anew, be cut off and lose what they send as aggregators.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -23,6 +23,14 @@
 const PORT: u16 = 7_000;
 /// The delay of a message.
 const LINK_DELAY: Millis = Millis(3);
+/// The least additional delay of a late message. Two rounds pass meanwhile, so that messages of the
+/// same sender overtake it.
+const MIN_EXTRA_DELAY: Millis = Millis(2 * ROUND_INTERVAL.0 + 10);
+/// The span over which the additional delays of late messages vary.
+const EXTRA_DELAY_SPREAD: Millis = ROUND_INTERVAL;
+/// The step between the additional delays of consecutive messages; it has no common divisor with
+/// the spread, so that all delays occur.
+const EXTRA_DELAY_STEP: u64 = 17;
 /// The bandwidth of the strongest hosts of a domain, and of all others, in Mbit/s.
 const LINK_MBPS: (u32, u32) = (200, 20);
 
@@ -44,6 +52,9 @@
     pub load: u16,
     /// Whether it neither runs nor receives for now.
     pub is_frozen: bool,
+    /// Whether its digests and summaries are lost, as large datagrams are on a path that drops
+    /// fragments, while its small messages arrive.
+    pub loses_digests: bool,
     /// Whether a cut separates it from all hosts but those with the same number.
     pub side: u32,
     next_round: Millis,
@@ -84,6 +95,9 @@
     next_message: u64,
     /// Every message whose number is a multiple of this one is lost; 0 loses none.
     pub loss_period: u64,
+    /// Every message whose number is a multiple of this one is so late that later ones overtake it;
+    /// 0 delays none.
+    pub delay_period: u64,
     bytes_between_domains: u64,
     /// The number of further servers at which each host has a request in progress.
     pub extra_servers: u32,
@@ -111,6 +125,7 @@
             in_flight: BTreeMap::new(),
             next_message: 0,
             loss_period: 0,
+            delay_period: 0,
             bytes_between_domains: 0,
             extra_servers: 0,
         };
@@ -179,7 +194,8 @@
         let bytes = encoded_len(&message);
         self.hosts[from].sent.add(bytes);
         self.next_message += 1;
-        let is_lost = self.loss_period > 0 && self.next_message.is_multiple_of(self.loss_period);
+        let is_lost = is_due(self.next_message, self.loss_period)
+            || (self.hosts[from].loses_digests && is_of_aggregator(&message.content));
         let Some(&receiver) = self.by_address.get(&to) else {
             return;
         };
@@ -187,11 +203,20 @@
             self.bytes_between_domains += bytes;
         }
         if !is_lost {
-            let key = (self.now + LINK_DELAY, self.next_message);
+            let key = (self.now + self.next_delay(), self.next_message);
             self.in_flight.insert(key, (from, receiver, message));
         }
     }
 
+    /// Returns the delay of the message that was numbered last.
+    fn next_delay(&self) -> Millis {
+        if !is_due(self.next_message, self.delay_period) {
+            return LINK_DELAY;
+        }
+        let extra = self.next_message * EXTRA_DELAY_STEP % EXTRA_DELAY_SPREAD.0;
+        LINK_DELAY + MIN_EXTRA_DELAY + Millis(extra)
+    }
+
     fn deliver(&mut self) {
         while let Some(entry) = self.in_flight.first_entry() {
             if entry.key().0 > self.now {
@@ -251,6 +276,7 @@
             status,
             load: index as u16 % 5 + 1,
             is_frozen: false,
+            loses_digests: false,
             side: 0,
             next_round: Millis::ZERO,
             incarnations: 0,
@@ -260,6 +286,15 @@
     }
 }
 
+/// Returns whether a fault that meets every `period`th message meets this one; none if 0.
+fn is_due(number: u64, period: u64) -> bool {
+    period > 0 && number.is_multiple_of(period)
+}
+
+fn is_of_aggregator(content: &Content) -> bool {
+    matches!(content, Content::Digest { .. } | Content::Summary { .. })
+}
+
 fn own_load(load: u16) -> LoadRow {
     let server = short_hash(SERVER);
     LoadRow { server, active: load, first: load, kilo_token_layers: u32::from(load) }
--- a/crates/core/src/peering/tests.rs
+++ b/crates/core/src/peering/tests.rs
@@ -11,6 +11,10 @@
 /// The time within which a host hears of a loss of both aggregators, and of others in their place.
 const TAKEOVER: Millis = Millis(5_000);
 
+/// The most rounds that a rising load may be behind at the second aggregator, which gets a report in
+/// every tenth round, and while messages are late.
+const MAX_LAG: u16 = 16;
+
 fn aggregators(sim: &Sim, domain: usize, hosts_per_domain: usize) -> Vec<usize> {
     let hosts = domain * hosts_per_domain..(domain + 1) * hosts_per_domain;
     hosts.filter(|&i| sim.hosts[i].node.as_ref().is_some_and(|n| n.is_aggregator())).collect()
@@ -197,3 +201,40 @@
     sim.run(Millis(6_000));
     assert_eq!(reads(&sim), 6);
 }
+
+#[test]
+fn a_report_that_a_newer_one_overtook_is_ignored() {
+    let mut sim = Sim::new(1, 4);
+    sim.run(START);
+    let chosen = aggregators(&sim, 0, 4);
+    let member = (0..4).find(|i| !chosen.contains(i)).expect("a host is no aggregator");
+    sim.delay_period = 5;
+    let mut seen = vec![0; 4];
+    for _ in 0..100 {
+        sim.hosts[member].load += 1;
+        sim.run(ROUND_INTERVAL);
+        for &i in &chosen {
+            let load = sim.seen_load(i).unwrap_or(seen[i]);
+            assert!(load >= seen[i], "aggregator {i} sees {load} after {}", seen[i]);
+            seen[i] = load;
+        }
+    }
+    let total: u16 = (0..4).map(|i| sim.hosts[i].load).sum();
+    assert!(chosen.iter().all(|&i| seen[i] + sim.hosts[i].load + MAX_LAG > total), "{seen:?}");
+}
+
+#[test]
+fn a_domain_is_heard_while_the_digests_of_its_first_aggregator_are_lost() {
+    let mut sim = Sim::new(2, 5);
+    sim.run(START);
+    // The first host has the widest link.
+    assert!(aggregators(&sim, 0, 5).contains(&0));
+    sim.hosts[0].loses_digests = true;
+    for _ in 0..20 {
+        sim.run(Millis(1_000));
+        for index in 1..10 {
+            let count = sim.hosts[index].node.as_ref().map(|n| n.host_count(sim.now));
+            assert!(count.is_some_and(|count| count >= 9), "host {index} counts {count:?}");
+        }
+    }
+}
