Compare the items of a host with the store after every exchange of changes

The randomised case of the item log compared items only at its end, when later reads had mostly healed what an omitted removal had left behind. It now checks after every merge that the host has the items of the store as of the revision that its log names.

--- a/crates/check/src/item_log_case.rs
+++ b/crates/check/src/item_log_case.rs
@@ -1,5 +1,6 @@
 //! Randomised case of the changes that hosts pass to each other: whatever the order in which hosts
-//! read from the store and from each other, none goes back, and all end with the items of the store.
+//! read from the store and from each other, none goes back, each has the items of the store as of the
+//! revision that it names, and all end with the items of the store.
 
 use std::collections::BTreeMap;
 
@@ -46,11 +47,12 @@
     }
 }
 
-/// The store: the present items and every change.
+/// The store: the present items, every change, and the items as of each revision.
 #[derive(Debug, Default)]
 struct Store {
     items: BTreeMap<String, (u64, Bytes)>,
     history: Vec<ItemChange>,
+    past_items: BTreeMap<u64, BTreeMap<String, (u64, Bytes)>>,
     revision: u64,
 }
 
@@ -66,6 +68,12 @@
             }
         }
         self.history.push(ItemChange { key, revision: self.revision, value });
+        self.past_items.insert(self.revision, self.items.clone());
+    }
+
+    /// Returns the items as of a revision.
+    fn items_at(&self, revision: u64) -> BTreeMap<String, (u64, Bytes)> {
+        self.past_items.get(&revision).cloned().unwrap_or_default()
     }
 
     fn all(&self) -> Changes {
@@ -117,12 +125,14 @@
                 if let Some((to, changes)) = delayed.pop() {
                     trace.add(format!("answer to host {to}"));
                     hosts[to].merge(changes)?;
+                    check_items(&store, &hosts[to], to)?;
                 }
             }
             _ => {
                 let from = rng.random_range(0..hosts.len());
                 trace.add(format!("host {index} fetches from host {from}"));
                 fetch(&mut hosts, index, from)?;
+                check_items(&store, &hosts[index], index)?;
             }
         }
     }
@@ -144,3 +154,13 @@
     let changes = hosts[from].log.changes_after(hosts[to].log.revision());
     hosts[to].merge(changes)
 }
+
+/// Checks that a host has the items of the store as of the revision that its log names.
+fn check_items(store: &Store, host: &Host, index: usize) -> CaseResult {
+    let revision = host.log.revision();
+    let expected = store.items_at(revision);
+    if host.items == expected {
+        return Ok(());
+    }
+    Err(format!("host {index} at {revision} has {:?} instead of {expected:?}", host.items))
+}
