Send no attempt to a server whose crash another host has reported

A host that learned of a crash by a notice of another host kept the server in use until its own calls or its observers' word said otherwise, and a request that failed there could choose it again within 20 ms.

A server is now left out for 5 s after its crash became known, as long as it still reports the boot that ended; a request without any chain waits for it as for a silent server. The new test of the entry host fails without the change (2 attempts).

--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -165,6 +165,12 @@
         runs.flat_map(|run| run.servers.iter().map(|at| at.server.clone())).collect()
     }
 
+    /// Returns the crashes that became known within the last `span`.
+    pub fn recent_crashes(&self, now: Millis, span: Millis) -> impl Iterator<Item = &CrashId> {
+        let recent = self.losses.iter().filter(move |loss| now.since(loss.at) < span);
+        recent.map(|loss| &loss.crash)
+    }
+
     fn has_recent_crash(&self, now: Millis, fingerprint: Fingerprint) -> bool {
         let entry = self.entries.get(&fingerprint);
         entry.is_some_and(|entry| now.since(entry.last_crash_at) < self.settings.suspect_ttl)
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -135,6 +135,21 @@
     assert!(fixture.state.excluded_servers(fixture.now, fingerprint("one")).contains("c"));
 }
 
+#[test]
+fn crashes_that_this_or_another_host_saw_are_known_for_the_given_span() {
+    const SPAN: Millis = Millis(5_000);
+    let mut fixture = Fixture::new();
+    fixture.state.on_crash(fixture.now, &crash("a"));
+    let crashes = [crash("b")].into_iter().collect();
+    let notice = CrashNotice { fingerprint: fingerprint("poison"), crashes };
+    let later = fixture.now + Millis(1_000);
+    fixture.state.on_notice(later, &notice);
+    let known = |now| fixture.state.recent_crashes(now, SPAN).cloned().collect::<Vec<_>>();
+    assert_eq!(known(later), [crash("a"), crash("b")]);
+    assert_eq!(known(fixture.now + SPAN), [crash("b")]);
+    assert!(known(later + SPAN).is_empty());
+}
+
 #[test]
 fn memory_is_bounded_and_expires() {
     let settings = QuarantineSettings { capacity: 8, ..QuarantineSettings::default() };
--- a/crates/entry/src/pipelines/runner.rs
+++ b/crates/entry/src/pipelines/runner.rs
@@ -38,6 +38,7 @@
 use super::ChatJob;
 use super::TokenSink;
 use crate::fleet::Health;
+use crate::fleet::ServerView;
 use crate::host::Host;
 use crate::problem::Refusal;
 use crate::quarantine::AttemptTracker;
@@ -387,15 +388,16 @@
         (now.since(started) >= limit).then_some(reason)
     }
 
-    /// Returns whether a server that holds layers of the request's model version is suspected not to
-    /// answer.
+    /// Returns whether a server that holds layers of the request's model version crashed lately or is
+    /// suspected not to answer.
     fn has_silent_server(&self) -> bool {
         let holds_model = |holding: &Holding| {
             holding.model == self.job.model && holding.version == *self.stream.version()
         };
         let view = self.host.fleet.view();
-        let mut silent = view.servers.values().filter(|server| server.suspected);
-        silent.any(|server| {
+        let crashed = self.tracker.crashed_servers();
+        let is_silent = |server: &&ServerView| server.suspected || crashed.contains(&server.name);
+        view.servers.values().filter(is_silent).any(|server| {
             server.report.as_ref().is_some_and(|report| report.holdings.iter().any(holds_model))
         })
     }
@@ -422,7 +424,8 @@
         };
         // Servers that failed this request are used again when there is no other chain. Servers
         // that the quarantine excludes are not, since a request that is suspected of crashing
-        // servers must not run beside another such request.
+        // servers must not run beside another such request, and an attempt on a crashed server is
+        // lost.
         let excluded: Vec<ServerName> = self.tracker.excluded_servers().into_iter().collect();
         let avoid: Vec<ServerName> = self.failed_servers.iter().chain(&excluded).cloned().collect();
         choose(&avoid).or_else(|| choose(&excluded))
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -45,6 +45,8 @@
 const NOTICE_REPEAT_SPAN: Millis = Millis(5_000);
 /// Largest number of notices in one repeat.
 const MAX_REPEATED_NOTICES: usize = 64;
+/// Time after a crash for which a server that still reports the boot that ended is not used.
+const CRASHED_BOOT_SPAN: Millis = Millis(5_000);
 /// Length of the time spans whose number serves as the boot number of a server without a load
 /// report.
 const ASSUMED_BOOT_SPAN: Millis = Millis(10_000);
@@ -121,9 +123,28 @@
         self.status() == QuarantineStatus::Quarantined
     }
 
-    /// Returns the servers that the request must not use at present.
+    /// Returns the servers that the request must not use at present: those that run suspects, and
+    /// those that crashed.
     pub fn excluded_servers(&self) -> HashSet<ServerName> {
-        self.host.quarantine.lock().excluded_servers(self.now(), self.fingerprint)
+        let state = self.host.quarantine.lock();
+        let mut excluded = state.excluded_servers(self.now(), self.fingerprint);
+        drop(state);
+        excluded.extend(self.crashed_servers());
+        excluded
+    }
+
+    /// Returns the servers that crashed lately, as this or another host saw, and have not reported a
+    /// new boot yet.
+    pub fn crashed_servers(&self) -> HashSet<ServerName> {
+        let view = self.host.fleet.view();
+        let is_current = |crash: &&CrashId| {
+            let server = view.servers.get(&crash.server);
+            let report = server.and_then(|server| server.report.as_ref());
+            report.is_some_and(|report| report.boot == crash.boot)
+        };
+        let state = self.host.quarantine.lock();
+        let crashes = state.recent_crashes(self.now(), CRASHED_BOOT_SPAN);
+        crashes.filter(is_current).map(|crash| crash.server.clone()).collect()
     }
 
     /// Records the start of an attempt on `servers`; returns whether it may start now.
--- a/crates/entry/tests/pipelines.rs
+++ b/crates/entry/tests/pipelines.rs
@@ -11,6 +11,10 @@
 use deployment::Collector;
 use deployment::TestDeployment;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::quarantine::CrashId;
+use yuccanotch_core::quarantine::CrashNotice;
+use yuccanotch_core::quarantine::Fingerprint;
+use yuccanotch_core::quarantine::QuarantineMessage;
 use yuccanotch_core::reason::Outcome;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_entry::pipelines::AnswerSummary;
@@ -20,6 +24,8 @@
 /// Least number of tokens of the answer.
 const LONG_ANSWER_TOKENS: usize = 40;
 const FAULT_AFTER_TOKENS: usize = 10;
+/// Most requests that are sent until one runs on a server that has restarted.
+const MAX_REQUESTS: usize = 100;
 
 /// Runs a request with a long answer, and injects a fault into one server of its chain after
 /// [`FAULT_AFTER_TOKENS`] tokens. Checks that the answer is complete and correct.
@@ -145,3 +151,38 @@
     assert_eq!(sink.tokens, deployment.expected(prompt));
     deployment.stop();
 }
+
+#[test]
+fn a_server_that_another_host_saw_crash_is_not_tried_before_it_reports_a_new_boot() {
+    const RESTART_MS: u64 = 2_500;
+    let deployment = TestDeployment::start();
+    let server = ServerName::from("e1-0");
+    let host = &deployment.running().host;
+    let reported_boot =
+        || host.fleet.view().servers[&server].report.as_ref().expect("a load report").boot;
+    let boot = reported_boot();
+    let fault = Fault::EngineCrash { target: server.clone() };
+    deployment.standin.inject(FaultRequest { fault, for_ms: RESTART_MS }).expect("a known server");
+    let fingerprint = Fingerprint::new(&"another".into(), b"a request of another host");
+    let crashes = [CrashId { server: server.clone(), boot }].into_iter().collect();
+    let notices = vec![CrashNotice { fingerprint, crashes }];
+    host.quarantine.on_peer(QuarantineMessage::Notices(notices));
+    let uses_server = |summary: &AnswerSummary| summary.chain.iter().any(|h| h.server == server);
+    let ask = |i: usize| {
+        let job = deployment.job(&format!("quote {i}"));
+        deployment.run(&job, &mut Collector::default()).expect("a whole answer")
+    };
+    let mut answered = 0;
+    loop {
+        let answer = ask(answered);
+        if reported_boot() != boot {
+            break;
+        }
+        assert!(answer.attempts == 1 && !uses_server(&answer), "{answer:?}");
+        answered += 1;
+    }
+    assert!(answered > 5, "{answered} answers before the restart");
+    let is_used_again = (0..MAX_REQUESTS).any(|i| uses_server(&ask(answered + i)));
+    assert!(is_used_again, "the server is used after its restart");
+    deployment.stop();
+}
