--- a/crates/check/src/item_log_case.rs
+++ b/crates/check/src/item_log_case.rs
@@ -1,6 +1,7 @@
 //! Randomised case of the changes that hosts pass to each other: whatever the order in which hosts
-//! read from the store and from each other, none goes back, and all end with the items of the store,
-//! also when the store comes back from an older copy.
+//! read from the store and from each other, none goes back, each has the items of the store as of the
+//! revision that it names, and all end with the items of the store, also when the store comes back
+//! from an older copy.
 
 use std::collections::BTreeMap;
 
@@ -51,11 +52,12 @@
     }
 }
 
-/// The store: the present items and every change, in the present era.
+/// The store: the present items, every change, and the items as of each revision, in the present era.
 #[derive(Clone, Debug, Default)]
 struct Store {
     items: BTreeMap<String, (u64, Bytes)>,
     history: Vec<ItemChange>,
+    past_items: BTreeMap<u64, BTreeMap<String, (u64, Bytes)>>,
     era: u64,
     own_revision: u64,
 }
@@ -78,11 +80,18 @@
             }
         }
         self.history.push(ItemChange { key, revision, value });
+        self.past_items.insert(revision, self.items.clone());
+    }
+
+    /// Returns the items as of a revision.
+    fn items_at(&self, revision: u64) -> BTreeMap<String, (u64, Bytes)> {
+        self.past_items.get(&revision).cloned().unwrap_or_default()
     }
 
     /// Comes back from `copy`, in the next era, with the revisions of the copy.
     fn restore(&mut self, copy: &Self) {
         let era = self.era + 1;
+        let earlier_items = std::mem::take(&mut self.past_items);
         *self = copy.clone();
         self.era = era;
         let own_revision = |ordered: u64| ordered - order_over_eras(copy.era, 0);
@@ -92,6 +101,8 @@
         for change in &mut self.history {
             change.revision = order_over_eras(era, own_revision(change.revision));
         }
+        self.past_items = earlier_items;
+        self.past_items.insert(self.revision(), self.items.clone());
     }
 
     fn all(&self) -> Changes {
@@ -149,6 +160,7 @@
                 if let Some((to, changes)) = delayed.pop() {
                     trace.add(format!("answer to host {to}"));
                     hosts[to].merge(changes)?;
+                    check_items(&store, &hosts[to], to)?;
                 }
             }
             COMMON_STEPS if rng.random_bool(0.5) => copy = store.clone(),
@@ -160,6 +172,7 @@
                 let from = rng.random_range(0..hosts.len());
                 trace.add(format!("host {index} fetches from host {from}"));
                 fetch(&mut hosts, index, from)?;
+                check_items(&store, &hosts[index], index)?;
             }
         }
     }
@@ -181,3 +194,13 @@
     let changes = hosts[from].log.changes_after(hosts[to].log.revision());
     hosts[to].merge(changes)
 }
+
+/// Checks that a host has the items of the store as of the revision that its log names.
+fn check_items(store: &Store, host: &Host, index: usize) -> CaseResult {
+    let revision = host.log.revision();
+    let expected = store.items_at(revision);
+    if host.items == expected {
+        return Ok(());
+    }
+    Err(format!("host {index} at {revision} has {:?} instead of {expected:?}", host.items))
+}
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -195,11 +195,12 @@
     }
 
     /// Returns the servers that must not run a suspect because another suspect runs there; none if
-    /// the fingerprint is clear.
+    /// the fingerprint was in flight at no recent crash.
+    ///
+    /// A fingerprint whose crash probably had another cause is kept off suspects too: if it were in
+    /// flight at the next crash of one, neither could be told from the other.
     pub fn excluded_servers(&self, now: Millis, fingerprint: Fingerprint) -> HashSet<ServerName> {
-        if self.status(now, fingerprint) == QuarantineStatus::Clear
-            || planted!(SuspectsShareServers)
-        {
+        if !self.has_recent_crash(now, fingerprint) || planted!(SuspectsShareServers) {
             return HashSet::new();
         }
         let is_other = |run: &&RunningRequest| !run.fingerprints.contains(&fingerprint);
@@ -214,6 +215,19 @@
         runs.flat_map(|run| run.servers.iter().map(|at| at.server.clone())).collect()
     }
 
+    /// Returns the crashes that became known within the last `span`.
+    pub fn recent_crashes(&self, now: Millis, span: Millis) -> impl Iterator<Item = &CrashId> {
+        let recent = self.losses.iter().filter(move |loss| age(now, loss.at) < span);
+        recent.map(|loss| &loss.crash)
+    }
+
+    fn has_recent_crash(&self, now: Millis, fingerprint: Fingerprint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| {
+            !entry.crashes.is_empty() && age(now, entry.last_crash_at) < self.settings.suspect_ttl
+        })
+    }
+
     /// Returns whether a request with the fingerprint is in flight on this host; a suspect must not
     /// run twice at a time.
     pub fn is_running(&self, fingerprint: Fingerprint) -> bool {
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -122,6 +122,43 @@
     assert_eq!(fixture.status("late"), QuarantineStatus::Clear);
 }
 
+#[test]
+fn a_request_whose_crash_probably_had_another_cause_is_kept_off_suspects() {
+    let mut fixture = Fixture::new();
+    fixture.start(1, "one", "a");
+    fixture.start(2, "two", "b");
+    fixture.state.on_crash(fixture.now, &crash("a"));
+    fixture.state.on_crash(fixture.now, &crash("b"));
+    assert_eq!(fixture.status("one"), QuarantineStatus::Clear);
+    let start = SuspectStart {
+        request: RequestId(4),
+        fingerprint: fingerprint("three"),
+        servers: [crash("c")].into_iter().collect(),
+    };
+    fixture.state.on_remote_start(fixture.now, start);
+    assert!(fixture.state.excluded_servers(fixture.now, fingerprint("one")).contains("c"));
+}
+
+#[test]
+fn crashes_that_this_or_another_host_saw_are_known_for_the_given_span() {
+    const SPAN: Millis = Millis(5_000);
+    let mut fixture = Fixture::new();
+    fixture.state.on_crash(fixture.now, &crash("a"));
+    let report = CrashReport { crash: crash("b"), age: Millis::ZERO, ran_for: Millis(10) };
+    let notice = CrashNotice {
+        fingerprint: fingerprint("poison"),
+        crashes: [report].into_iter().collect(),
+        success_age: None,
+        stands_out: false,
+    };
+    let later = fixture.now + Millis(1_000);
+    fixture.state.on_notice(later, &notice);
+    let known = |now| fixture.state.recent_crashes(now, SPAN).cloned().collect::<Vec<_>>();
+    assert_eq!(known(later), [crash("a"), crash("b")]);
+    assert_eq!(known(fixture.now + SPAN), [crash("b")]);
+    assert!(known(later + SPAN).is_empty());
+}
+
 #[test]
 fn memory_is_bounded_and_expires() {
     let settings = QuarantineSettings { capacity: 8, ..QuarantineSettings::default() };
--- a/crates/entry/src/pipelines/runner/chain_choice.rs
+++ b/crates/entry/src/pipelines/runner/chain_choice.rs
@@ -2,6 +2,7 @@
 
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::engine::Chain;
+use yuccanotch_core::engine::Holding;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::reason::RefusalReason;
 use yuccanotch_core::route::ChainChoice;
@@ -9,6 +10,7 @@
 use yuccanotch_core::stream::Event;
 
 use super::Runner;
+use crate::fleet::ServerView;
 
 /// Time between two tries to choose a chain while none is available.
 const CHAIN_POLL_INTERVAL: Millis = Millis(50);
@@ -16,6 +18,10 @@
 /// Longest wait for a chain while no attempt of the request may have run.
 const MAX_CHAIN_WAIT: Millis = Millis(1_000);
 
+/// Longest wait for a chain while a server that holds layers of the model does not answer, and no
+/// attempt of the request may have run.
+const MAX_RESTART_WAIT: Millis = Millis(5_000);
+
 /// Longest wait for a chain after an attempt that may have run.
 const MAX_RESUME_WAIT: Millis = Millis(15_000);
 
@@ -55,7 +61,8 @@
         };
         // Servers that failed this request are used again when there is no other chain. Servers
         // that the quarantine excludes are not, since a request that is suspected of crashing
-        // servers must not run beside another such request.
+        // servers must not run beside another such request, and an attempt on a crashed server is
+        // lost.
         let excluded: Vec<ServerName> = self.tracker.excluded_servers().into_iter().collect();
         let avoid: Vec<ServerName> = self.failed_servers.iter().chain(&excluded).cloned().collect();
         choose(&avoid).or_else(|| choose(&excluded))
@@ -89,12 +96,28 @@
         } else if self.may_have_run {
             // The servers of a crashed stage need time to restart.
             (MAX_RESUME_WAIT, RefusalReason::NoChain)
+        } else if self.has_silent_server() {
+            (MAX_RESTART_WAIT, RefusalReason::NoChain)
         } else {
             (MAX_CHAIN_WAIT, RefusalReason::NoChain)
         };
         (now.since(started) >= limit).then_some(reason)
     }
 
+    /// Returns whether a server that holds layers of the request's model version crashed lately or is
+    /// suspected not to answer.
+    fn has_silent_server(&self) -> bool {
+        let holds_model = |holding: &Holding| {
+            holding.model == self.job.model && holding.version == *self.stream.version()
+        };
+        let view = self.host.fleet.view();
+        let crashed = self.tracker.crashed_servers();
+        let is_silent = |server: &&ServerView| server.suspected || crashed.contains(&server.name);
+        view.servers.values().filter(is_silent).any(|server| {
+            server.report.as_ref().is_some_and(|report| report.holdings.iter().any(holds_model))
+        })
+    }
+
     /// Switches to the version on which new requests run now, unless a token was released; returns
     /// whether the version changed.
     fn switch_to_serving_version(&mut self) -> bool {
