Use a server again as soon as it goes on after a silence

Cause: the first event of an attempt ended the suspicion of its servers, no later one did. A sound server that fell silent within a stream stayed out of all chains for up to 8 s after it went on, since each check of the silent stream lengthened its suspicion.

Change: a check of a silent target makes the next event count as a first one.

--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -102,6 +102,20 @@
     assert_eq!(state.on_end(AttemptEnd::Broken, late), NextStep::BreakOff);
 }
 
+#[test]
+fn a_begun_stream_without_attempts_left_does_not_await_the_budget() {
+    let mut state = RequestState::new(RepeatPolicy::Resumable, 1);
+    state.on_send(AttemptTarget::Untried);
+    state.on_answer_begun();
+    let mut resends = 0;
+    while state.on_end(AttemptEnd::Broken, WITHIN_LIMITS) == NextStep::Retry {
+        state.on_send(AttemptTarget::Tried);
+        resends += 1;
+        assert!(resends < 20);
+    }
+    assert_eq!(state.on_end(AttemptEnd::Broken, BUDGET_EXHAUSTED), NextStep::BreakOff);
+}
+
 #[test]
 fn a_begun_stream_that_may_not_be_resumed_is_broken_off() {
     let mut state = RequestState::new(RepeatPolicy::Never, 2);
@@ -206,6 +220,16 @@
     assert!(waiting.is_empty());
 }
 
+/// Guards against a begun stream that waits for one server while all new requests are refused.
+#[test]
+fn a_request_that_only_some_servers_may_take_blocks_no_other() {
+    let mut waiting = WaitQueue::default();
+    let restricted = waiting.position_without_precedence(0);
+    let new = waiting.insert(Progress::NotBegun, 3);
+    assert!(waiting.may_try(restricted));
+    assert!(waiting.may_try(new));
+}
+
 #[test]
 fn a_waiting_request_does_not_block_others_of_the_same_rank() {
     let mut waiting = WaitQueue::default();
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -43,6 +43,10 @@
     /// request to a chain without that one. A silent plain server counts as lost if another one can
     /// take the request.
     pub(super) async fn check_silent_server(&mut self, timeout: Duration) -> ServerProgress {
+        // The next event ends the suspicions that the silence gives rise to.
+        if let Some(current) = &mut self.current {
+            current.seen_working = false;
+        }
         let chain = match self.current.as_ref().map(|c| c.target.clone()) {
             Some(Target::Chain(chain)) => chain,
             Some(Target::Server { server, .. }) => {
