Let a request that only some servers may take block no other in the wait queue

Cause: begun streams go before new requests. One whose attempts are used up waits for servers that it has tried, until its deadline; all new requests of the service on that host were refused meanwhile for want of room that it could not use.

Change: such a request waits without precedence.

--- a/crates/core/src/forward/waiting.rs
+++ b/crates/core/src/forward/waiting.rs
@@ -43,6 +43,14 @@
         position
     }
 
+    /// Returns the position of a request that only some servers may take. It blocks no other request,
+    /// since the servers that others find may be of no use to it.
+    pub fn position_without_precedence(&mut self, priority: u8) -> QueuePosition {
+        self.last_arrival += 1;
+        let rank = Rank { progress: Progress::Begun, priority };
+        QueuePosition { rank, arrival: self.last_arrival }
+    }
+
     /// Removes a request that got capacity or no longer waits.
     pub fn remove(&mut self, position: QueuePosition) {
         self.positions.remove(&position);
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -28,7 +28,7 @@
     pub(super) async fn wait_for_target(&self) -> Option<Target> {
         let routing = &self.gateway.routing;
         let until = self.wait_deadline();
-        let waiter = Waiter::enter(routing, &self.service.name, self.progress(), self.priority());
+        let waiter = self.enter_queue();
         let candidates = self.candidates();
         loop {
             let found = waiter
@@ -45,6 +45,23 @@
         }
     }
 
+    /// Enters the wait queue. A request that only some servers may take has no precedence there.
+    fn enter_queue(&self) -> Waiter {
+        let priority = self.priority();
+        let position = self.gateway.routing.waiting(&self.service.name, |queue| {
+            if self.outcome.may_try_new_server() {
+                queue.insert(self.progress(), priority)
+            } else {
+                queue.position_without_precedence(priority)
+            }
+        });
+        Waiter {
+            routing: self.gateway.routing.clone(),
+            service: self.service.name.clone(),
+            position,
+        }
+    }
+
     /// Waits until the retry budget allows one more attempt, and takes it from the budget. The
     /// deadline of the request ends the wait.
     pub(super) async fn wait_for_retry(&self) {
@@ -128,16 +145,6 @@
 }
 
 impl Waiter {
-    fn enter(
-        routing: &Rc<RoutingState>,
-        service: &ServiceName,
-        progress: Progress,
-        priority: u8,
-    ) -> Self {
-        let position = routing.waiting(service, |w| w.insert(progress, priority));
-        Self { routing: routing.clone(), service: service.clone(), position }
-    }
-
     fn may_try(&self) -> bool {
         self.routing.waiting(&self.service, |w| w.may_try(self.position))
     }
