Check the quarantine of prompt parts under random faults, and mend what it found

A randomised case with several hosts, lost racks, a host that starts anew and messages that are lost. It found in the first version: evidence without crashes whose age overflowed and that never expired; refutations that many crashed requests kept out of the notices; notices that could outgrow a datagram; attempts that followed a rack's servers one after the other counted as separate crashes; and only the first 16 crashes counted.

Now refutations, parts and requests take turns in a notice, which is bounded in crashes too; crashes of a part within 0.3 s are one; a part must be in flight at a fifth of the crashes of its time; the first and the latest crashes are kept.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -47,6 +47,8 @@
     Fleet => ("fleet", crate::fleet_case::run),
     /// Quarantine: a poison request crashes at most two servers, and harmless requests finish.
     Quarantine => ("quarantine", crate::quarantine_case::run),
+    /// Prompt parts: one that crashes servers is found and refused, and sound ones are not.
+    PromptPart => ("prompt-part", crate::prompt_part_case::run),
     /// Configuration: hosts adopt only accepted configurations, never an older one, and converge.
     Config => ("config", crate::config_case::run),
     /// Orders: all layers of a model stay served while a version is rolled out.
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -31,6 +31,7 @@
 mod item_log_case;
 mod orders_case;
 mod peering_case;
+mod prompt_part_case;
 mod quarantine_case;
 mod rendezvous_case;
 mod retry_case;
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -65,6 +65,12 @@
         SuspectsShareServers => "suspects-share-servers",
         /// A request is quarantined at its first crash.
         ConvictOnFirstCrash => "convict-on-first-crash",
+        /// A success does not refute that a part of its prompt crashes servers.
+        PartNotRefuted => "part-not-refuted",
+        /// Each part in flight at enough crashes is quarantined, whatever else explains them.
+        PartUnexplained => "part-unexplained",
+        /// Hosts do not apply what others report about crashes.
+        CrashNoticeIgnored => "crash-notice-ignored",
         /// A call that may not be repeated is retried although a byte was sent.
         RetryAfterByteLeft => "retry-after-byte-left",
         /// Retries are allowed beyond the retry budget.
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -9,6 +9,10 @@
 use super::messages::CrashReport;
 use super::messages::Fingerprint;
 use crate::clock::Millis;
+use crate::defect::planted;
+
+/// The most crashes of a fingerprint in a notice, which must fit a datagram with others.
+const MAX_REPORTED_CRASHES: usize = 8;
 
 /// A point in time on the clock of this host, in ms; negative before the clock began to run.
 pub(super) type Moment = i64;
@@ -20,7 +24,7 @@
 
 /// Returns the span from `at` to `now`, or zero when `at` is later.
 pub(super) fn age(now: Millis, at: Moment) -> Millis {
-    Millis(u64::try_from(to_signed(now) - at).unwrap_or(0))
+    Millis(u64::try_from(to_signed(now).saturating_sub(at)).unwrap_or(0))
 }
 
 fn to_signed(span: Millis) -> i64 {
@@ -77,14 +81,18 @@
         }
     }
 
-    /// Adds a crash unless it is known, precedes the last success, or the evidence holds
-    /// `max_crashes`; returns whether it was added.
+    /// Adds a crash unless it is known or precedes the last success; returns whether it was added. Of
+    /// more than `max_crashes`, the first and the latest ones are kept.
     pub(super) fn add_crash(&mut self, record: CrashRecord, max_crashes: usize) -> bool {
         let is_known = self.crashes.iter().any(|known| known.crash == record.crash);
         let is_refuted = self.success_at.is_some_and(|success| record.at <= success);
-        if is_known || is_refuted || self.crashes.len() >= max_crashes {
+        if is_known || is_refuted {
             return false;
         }
+        if self.crashes.len() >= max_crashes.max(2) {
+            // The first and the latest ones show that the crashes go on.
+            self.crashes.remove(1);
+        }
         let first_at = self.crashes.first().map(|first| first.at);
         let contrast = self.other_success_at.zip(first_at).is_some_and(|(s, first)| s >= first);
         self.stands_out |= contrast;
@@ -122,6 +130,13 @@
         self.crashes.iter().any(|record| record.crash == *crash)
     }
 
+    /// Returns the first and the latest crashes, at most [`MAX_REPORTED_CRASHES`].
+    fn reported_crashes(&self) -> impl Iterator<Item = &CrashRecord> {
+        let skipped = 1..self.crashes.len().saturating_sub(MAX_REPORTED_CRASHES - 1);
+        let records = self.crashes.iter().enumerate();
+        records.filter(move |(i, _)| !skipped.contains(i)).map(|(_, record)| record)
+    }
+
     /// Returns what to tell other hosts about `fingerprint`.
     pub(super) fn to_notice(
         &self,
@@ -131,26 +146,27 @@
     ) -> CrashNotice {
         CrashNotice {
             fingerprint,
-            crashes: self.crashes.iter().map(|record| record.to_report(now)).collect(),
+            crashes: self.reported_crashes().map(|record| record.to_report(now)).collect(),
             success_age: self.success_at.map(|at| age(now, at)),
             stands_out,
         }
     }
 }
 
-/// Returns the number of separate events among `crashes`, which are in the order of time.
+/// Returns the number of separate events among the `crashes` of `fingerprint`, which are in the order
+/// of time.
 ///
-/// Crashes less than `window` apart count as one if the later attempt had started before the first
-/// crash of the event: servers that are lost together have one cause.
-pub(super) fn count_events<'a>(
-    crashes: impl IntoIterator<Item = &'a CrashRecord>,
-    window: Millis,
-) -> usize {
+/// Crashes less than `window` apart count as one, since servers that are lost together have one
+/// cause. A request that was sent again after the first of them is the likelier cause; a part may
+/// merely have followed its requests to servers that were about to be lost.
+fn count_events(fingerprint: Fingerprint, crashes: &[&CrashRecord], window: Millis) -> usize {
     let mut count = 0;
     let mut event_at = None;
     for record in crashes {
-        let belongs = event_at
-            .is_some_and(|at: Moment| record.at - at < to_signed(window) && record.started <= at);
+        let belongs = event_at.is_some_and(|at: Moment| {
+            let was_sent_before = fingerprint.is_part() || record.started <= at;
+            record.at - at < to_signed(window) && was_sent_before
+        });
         if !belongs {
             count += 1;
             event_at = Some(record.at);
@@ -185,7 +201,8 @@
 pub(super) struct Thresholds {
     pub(super) request_events: usize,
     pub(super) part_events: usize,
-    pub(super) common_cause_window: Millis,
+    pub(super) request_window: Millis,
+    pub(super) part_window: Millis,
 }
 
 impl Thresholds {
@@ -196,6 +213,15 @@
             self.request_events
         }
     }
+
+    /// Returns the time within which crashes may have one cause.
+    fn window(&self, fingerprint: Fingerprint) -> Millis {
+        if fingerprint.is_part() {
+            self.part_window
+        } else {
+            self.request_window
+        }
+    }
 }
 
 /// Returns the fingerprints that explain the crashes.
@@ -217,7 +243,8 @@
         let is_open = |record: &&&CrashRecord| !explained.contains(&record.crash);
         let open: SmallVec<[&CrashRecord; 4]> =
             candidate.crashes.iter().filter(is_open).copied().collect();
-        let events = count_events(open.iter().copied(), thresholds.common_cause_window);
+        let window = thresholds.window(candidate.fingerprint);
+        let events = count_events(candidate.fingerprint, &open, window);
         let is_convincing = !candidate.fingerprint.is_part() || candidate.stands_out;
         if events < thresholds.events(candidate.fingerprint) || !is_convincing {
             continue;
@@ -228,10 +255,13 @@
                 && !causes.contains(&c.fingerprint)
         };
         let rivals: Vec<&Candidate<'_>> = candidates.iter().filter(is_rival).collect();
-        if is_ambiguous(candidate, &open, &rivals) {
+        if is_ambiguous(candidate, &open, &rivals) && !planted!(PartUnexplained) {
             continue;
         }
         causes.insert(candidate.fingerprint);
+        if planted!(PartUnexplained) {
+            continue;
+        }
         explained.extend(candidate.crashes.iter().map(|record| &record.crash));
     }
     causes
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -38,7 +38,9 @@
 const REFUTATION_SPAN: Millis = Millis(10_000);
 /// The number of crashes with a fingerprint for each one without it from which on the fingerprint may
 /// explain an outage of all servers.
-const MIN_COVERAGE_RATIO: usize = 4;
+const MIN_OUTAGE_COVERAGE_RATIO: usize = 4;
+/// The most crashes without a part for each one with it at which the part may be their cause.
+const MAX_OTHER_CRASHES_RATIO: usize = 4;
 /// Most changes that are kept until they are taken.
 const MAX_CHANGES: usize = 64;
 /// Most server losses that are kept to find common causes.
@@ -59,6 +61,8 @@
     pub capacity: usize,
     /// Most crashes that are kept per fingerprint.
     pub max_crashes: usize,
+    /// Crashes of a part less than this time apart count as one.
+    pub part_window: Millis,
     /// How long an attempt must have produced an answer to refute that a part of its prompt crashes
     /// servers that begin to answer.
     pub progress_proof: Millis,
@@ -77,7 +81,8 @@
             common_cause_window: Millis(1_000),
             remote_run_ttl: Millis(30_000),
             capacity: 4_096,
-            max_crashes: 16,
+            max_crashes: 32,
+            part_window: Millis(300),
             progress_proof: Millis(1_000),
             confirmation_ttl: Millis(2_000),
             success_ttl: Millis(120_000),
@@ -348,6 +353,9 @@
 
     /// Records what another host knows about a fingerprint.
     pub fn on_notice(&mut self, now: Millis, notice: &CrashNotice) {
+        if planted!(CrashNoticeIgnored) {
+            return;
+        }
         let mut changed = false;
         if let Some(span) = notice.success_age {
             let at = moment(now, span);
@@ -374,21 +382,42 @@
     }
 
     /// Returns notices of at most `max` fingerprints with a crash within the last `span`, to be sent
-    /// again to hosts that missed them; those with the most crashes first. A fingerprint whose crashes
-    /// are refuted is repeated for a shorter time.
+    /// again to hosts that missed them. A fingerprint whose crashes are refuted is repeated for a
+    /// shorter time.
+    ///
+    /// Parts with the most crashes, the latest refutations and requests with the most crashes take
+    /// turns, so that none keeps the others out.
     pub fn recent_notices(&self, now: Millis, span: Millis, max: usize) -> Vec<CrashNotice> {
-        let is_recent = |entry: &Evidence| {
-            let span = if entry.crashes.is_empty() { span.min(REFUTATION_SPAN) } else { span };
-            age(now, entry.last_crash_at) < span
-        };
-        let mut recent: Vec<(&Fingerprint, &Evidence)> =
-            self.entries.iter().filter(|(_, entry)| is_recent(entry)).collect();
-        recent.sort_by_key(|(_, entry)| Reverse(entry.crashes.len()));
-        recent.truncate(max);
-        let notice = |(fingerprint, entry): (&Fingerprint, &Evidence)| {
-            entry.to_notice(now, *fingerprint, self.stands_out(entry))
-        };
-        recent.into_iter().map(notice).collect()
+        let mut parts = Vec::new();
+        let mut refuted = Vec::new();
+        let mut requests = Vec::new();
+        for (fingerprint, entry) in &self.entries {
+            let age = age(now, entry.last_crash_at);
+            match (entry.crashes.is_empty(), fingerprint.is_part()) {
+                (true, _) if age < span.min(REFUTATION_SPAN) => refuted.push((fingerprint, entry)),
+                (false, true) if age < span => parts.push((fingerprint, entry)),
+                (false, false) if age < span => requests.push((fingerprint, entry)),
+                _ => {}
+            }
+        }
+        parts.sort_by_key(|(_, entry)| Reverse(entry.crashes.len()));
+        requests.sort_by_key(|(_, entry)| Reverse(entry.crashes.len()));
+        refuted.sort_by_key(|(_, entry)| Reverse(entry.success_at));
+        let mut queues = [parts, refuted, requests].map(Vec::into_iter);
+        let mut notices = Vec::new();
+        while notices.len() < max {
+            let turn = queues.iter_mut().filter_map(Iterator::next);
+            let turn = turn.map(|(fingerprint, entry)| {
+                entry.to_notice(now, *fingerprint, self.stands_out(entry))
+            });
+            let before = notices.len();
+            notices.extend(turn);
+            if notices.len() == before {
+                break;
+            }
+        }
+        notices.truncate(max);
+        notices
     }
 
     /// Returns the fingerprints that are quarantined.
@@ -448,29 +477,41 @@
         let thresholds = Thresholds {
             request_events: REQUEST_CRASHES_TO_QUARANTINE,
             part_events: PART_CRASHES_TO_QUARANTINE,
-            common_cause_window: self.settings.common_cause_window,
+            request_window: self.settings.common_cause_window,
+            part_window: self.settings.part_window,
         };
         find_causes(candidates.collect(), thresholds)
     }
 
     /// Returns whether the crashes of a fingerprint cannot be a mere outage of the servers.
     fn stands_out(&self, entry: &Evidence) -> bool {
-        entry.stands_out || self.covers_outage(entry)
+        let (covered, others) = self.coverage(entry);
+        let is_frequent = others <= MAX_OTHER_CRASHES_RATIO * covered;
+        is_frequent && (entry.stands_out || self.covers_outage(entry))
     }
 
     /// Returns whether a fingerprint was in flight at nearly all crashes of its time and has never
     /// succeeded, although others had before. That sets it apart if no request succeeds any more.
     fn covers_outage(&self, entry: &Evidence) -> bool {
-        let (Some(first), Some(last)) = (entry.crashes.first(), entry.crashes.last()) else {
+        let Some(first) = entry.crashes.first() else {
             return false;
         };
         let others_succeeded = self.first_success_at.is_some_and(|at| at < first.at);
         if entry.success_at.is_some() || !others_succeeded {
             return false;
         }
+        let (covered, others) = self.coverage(entry);
+        covered >= MIN_OUTAGE_COVERAGE_RATIO * others
+    }
+
+    /// Returns the numbers of crashes with and without a fingerprint from its first to its last one.
+    fn coverage(&self, entry: &Evidence) -> (usize, usize) {
+        let (Some(first), Some(last)) = (entry.crashes.first(), entry.crashes.last()) else {
+            return (0, 0);
+        };
         let losses = self.losses.iter().filter(|loss| (first.at..=last.at).contains(&loss.at));
         let (covered, others): (Vec<_>, Vec<_>) = losses.partition(|l| entry.includes(&l.crash));
-        covered.len() >= MIN_COVERAGE_RATIO * others.len()
+        (covered.len(), others.len())
     }
 
     /// Returns the crashes that count against a fingerprint: all but the first one that probably
@@ -503,7 +544,7 @@
         let mut changed = false;
         for (fingerprint, entry) in &mut self.entries {
             if fingerprints.contains(fingerprint) {
-                changed |= entry.on_success(at);
+                changed |= !planted!(PartNotRefuted) && entry.on_success(at);
             } else if is_generation {
                 entry.on_other_success(at);
             }
@@ -529,12 +570,21 @@
         }
     }
 
-    /// Adds a crash to a fingerprint; returns whether it is new.
+    /// Adds a crash to a fingerprint, unless a known success refutes it; returns whether it is new.
     fn record_crash(&mut self, fingerprint: Fingerprint, record: CrashRecord) -> bool {
         let max_crashes = self.settings.max_crashes;
-        let known_success = self.part_successes.remove(&fingerprint);
-        let entry = self.entries.entry(fingerprint).or_insert_with(|| Evidence::new(known_success));
-        entry.add_crash(record, max_crashes)
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            return entry.add_crash(record, max_crashes);
+        }
+        let success = self.part_successes.get(&fingerprint).copied();
+        if success.is_some_and(|at| record.at <= at) {
+            return false;
+        }
+        self.part_successes.remove(&fingerprint);
+        let mut entry = Evidence::new(success);
+        entry.add_crash(record, max_crashes);
+        self.entries.insert(fingerprint, entry);
+        true
     }
 
     /// Adds the loss of a server at the moment `at`, if it is new, and returns when it became known.
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -339,3 +339,20 @@
     host.state.on_crash(host.now, &crash("a"));
     assert_eq!(host.status("rare"), QuarantineStatus::Suspect);
 }
+
+/// Guards against evidence without crashes that never expires.
+#[test]
+fn a_crash_that_a_success_has_refuted_leaves_no_entry() {
+    let mut host = Host::new();
+    host.succeed(&["first"]);
+    let report = CrashReport { crash: crash("a"), age: Millis(5_000), ran_for: Millis(10) };
+    let notice = CrashNotice {
+        fingerprint: part("first"),
+        crashes: [report].into_iter().collect(),
+        success_age: None,
+        stands_out: false,
+    };
+    host.state.on_notice(host.now, &notice);
+    assert!(host.state.is_empty());
+    assert_eq!(host.status("first"), QuarantineStatus::Clear);
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -34,9 +34,9 @@
 /// How long after a crash its notice is part of every message between hosts.
 const URGENT_SPAN: Millis = Millis(1_000);
 /// The most notices in a message of a full exchange, which must fit a datagram.
-const MAX_SHARED_NOTICES: usize = 32;
+const MAX_SHARED_NOTICES: usize = 12;
 /// The most notices in another message.
-const MAX_URGENT_NOTICES: usize = 8;
+const MAX_URGENT_NOTICES: usize = 6;
 
 /// The requests in flight and the crashes that this host knows.
 pub struct CrashTracker {
