Find a part that crashes servers in time also when crashes come in bursts

Crashes within 0.3 s counted as one also if an attempt with the part had started after the first and crashed its server 20 ms later, and 8 reported crashes a notice left gaps that counted against the part.

Now an attempt that started after the first crash and ran for 10 ms counts apart, a notice carries up to 16 crashes, and two of three crashes in an outage are enough.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -12,7 +12,11 @@
 use crate::defect::planted;
 
 /// The most crashes of a fingerprint in a notice, which must fit a datagram with others.
-const MAX_REPORTED_CRASHES: usize = 8;
+const MAX_REPORTED_CRASHES: usize = 16;
+
+/// The shortest run of an attempt with a part that may have crashed its server, in ms; one that was
+/// sent to a server about to be lost with others ends sooner.
+const MIN_PART_RUN_MS: i64 = 10;
 
 /// A point in time on the clock of this host, in ms; negative before the clock began to run.
 pub(super) type Moment = i64;
@@ -153,20 +157,18 @@
     }
 }
 
-/// Returns the number of separate events among the `crashes` of `fingerprint`, which are in the order
-/// of time.
+/// Returns the number of separate events among the `crashes`, which are in the order of time.
 ///
 /// Crashes less than `window` apart count as one, since servers that are lost together have one
-/// cause. A request that was sent again after the first of them is the likelier cause; a part may
-/// merely have followed its requests to servers that were about to be lost.
-fn count_events(fingerprint: Fingerprint, crashes: &[&CrashRecord], window: Millis) -> usize {
+/// cause, unless the later attempt started after the first of them and ran for `min_run_ms`.
+fn count_events(crashes: &[&CrashRecord], window: Millis, min_run_ms: i64) -> usize {
     let mut count = 0;
     let mut event_at = None;
     for record in crashes {
-        let belongs = event_at.is_some_and(|at: Moment| {
-            let was_sent_before = fingerprint.is_part() || record.started <= at;
-            record.at - at < to_signed(window) && was_sent_before
-        });
+        let ran_again =
+            |at: Moment| record.started > at && record.at - record.started >= min_run_ms;
+        let belongs =
+            event_at.is_some_and(|at: Moment| record.at - at < to_signed(window) && !ran_again(at));
         if !belongs {
             count += 1;
             event_at = Some(record.at);
@@ -244,7 +246,8 @@
         let open: SmallVec<[&CrashRecord; 4]> =
             candidate.crashes.iter().filter(is_open).copied().collect();
         let window = thresholds.window(candidate.fingerprint);
-        let events = count_events(candidate.fingerprint, &open, window);
+        let min_run_ms = if candidate.fingerprint.is_part() { MIN_PART_RUN_MS } else { 0 };
+        let events = count_events(&open, window, min_run_ms);
         let is_convincing = !candidate.fingerprint.is_part() || candidate.stands_out;
         if events < thresholds.events(candidate.fingerprint) || !is_convincing {
             continue;
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -38,7 +38,7 @@
 const REFUTATION_SPAN: Millis = Millis(10_000);
 /// The number of crashes with a fingerprint for each one without it from which on the fingerprint may
 /// explain an outage of all servers.
-const MIN_OUTAGE_COVERAGE_RATIO: usize = 4;
+const MIN_OUTAGE_COVERAGE_RATIO: usize = 2;
 /// The most crashes without a part for each one with it at which the part may be their cause.
 const MAX_OTHER_CRASHES_RATIO: usize = 4;
 /// Most changes that are kept until they are taken.
