Tell other hosts of every request that was in flight at a crash

Seen by callers: a request that crashes servers and returns at other hosts crashes one server more at each of them, since none has its history.

Cause: a message between hosts held at most 6 or 12 notices, one for each fingerprint, and of those with one crash each the same ones were chosen every time. With more requests in flight at the crash the others were never told.

Change: notices are chosen by their size in the message, and those with one crash each take turns from message to message.

--- a/crates/check/src/prompt_part_case.rs
+++ b/crates/check/src/prompt_part_case.rs
@@ -20,6 +20,7 @@
 use yuccanotch_core::quarantine::CrashNotice;
 use yuccanotch_core::quarantine::Fingerprint;
 use yuccanotch_core::quarantine::Fingerprints;
+use yuccanotch_core::quarantine::NoticeScope;
 use yuccanotch_core::quarantine::Quarantine;
 use yuccanotch_core::quarantine::QuarantineSettings;
 
@@ -32,9 +33,6 @@
 const QUIET_MS: u64 = 4_000;
 /// The time between two full exchanges of a host with the others.
 const EXCHANGE_INTERVAL_MS: u64 = 500;
-/// How long a notice is part of full exchanges.
-const SHARED_SPAN: Millis = Millis(600_000);
-const MAX_NOTICES: usize = 12;
 const BOOT_MS: u64 = 2_000;
 /// The largest number of servers that one request may be sent to.
 const MAX_ATTEMPTS: u32 = 2;
@@ -171,7 +169,8 @@
 
     fn exchange(&mut self) {
         for from in 0..self.hosts.len() {
-            let notices = self.hosts[from].recent_notices(self.time(), SHARED_SPAN, MAX_NOTICES);
+            let notices =
+                self.hosts[from].recent_notices(self.time(), NoticeScope::SHARED, self.now);
             for to in (0..self.hosts.len()).filter(|to| *to != from) {
                 if !notices.is_empty() && self.rng.random_bool(0.95) {
                     self.messages.push_back((self.now + STEP_MS, to, notices.clone()));
@@ -340,7 +339,7 @@
             let sound =
                 host.quarantined(self.time()).find(|found| found.is_part() && *found != crashing);
             if let Some(part) = sound {
-                let notices = host.recent_notices(self.time(), SHARED_SPAN, usize::MAX);
+                let notices = host.recent_notices(self.time(), NoticeScope::SHARED, 0);
                 let evidence = notices.iter().find(|notice| notice.fingerprint == part);
                 return Err(format!(
                     "host {index} quarantines the sound {part}, {} sound requests were refused: \
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -21,9 +21,12 @@
 //! crash, both losses probably have one cause other than the request. One such crash per
 //! fingerprint is not counted.
 
+mod causes;
 mod evidence;
 mod messages;
+mod notices;
 mod runs;
+mod settings;
 mod state;
 #[cfg(test)]
 mod tests;
@@ -37,7 +40,8 @@
 pub use messages::QuarantineMessage;
 pub use messages::QuarantineReply;
 pub use messages::SuspectStart;
+pub use notices::NoticeScope;
+pub use settings::QuarantineSettings;
 pub use state::Quarantine;
 pub use state::QuarantineChange;
-pub use state::QuarantineSettings;
 pub use state::QuarantineStatus;
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -1,95 +1,34 @@
 //! The suspects and quarantined fingerprints that one host knows.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
 
-use smallvec::SmallVec;
-
 use super::evidence::age;
-use super::evidence::find_causes;
 use super::evidence::moment;
-use super::evidence::Candidate;
 use super::evidence::CrashRecord;
 use super::evidence::Evidence;
 use super::evidence::Moment;
-use super::evidence::Thresholds;
 use super::messages::CrashId;
 use super::messages::CrashNotice;
 use super::messages::Fingerprint;
 use super::messages::Fingerprints;
 use super::messages::SuspectStart;
 use super::runs::RunningRequest;
+use super::settings::QuarantineSettings;
 use crate::clock::Millis;
 use crate::defect::planted;
 use crate::ids::RequestId;
 use crate::name::ServerName;
 
-/// Number of separate crashes from which on a request may be quarantined.
-const REQUEST_CRASHES_TO_QUARANTINE: usize = 2;
-/// Number of separate crashes from which on a part of prompts may be quarantined. It is higher, since
-/// sound requests may share the part.
-const PART_CRASHES_TO_QUARANTINE: usize = 3;
 /// Number of crashes from which on a fingerprint is a candidate, and is evicted last.
-const MIN_CANDIDATE_CRASHES: usize = 2;
-/// How long after its last crash a refuted fingerprint is repeated to other hosts.
-const REFUTATION_SPAN: Millis = Millis(10_000);
-/// The number of crashes with a fingerprint for each one without it from which on the fingerprint may
-/// explain an outage of all servers.
-const MIN_OUTAGE_COVERAGE_RATIO: usize = 2;
-/// The most crashes without a part for each one with it at which the part may be their cause.
-const MAX_OTHER_CRASHES_RATIO: usize = 4;
+pub(super) const MIN_CANDIDATE_CRASHES: usize = 2;
 /// Most changes that are kept until they are taken.
 const MAX_CHANGES: usize = 64;
 /// Most server losses that are kept to find common causes.
 const MAX_SERVER_LOSSES: usize = 256;
 
-/// Times and limits of the quarantine.
-#[derive(Clone, Copy, Debug)]
-pub struct QuarantineSettings {
-    /// How long a fingerprint stays suspect after its last crash, in ms.
-    pub suspect_ttl: Millis,
-    /// How long a fingerprint stays quarantined after its last crash, in ms.
-    pub quarantine_ttl: Millis,
-    /// Two server losses less than this time apart may have a common cause.
-    pub common_cause_window: Millis,
-    /// How long a suspect counts as running on another host after the report of its start.
-    pub remote_run_ttl: Millis,
-    /// Most fingerprints that are kept.
-    pub capacity: usize,
-    /// Most crashes that are kept per fingerprint.
-    pub max_crashes: usize,
-    /// Crashes of a part less than this time apart count as one.
-    pub part_window: Millis,
-    /// How long an attempt must have produced an answer to refute that a part of its prompt crashes
-    /// servers that begin to answer.
-    pub progress_proof: Millis,
-    /// How long an attempt whose connection broke may still be found to have been in flight at a
-    /// crash.
-    pub confirmation_ttl: Millis,
-    /// How long the success of a request with a part is remembered.
-    pub success_ttl: Millis,
-}
-
-impl Default for QuarantineSettings {
-    fn default() -> Self {
-        Self {
-            suspect_ttl: Millis(120_000),
-            quarantine_ttl: Millis(900_000),
-            common_cause_window: Millis(1_000),
-            remote_run_ttl: Millis(30_000),
-            capacity: 4_096,
-            max_crashes: 32,
-            part_window: Millis(300),
-            progress_proof: Millis(1_000),
-            confirmation_ttl: Millis(2_000),
-            success_ttl: Millis(120_000),
-        }
-    }
-}
-
 /// A fingerprint that began or ceased to explain crashes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuarantineChange {
@@ -114,19 +53,19 @@
 
 /// The crash of a server, whatever was in flight on it.
 #[derive(Debug)]
-struct ServerLoss {
+pub(super) struct ServerLoss {
     /// When this host learned of the crash.
     known_at: Millis,
     /// When the crash became known to the first host.
-    at: Moment,
-    crash: CrashId,
+    pub(super) at: Moment,
+    pub(super) crash: CrashId,
 }
 
 /// The suspects and quarantined fingerprints that one host knows, and the requests in flight.
 #[derive(Debug)]
 pub struct Quarantine {
-    settings: QuarantineSettings,
-    entries: BTreeMap<Fingerprint, Evidence>,
+    pub(super) settings: QuarantineSettings,
+    pub(super) entries: BTreeMap<Fingerprint, Evidence>,
     /// The entries that explain the crashes.
     causes: HashSet<Fingerprint>,
     runs: HashMap<RequestId, RunningRequest>,
@@ -134,11 +73,11 @@
     broken_runs: VecDeque<(RunningRequest, Millis)>,
     /// Suspects in flight on other hosts, with the time at which their start was reported.
     remote_runs: HashMap<RequestId, (RunningRequest, Millis)>,
-    losses: VecDeque<ServerLoss>,
+    pub(super) losses: VecDeque<ServerLoss>,
     /// When requests with parts that are in no crash last succeeded.
     part_successes: HashMap<Fingerprint, Moment>,
     /// When a request with a part first succeeded on this host.
-    first_success_at: Option<Moment>,
+    pub(super) first_success_at: Option<Moment>,
     /// Changes that were not taken yet.
     changes: VecDeque<QuarantineChange>,
 }
@@ -381,45 +320,6 @@
         }
     }
 
-    /// Returns notices of at most `max` fingerprints with a crash within the last `span`, to be sent
-    /// again to hosts that missed them. A fingerprint whose crashes are refuted is repeated for a
-    /// shorter time.
-    ///
-    /// Parts with the most crashes, the latest refutations and requests with the most crashes take
-    /// turns, so that none keeps the others out.
-    pub fn recent_notices(&self, now: Millis, span: Millis, max: usize) -> Vec<CrashNotice> {
-        let mut parts = Vec::new();
-        let mut refuted = Vec::new();
-        let mut requests = Vec::new();
-        for (fingerprint, entry) in &self.entries {
-            let age = age(now, entry.last_crash_at);
-            match (entry.crashes.is_empty(), fingerprint.is_part()) {
-                (true, _) if age < span.min(REFUTATION_SPAN) => refuted.push((fingerprint, entry)),
-                (false, true) if age < span => parts.push((fingerprint, entry)),
-                (false, false) if age < span => requests.push((fingerprint, entry)),
-                _ => {}
-            }
-        }
-        parts.sort_by_key(|(_, entry)| Reverse(entry.crashes.len()));
-        requests.sort_by_key(|(_, entry)| Reverse(entry.crashes.len()));
-        refuted.sort_by_key(|(_, entry)| Reverse(entry.success_at));
-        let mut queues = [parts, refuted, requests].map(Vec::into_iter);
-        let mut notices = Vec::new();
-        while notices.len() < max {
-            let turn = queues.iter_mut().filter_map(Iterator::next);
-            let turn = turn.map(|(fingerprint, entry)| {
-                entry.to_notice(now, *fingerprint, self.stands_out(entry))
-            });
-            let before = notices.len();
-            notices.extend(turn);
-            if notices.len() == before {
-                break;
-            }
-        }
-        notices.truncate(max);
-        notices
-    }
-
     /// Returns the fingerprints that are quarantined.
     pub fn quarantined(&self, now: Millis) -> impl Iterator<Item = Fingerprint> + '_ {
         let is_quarantined =
@@ -460,80 +360,6 @@
         self.causes = causes;
     }
 
-    fn find_causes(&self) -> HashSet<Fingerprint> {
-        if planted!(ConvictOnFirstCrash) {
-            let has_crash = self.entries.iter().filter(|(_, entry)| !entry.crashes.is_empty());
-            return has_crash.map(|(fingerprint, _)| *fingerprint).collect();
-        }
-        let candidates = self.entries.iter().filter_map(|(fingerprint, entry)| {
-            let crashes: SmallVec<[&CrashRecord; 4]> = self.counted_crashes(entry).collect();
-            (crashes.len() >= MIN_CANDIDATE_CRASHES).then_some(Candidate {
-                fingerprint: *fingerprint,
-                crashes,
-                has_succeeded: entry.success_at.is_some(),
-                stands_out: self.stands_out(entry),
-            })
-        });
-        let thresholds = Thresholds {
-            request_events: REQUEST_CRASHES_TO_QUARANTINE,
-            part_events: PART_CRASHES_TO_QUARANTINE,
-            request_window: self.settings.common_cause_window,
-            part_window: self.settings.part_window,
-        };
-        find_causes(candidates.collect(), thresholds)
-    }
-
-    /// Returns whether the crashes of a fingerprint cannot be a mere outage of the servers.
-    fn stands_out(&self, entry: &Evidence) -> bool {
-        let (covered, others) = self.coverage(entry);
-        let is_frequent = others <= MAX_OTHER_CRASHES_RATIO * covered;
-        is_frequent && (entry.stands_out || self.covers_outage(entry))
-    }
-
-    /// Returns whether a fingerprint was in flight at nearly all crashes of its time and has never
-    /// succeeded, although others had before. That sets it apart if no request succeeds any more.
-    fn covers_outage(&self, entry: &Evidence) -> bool {
-        let Some(first) = entry.crashes.first() else {
-            return false;
-        };
-        let others_succeeded = self.first_success_at.is_some_and(|at| at < first.at);
-        if entry.success_at.is_some() || !others_succeeded {
-            return false;
-        }
-        let (covered, others) = self.coverage(entry);
-        covered >= MIN_OUTAGE_COVERAGE_RATIO * others
-    }
-
-    /// Returns the numbers of crashes with and without a fingerprint from its first to its last one.
-    fn coverage(&self, entry: &Evidence) -> (usize, usize) {
-        let (Some(first), Some(last)) = (entry.crashes.first(), entry.crashes.last()) else {
-            return (0, 0);
-        };
-        let losses = self.losses.iter().filter(|loss| (first.at..=last.at).contains(&loss.at));
-        let (covered, others): (Vec<_>, Vec<_>) = losses.partition(|l| entry.includes(&l.crash));
-        (covered.len(), others.len())
-    }
-
-    /// Returns the crashes that count against a fingerprint: all but the first one that probably
-    /// has another cause.
-    fn counted_crashes<'a>(&'a self, entry: &'a Evidence) -> impl Iterator<Item = &'a CrashRecord> {
-        let uncounted = entry.crashes.iter().position(|record| self.has_other_cause(entry, record));
-        entry
-            .crashes
-            .iter()
-            .enumerate()
-            .filter(move |(i, _)| Some(*i) != uncounted)
-            .map(|(_, record)| record)
-    }
-
-    /// Returns whether a server on which the fingerprint was not in flight was lost at about the
-    /// same time.
-    fn has_other_cause(&self, entry: &Evidence, record: &CrashRecord) -> bool {
-        let span = self.settings.common_cause_window.0;
-        let together = |loss: &&ServerLoss| loss.at.abs_diff(record.at) < span;
-        self.losses.iter().filter(together).any(|loss| !entry.includes(&loss.crash))
-    }
-
     /// Records that a request with `fingerprints` succeeded.
     fn record_success(&mut self, now: Millis, fingerprints: &[Fingerprint]) {
         let at = moment(now, Millis::ZERO);
@@ -599,12 +425,6 @@
         now
     }
 
-    fn notice(&self, now: Millis, fingerprint: Fingerprint) -> Option<CrashNotice> {
-        let entry = self.entries.get(&fingerprint)?;
-        let stands_out = self.stands_out(entry);
-        (!entry.crashes.is_empty()).then(|| entry.to_notice(now, fingerprint, stands_out))
-    }
-
     /// Removes expired fingerprints, and the oldest ones beyond the capacity, those with fewer than
     /// two crashes first.
     fn evict(&mut self, now: Millis) {
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -303,7 +303,7 @@
     }
     let mut young = Quarantine::new(QuarantineSettings::default());
     let now = Millis(5);
-    for notice in host.state.recent_notices(host.now, Millis(60_000), 32) {
+    for notice in host.state.recent_notices(host.now, NoticeScope::SHARED, 0) {
         young.on_notice(now, &notice);
     }
     assert_eq!(young.status(now, part("poison")), QuarantineStatus::Quarantined);
@@ -356,3 +356,24 @@
     assert!(host.state.is_empty());
     assert_eq!(host.status("first"), QuarantineStatus::Clear);
 }
+
+/// Guards against a request whose crash other hosts never hear of, since the notices of the many
+/// others in flight at that crash fill every message.
+#[test]
+fn each_of_many_requests_in_flight_at_a_crash_is_told_to_others_within_some_messages() {
+    let mut fixture = Fixture::new();
+    let bodies: Vec<String> = (0..400).map(|i| format!("request {i}")).collect();
+    for (request, body) in bodies.iter().enumerate() {
+        fixture.start(request as u128, body, "a");
+    }
+    fixture.crash("a");
+    let mut other = Quarantine::new(QuarantineSettings::default());
+    for turn in 0..80 {
+        for notice in fixture.state.recent_notices(fixture.now, NoticeScope::URGENT, turn) {
+            other.on_notice(fixture.now, &notice);
+        }
+    }
+    let status = |body: &String| other.status(fixture.now, fingerprint(body));
+    let unknown = bodies.iter().filter(|b| status(b) != QuarantineStatus::Suspect).count();
+    assert_eq!(unknown, 0);
+}
--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -24,6 +24,7 @@
 use yuccanotch_core::peer::PeerRequest;
 use yuccanotch_core::quarantine::CrashId;
 use yuccanotch_core::quarantine::Fingerprint;
+use yuccanotch_core::quarantine::NoticeScope;
 use yuccanotch_core::quarantine::Quarantine;
 use yuccanotch_core::quarantine::QuarantineMessage;
 use yuccanotch_core::quarantine::QuarantineReply;
@@ -41,10 +42,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time between two repeats of a crash notice.
 const NOTICE_REPEAT_INTERVAL: Duration = Duration::from_millis(250);
-/// Time after a crash for which its notice is repeated.
-const NOTICE_REPEAT_SPAN: Millis = Millis(5_000);
-/// Largest number of notices in one repeat.
-const MAX_REPEATED_NOTICES: usize = 64;
+/// What one repeat of notices carries.
+const REPEATED_NOTICES: NoticeScope = NoticeScope { span: Millis(5_000), max_bytes: 16 << 10 };
 /// Time after a crash for which a server that still reports the boot that ended is not used.
 const CRASHED_BOOT_SPAN: Millis = Millis(5_000);
 /// Length of the time spans whose number serves as the boot number of a server without a load
@@ -271,8 +270,7 @@
     while !host.is_stopped() {
         thread::sleep(NOTICE_REPEAT_INTERVAL);
         let now = host.clock.now();
-        let notices =
-            host.quarantine.lock().recent_notices(now, NOTICE_REPEAT_SPAN, MAX_REPEATED_NOTICES);
+        let notices = host.quarantine.lock().recent_notices(now, REPEATED_NOTICES, now.0);
         if notices.is_empty() {
             continue;
         }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -18,6 +18,7 @@
 use yuccanotch_core::quarantine::CrashId;
 use yuccanotch_core::quarantine::CrashNotice;
 use yuccanotch_core::quarantine::Fingerprint;
+use yuccanotch_core::quarantine::NoticeScope;
 use yuccanotch_core::quarantine::Quarantine;
 use yuccanotch_core::quarantine::QuarantineSettings;
 
@@ -28,16 +29,6 @@
 
 /// The longest wait for a connection when it is checked whether a server still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long after a crash its notice is part of full exchanges between hosts, so that hosts that
-/// start learn of it.
-const SHARED_SPAN: Millis = Millis(600_000);
-/// How long after a crash its notice is part of every message between hosts.
-const URGENT_SPAN: Millis = Millis(1_000);
-/// The most notices in a message of a full exchange, which must fit a datagram.
-const MAX_SHARED_NOTICES: usize = 12;
-/// The most notices in another message.
-const MAX_URGENT_NOTICES: usize = 6;
-
 /// The requests in flight and the crashes that this host knows.
 pub struct CrashTracker {
     clock: Clock,
@@ -46,6 +37,8 @@
     /// The servers that are being checked for a crash.
     checks: RefCell<HashSet<ServerName>>,
     last_request: Cell<u128>,
+    /// The number of messages with notices so far.
+    notice_turn: Cell<u64>,
 }
 
 impl CrashTracker {
@@ -57,6 +50,7 @@
             state: RefCell::new(Quarantine::new(QuarantineSettings::default())),
             checks: RefCell::default(),
             last_request: Cell::new(0),
+            notice_turn: Cell::new(0),
         }
     }
 
@@ -112,12 +106,9 @@
 
     /// Returns what to tell other hosts: all that hosts that start need, or only what is new.
     pub fn notices(&self, is_full_exchange: bool) -> Vec<CrashNotice> {
-        let (span, max) = if is_full_exchange {
-            (SHARED_SPAN, MAX_SHARED_NOTICES)
-        } else {
-            (URGENT_SPAN, MAX_URGENT_NOTICES)
-        };
-        self.state.borrow().recent_notices(self.clock.now(), span, max)
+        let scope = if is_full_exchange { NoticeScope::SHARED } else { NoticeScope::URGENT };
+        self.notice_turn.set(self.notice_turn.get() + 1);
+        self.state.borrow().recent_notices(self.clock.now(), scope, self.notice_turn.get())
     }
 
     fn on_crash(&self, crash: &CrashId) {
