Find the crash of a later server of a chain

Seen by callers: a request that crashes a later server of its chain was sent again and moved from one such server to the next, as often as the route, the budget and its caller allow.

Cause: only the first server of a chain was recorded as running a request, and only a broken connection made a host look whether a server had crashed.

Change: all servers of the chain count as running it. When the first one reports that the request waits for a later one, or declines it in the name of that one after it has waited, the host checks whether that server refuses connections. The crash counts from the moment at which the request fell silent, so that servers that were lost together are not found to have crashed one after the other. A quarantined request is not moved. An attempt that ends at its deadline or because its caller left still counts at a crash that is found soon after, and one whose answer has gone on for a second is no suspect.

--- a/crates/core/src/quarantine/runs.rs
+++ b/crates/core/src/quarantine/runs.rs
@@ -8,7 +8,7 @@
 use crate::clock::Millis;
 
 /// A request in flight and the servers that its attempt runs on.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct RunningRequest {
     pub(super) fingerprints: Fingerprints,
     /// When the attempt was sent to its servers; `None` while it is only reserved.
@@ -17,8 +17,8 @@
     pub(super) servers: SmallVec<[CrashId; 4]>,
     /// When the attempt produced its first answer.
     pub(super) progressing_since: Option<Millis>,
-    /// Whether the attempt has refuted that a part of its prompt crashes servers.
-    pub(super) refutes_parts: bool,
+    /// Whether the answer has gone on for so long that the request does not crash servers.
+    pub(super) has_progressed: bool,
 }
 
 impl RunningRequest {
@@ -32,12 +32,17 @@
             started,
             servers: servers.into_iter().collect(),
             progressing_since: None,
-            refutes_parts: false,
+            has_progressed: false,
         }
     }
 
-    /// Returns the fingerprints that may be the cause of a crash of the attempt's server.
-    pub(super) fn possible_causes(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        self.fingerprints.iter().copied().filter(|f| !(f.is_part() && self.refutes_parts))
+    /// Returns the fingerprints that may be the cause of a crash of one of the attempt's servers: none
+    /// once its answer has gone on for some time.
+    pub(super) fn possible_causes(&self) -> &[Fingerprint] {
+        if self.has_progressed {
+            &[]
+        } else {
+            &self.fingerprints
+        }
     }
 }
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -202,16 +202,33 @@
         self.runs.insert(request, RunningRequest::new(fingerprints, Some(now), servers));
     }
 
+    /// Records that an attempt goes on at other servers, where it keeps what it has produced. A crash
+    /// of the former ones that is found soon after still counts.
+    pub fn on_move(
+        &mut self,
+        now: Millis,
+        request: RequestId,
+        servers: impl IntoIterator<Item = CrashId>,
+    ) {
+        let Some(former) = self.runs.get(&request).cloned() else {
+            return;
+        };
+        self.on_break(now, request);
+        let servers = servers.into_iter().collect();
+        let run = RunningRequest { started: Some(now), servers, ..former };
+        self.runs.insert(request, run);
+    }
+
     /// Records that an attempt has produced a part of its answer.
     pub fn on_progress(&mut self, now: Millis, request: RequestId) {
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
         let since = *run.progressing_since.get_or_insert(now);
-        if run.refutes_parts || now.since(since) < self.settings.progress_proof {
+        if run.has_progressed || now.since(since) < self.settings.progress_proof {
             return;
         }
-        run.refutes_parts = true;
+        run.has_progressed = true;
         let parts: Fingerprints =
             run.fingerprints.iter().copied().filter(|f| f.is_part()).collect();
         self.record_success(now, &parts);
@@ -249,8 +266,20 @@
     ///
     /// The crash counts against each fingerprint that this host had in flight on the server.
     pub fn on_crash(&mut self, now: Millis, crash: &CrashId) -> Vec<CrashNotice> {
-        let at = moment(now, Millis::ZERO);
-        let lost_at = self.record_loss(now, at, crash);
+        self.on_crash_since(now, now, crash)
+    }
+
+    /// Records the crash of a server that has been silent since `silent_since`, as
+    /// [`Self::on_crash`] does. Servers that are lost together are found one after the other, so the
+    /// time of the crash must not be that of its discovery.
+    pub fn on_crash_since(
+        &mut self,
+        now: Millis,
+        silent_since: Millis,
+        crash: &CrashId,
+    ) -> Vec<CrashNotice> {
+        let at = moment(silent_since, Millis::ZERO);
+        let lost_at = self.record_loss(silent_since, at, crash);
         // An attempt that began after the crash was known was sent to a dead server; it cannot be
         // the cause.
         let was_running = |run: &&RunningRequest| {
@@ -261,7 +290,7 @@
         for run in self.runs.values().chain(broken).filter(was_running) {
             let run_started = moment(run.started.unwrap_or_default(), Millis::ZERO);
             for fingerprint in run.possible_causes() {
-                let last = started.entry(fingerprint).or_insert(run_started);
+                let last = started.entry(*fingerprint).or_insert(run_started);
                 *last = run_started.max(*last);
             }
         }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends the request to a target, checks the answer and passes it to the caller.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::outcome::AttemptEnd;
 use yuccanotch_core::forward::outcome::AttemptTarget;
@@ -36,6 +38,9 @@
 
 /// The largest accepted body of an answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// The shortest time after which a decline because of a later server shows that the request has
+/// waited for it.
+const MIN_STALL: Millis = Millis(150);
 
 impl Exchange {
     /// Sends the request to `target` and passes its answer to the caller, as far as it is usable.
@@ -58,8 +63,9 @@
         }
         let req = self.build_request(target);
         self.log_sent(target);
-        let server = quarantine::crash_id(&gateway, target.server());
-        gateway.crashes.on_start(self.run, &self.fingerprints, server);
+        self.sent_at = gateway.clock.now();
+        let servers = quarantine::crash_ids(&gateway, target);
+        gateway.crashes.on_start(self.run, &self.fingerprints, servers);
         let sent = self.send_request(&mut conn, req, target).await;
         let response = match sent {
             Ok(response) => response,
@@ -69,6 +75,9 @@
         let reply = gateway.adapter.decode_reply(&head);
         gateway.record_announcements(target.address(), &reply);
         if let Some(ended) = self.check_reply(&head, &reply, target) {
+            if let Some(address) = reply.at_fault {
+                self.check_declining_stage(address).await;
+            }
             return ended;
         }
         if self.route.streaming && head.status.is_success() {
@@ -77,6 +86,14 @@
         self.receive_whole_answer(head, reply, body, conn, target).await
     }
 
+    /// Finds out whether the server at `address` has crashed because of the request. A request that
+    /// is declined at once met a server that was down before.
+    async fn check_declining_stage(&self, address: SocketAddrV4) {
+        if self.gateway.clock.now().since(self.sent_at) >= MIN_STALL {
+            quarantine::check_later_server(&self.gateway, address, self.silent_since()).await;
+        }
+    }
+
     /// Records `target` as the one that has the request, and moves its load there.
     pub(super) fn set_current(&mut self, target: Target) {
         self.current = None;
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -82,6 +82,8 @@
     // The time from the start of the request to its first event.
     first_event_delay: Millis,
     last_event_at: Millis,
+    // When the present attempt was sent.
+    sent_at: Millis,
     // The longest time between two successive events.
     longest_gap: Millis,
     // The servers of the last target, as the log shows them.
@@ -177,6 +179,7 @@
             version: None,
             first_event_delay: Millis::ZERO,
             last_event_at: started,
+            sent_at: started,
             longest_gap: Millis::ZERO,
             target_text: String::new(),
             current: None,
@@ -195,10 +198,11 @@
             ended = time::timeout(left, self.run_attempts()) => Some(ended),
         };
         let is_complete = matches!(self.end_reason, EndReason::Answered | EndReason::Streamed);
-        if ended.is_none() {
-            self.gateway.crashes.on_break(self.run);
+        if is_complete {
+            self.gateway.crashes.on_end(self.run, true);
         } else {
-            self.gateway.crashes.on_end(self.run, is_complete);
+            // Its server may still crash because of it.
+            self.gateway.crashes.on_break(self.run);
         }
         match ended {
             None => {
@@ -289,11 +293,12 @@
             AttemptEnd::Broken => {
                 crate::quarantine::on_connection_broken(&self.gateway, self.run, target)
             }
-            AttemptEnd::Silent => self.gateway.crashes.on_break(self.run),
-            AttemptEnd::NotSent
-            | AttemptEnd::Declined
-            | AttemptEnd::StageDeclined
-            | AttemptEnd::Failed => self.gateway.crashes.on_end(self.run, false),
+            AttemptEnd::Silent | AttemptEnd::StageDeclined => {
+                self.gateway.crashes.on_break(self.run)
+            }
+            AttemptEnd::NotSent | AttemptEnd::Declined | AttemptEnd::Failed => {
+                self.gateway.crashes.on_end(self.run, false)
+            }
         }
     }
 
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -12,6 +12,7 @@
 use crate::exchange::request_log::describe_target;
 use crate::exchange::Exchange;
 use crate::exchange::ServerProgress;
+use crate::quarantine;
 use crate::routing::Target;
 
 /// The silence before the first event after which the host requests the model server's report.
@@ -70,6 +71,10 @@
             return ServerProgress::Working;
         };
         gateway.routing.suspect_address(*address, "stalled");
+        quarantine::check_later_server(&gateway, *address, self.silent_since()).await;
+        if gateway.crashes.find_quarantined(&self.fingerprints).is_some() {
+            return ServerProgress::Lost;
+        }
         self.move_to_other_chain(&chain).await
     }
 
@@ -99,10 +104,16 @@
             return self.lost_unless_alone();
         }
         gateway.routing.on_moved(&self.service, chain, &new, self.expected_load());
+        gateway.crashes.on_move(self.run, quarantine::crash_ids(&gateway, &target));
         self.set_current(target);
         ServerProgress::Moved
     }
 
+    /// Returns since when the present attempt has brought nothing.
+    pub(super) fn silent_since(&self) -> Millis {
+        self.sent_at.max(self.last_event_at)
+    }
+
     /// Returns the state of a silent target: lost if the request can be sent elsewhere at once. If
     /// not, the request stays, since the target may go on and ending the attempt would end the
     /// answer.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,15 +1,19 @@
 //! Refusal of requests that crash servers. The decisions are those of `core::quarantine`.
 //!
 //! A server whose connection breaks with a request in flight and that then refuses connections has
-//! crashed.
+//! crashed. So has a later server of a chain that a request waits for and that refuses connections.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::io;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+use tokio::time;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
@@ -29,6 +33,11 @@
 
 /// The longest wait for a connection when it is checked whether a server still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest time that a request waits for the check of a later server of its chain, before it is
+/// moved away from that server.
+const LATER_SERVER_WAIT: Duration = Duration::from_millis(20);
+/// The most crashes found by this host that are remembered, so that each is checked once.
+const MAX_CHECKED: usize = 64;
 /// The requests in flight and the crashes that this host knows.
 pub struct CrashTracker {
     clock: Clock,
@@ -36,6 +45,8 @@
     state: RefCell<Quarantine>,
     /// The servers that are being checked for a crash.
     checks: RefCell<HashSet<ServerName>>,
+    /// The last crashes that this host itself found.
+    checked: RefCell<VecDeque<CrashId>>,
     last_request: Cell<u128>,
     /// The number of messages with notices so far.
     notice_turn: Cell<u64>,
@@ -49,6 +60,7 @@
             event_log,
             state: RefCell::new(Quarantine::new(QuarantineSettings::default())),
             checks: RefCell::default(),
+            checked: RefCell::default(),
             last_request: Cell::new(0),
             notice_turn: Cell::new(0),
         }
@@ -70,9 +82,19 @@
         self.state.borrow().quarantined(self.clock.now()).count()
     }
 
-    /// Records that `request` is in flight on the server `crash`.
-    pub fn on_start(&self, request: RequestId, fingerprints: &[Fingerprint], server: CrashId) {
-        self.state.borrow_mut().on_start(self.clock.now(), request, fingerprints, [server]);
+    /// Records that `request` is in flight on `servers`.
+    pub fn on_start(
+        &self,
+        request: RequestId,
+        fingerprints: &[Fingerprint],
+        servers: SmallVec<[CrashId; 8]>,
+    ) {
+        self.state.borrow_mut().on_start(self.clock.now(), request, fingerprints, servers);
+    }
+
+    /// Records that `request` goes on at `servers`.
+    pub fn on_move(&self, request: RequestId, servers: SmallVec<[CrashId; 8]>) {
+        self.state.borrow_mut().on_move(self.clock.now(), request, servers);
     }
 
     /// Records that a part of the answer to `request` has arrived.
@@ -111,8 +133,9 @@
         self.state.borrow().recent_notices(self.clock.now(), scope, self.notice_turn.get())
     }
 
-    fn on_crash(&self, crash: &CrashId) {
-        let notices = self.state.borrow_mut().on_crash(self.clock.now(), crash);
+    fn on_crash(&self, silent_since: Millis, crash: &CrashId) {
+        let now = self.clock.now();
+        let notices = self.state.borrow_mut().on_crash_since(now, silent_since, crash);
         self.event_log.line(
             Event::ServerCrashed,
             &[("server", &crash.server), ("boot", &crash.boot), ("in_flight", &notices.len())],
@@ -120,6 +143,14 @@
         self.log_changes();
     }
 
+    fn remember_checked(&self, crash: &CrashId) {
+        let mut checked = self.checked.borrow_mut();
+        if checked.len() == MAX_CHECKED {
+            checked.pop_front();
+        }
+        checked.push_back(crash.clone());
+    }
+
     fn log_changes(&self) {
         let changes = self.state.borrow_mut().take_changes();
         for change in changes {
@@ -132,29 +163,69 @@
 }
 
 /// Returns the id of the crash that would end the present incarnation of `server`.
-pub fn crash_id(gateway: &Gateway, server: &ServerName) -> CrashId {
+fn crash_id(gateway: &Gateway, server: &ServerName) -> CrashId {
     let born = gateway.views.servers().get(server).and_then(|entry| entry.born);
     CrashId { server: server.clone(), boot: born.unwrap_or_default() }
 }
 
+/// Returns the ids of the crashes that would end the present incarnations of the servers of `target`.
+pub fn crash_ids(gateway: &Gateway, target: &Target) -> SmallVec<[CrashId; 8]> {
+    match target {
+        Target::Server { server, .. } => SmallVec::from_iter([crash_id(gateway, server)]),
+        Target::Chain(chain) => {
+            chain.stages().iter().map(|stage| crash_id(gateway, &stage.server)).collect()
+        }
+    }
+}
+
 /// Handles a connection to `target` that broke while `request` was in flight, and finds out in the
 /// background whether the server has crashed.
 pub fn on_connection_broken(gateway: &Rc<Gateway>, request: RequestId, target: &Target) {
     gateway.crashes.on_break(request);
-    let server = target.server().clone();
-    if !gateway.crashes.checks.borrow_mut().insert(server.clone()) {
+    let silent_since = gateway.clock.now();
+    tokio::task::spawn_local(check_server(
+        gateway.clone(),
+        target.server().clone(),
+        target.address(),
+        silent_since,
+    ));
+}
+
+/// Finds out, within a short time, whether the later server of a chain at `address` has crashed, for
+/// which a request has waited since `silent_since`. The check goes on in the background after that
+/// time.
+pub async fn check_later_server(
+    gateway: &Rc<Gateway>,
+    address: SocketAddrV4,
+    silent_since: Millis,
+) {
+    let Some(server) = gateway.routing.server_at(address) else {
+        return;
+    };
+    let check = check_server(gateway.clone(), server, address, silent_since);
+    let check = tokio::task::spawn_local(check);
+    let _ = time::timeout(LATER_SERVER_WAIT, check).await;
+}
+
+/// Records a crash of `server`, which has been silent since `silent_since`, if it refuses
+/// connections. One check of a server runs at a time.
+async fn check_server(
+    gateway: Rc<Gateway>,
+    server: ServerName,
+    address: SocketAddrV4,
+    silent_since: Millis,
+) {
+    let crash = crash_id(&gateway, &server);
+    let is_known = gateway.crashes.checked.borrow().contains(&crash);
+    if is_known || !gateway.crashes.checks.borrow_mut().insert(server.clone()) {
         return;
     }
-    let address = target.address();
-    let crash = crash_id(gateway, &server);
-    let gateway = gateway.clone();
-    tokio::task::spawn_local(async move {
-        let connected = net::connect(address, CHECK_TIMEOUT).await;
-        gateway.crashes.checks.borrow_mut().remove(&server);
-        if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
-            gateway.routing.suspect(&server, "crashed");
-            gateway.pool.close_idle(address);
-            gateway.crashes.on_crash(&crash);
-        }
-    });
+    let connected = net::connect(address, CHECK_TIMEOUT).await;
+    gateway.crashes.checks.borrow_mut().remove(&server);
+    if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+        gateway.crashes.remember_checked(&crash);
+        gateway.routing.suspect(&server, "crashed");
+        gateway.pool.close_idle(address);
+        gateway.crashes.on_crash(silent_since, &crash);
+    }
 }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -423,7 +423,8 @@
         }
     }
 
-    fn server_at(&self, address: SocketAddrV4) -> Option<ServerName> {
+    /// Returns the server that is listed at `address`.
+    pub fn server_at(&self, address: SocketAddrV4) -> Option<ServerName> {
         self.views.servers().iter().find(|e| e.address == address).map(|e| e.id.clone())
     }
 
