Tell a request that crashes servers from those that came with it at many crashes

Seen by callers: a crashing request goes on reaching servers while long streams are in flight beside it.

Cause: a request counted as the cause only with a crash at which no other request with two crashes was in flight. With chains of servers each crash hits many requests, so that the others together cover all of its crashes, each a part of them.

Change: a request with four crashes is also found if no single other one was in flight at all of them.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -49,6 +49,8 @@
     Quarantine => ("quarantine", crate::quarantine_case::run),
     /// Prompt parts: one that crashes servers is found and refused, and sound ones are not.
     PromptPart => ("prompt-part", crate::prompt_part_case::run),
+    /// Crashing requests: one that its caller repeats at all hosts is found and refused.
+    CrashingRequest => ("crashing-request", crate::crashing_request_case::run),
     /// Configuration: hosts adopt only accepted configurations, never an older one, and converge.
     Config => ("config", crate::config_case::run),
     /// Orders: all layers of a model stay served while a version is rolled out.
--- /dev/null
+++ b/crates/check/src/crashing_request_case.rs
@@ -0,0 +1,422 @@
+//! Randomised case: a request that its caller repeats at any host and that crashes a server of each
+//! chain that begins to run it, among many sound ones.
+//!
+//! A host finds the crash of a first server at once, that of a later one when it asks what the
+//! request waits for. Servers also crash for other reasons. Hosts tell each other of crashes;
+//! messages are late or lost, and a host may start anew or be cut off from the others.
+
+use std::collections::VecDeque;
+
+use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smallvec::SmallVec;
+use yuccanotch_core::clock::Millis;
+use yuccanotch_core::ids::RequestId;
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::quarantine::CrashId;
+use yuccanotch_core::quarantine::CrashNotice;
+use yuccanotch_core::quarantine::Fingerprint;
+use yuccanotch_core::quarantine::NoticeScope;
+use yuccanotch_core::quarantine::Quarantine;
+use yuccanotch_core::quarantine::QuarantineSettings;
+
+use crate::case::CaseResult;
+use crate::trace::Trace;
+
+const RUN_MS: u64 = 18_000;
+const STEP_MS: u64 = 10;
+/// The time before the first crashing request, and before the first other crash.
+const QUIET_MS: u64 = 2_000;
+/// The time between two messages of a host about what is new.
+const ROUND_MS: u64 = 50;
+/// The time between two full exchanges of a host with the others.
+const EXCHANGE_MS: u64 = 500;
+/// The time from the sending of a sound request to its first event.
+const FIRST_EVENT_MS: u64 = 100;
+const BOOT_MS: u64 = 3_000;
+/// The shortest and longest time until a host asks what a silent request waits for.
+const STALL_CHECK_MS: (u64, u64) = (120, 400);
+/// The crashes after which, and [`LEARNING_MS`] later, hosts refuse the crashing request.
+const DECISIVE_CRASHES: usize = 3;
+const LEARNING_MS: u64 = 3_000;
+/// The most attempts of the crashing request after that.
+const MAX_LATE_ATTEMPTS: usize = 3;
+
+/// The sound requests that hosts may refuse: some, and one in so many of all.
+const MAX_REFUSED_SOUND: u64 = 3;
+const MIN_SOUND_PER_REFUSED: u64 = 100;
+
+/// Which server of its chain the crashing request crashes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CrashPlace {
+    First,
+    Last,
+}
+
+/// Parameters of a run, drawn from the seed.
+#[derive(Debug)]
+struct Plan {
+    hosts: usize,
+    servers: usize,
+    /// The number of servers in a chain.
+    stages: usize,
+    place: CrashPlace,
+    /// Sound requests in a step, in thousandths.
+    sound_per_step: u32,
+    /// The time between two sendings of the crashing request by its caller.
+    crashing_interval: u64,
+    max_attempts: u32,
+    /// When servers crash for another reason, and how many.
+    losses: Vec<(u64, usize)>,
+    /// When a host starts anew.
+    restart_at: Option<u64>,
+    /// When a host is cut off from the others, for how long it is so.
+    cut: Option<(u64, u64)>,
+}
+
+#[derive(Debug)]
+struct Server {
+    up_at: u64,
+    boot: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    id: RequestId,
+    host: usize,
+    chain: SmallVec<[usize; 4]>,
+    fingerprint: Fingerprint,
+    is_crashing: bool,
+    attempts: u32,
+    sent_at: u64,
+    crashes_at: u64,
+    ends_at: u64,
+    /// When the host asks what the request waits for, if one of its servers has crashed.
+    checked_at: Option<u64>,
+}
+
+struct Simulation<'a> {
+    plan: Plan,
+    rng: Pcg64Mcg,
+    trace: &'a mut Trace,
+    now: u64,
+    hosts: Vec<Quarantine>,
+    servers: Vec<Server>,
+    running: Vec<Request>,
+    messages: VecDeque<(u64, usize, Vec<CrashNotice>)>,
+    next_id: u128,
+    crashes_by_request: Vec<u64>,
+    late_attempts: usize,
+    refused_sound: u64,
+    sent_sound: u64,
+}
+
+/// Runs requests and checks that the crashing one stops reaching servers and that few sound ones are
+/// refused.
+pub fn run(seed: u64, trace: &mut Trace) -> CaseResult {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let servers = rng.random_range(8..=24);
+    let loss_count = rng.random_range(0..=2);
+    let losses = (0..loss_count)
+        .map(|_| (rng.random_range(QUIET_MS..RUN_MS - 8_000), rng.random_range(1..=servers / 3)))
+        .collect();
+    let plan = Plan {
+        hosts: rng.random_range(2..=10),
+        servers,
+        stages: rng.random_range(1..=4),
+        place: *[CrashPlace::First, CrashPlace::Last].choose(&mut rng).expect("a place"),
+        sound_per_step: rng.random_range(20..=1_000),
+        crashing_interval: *[200, 500, 1_000, 2_000].choose(&mut rng).expect("an interval"),
+        max_attempts: rng.random_range(1..=3),
+        losses,
+        restart_at: rng.random_bool(0.3).then_some(rng.random_range(QUIET_MS..RUN_MS - 8_000)),
+        cut: rng.random_bool(0.3).then_some((rng.random_range(QUIET_MS..10_000), 4_000)),
+    };
+    trace.add(format!("{plan:?}"));
+    let hosts = (0..plan.hosts).map(|_| Quarantine::new(QuarantineSettings::default())).collect();
+    let servers = (0..plan.servers).map(|_| Server { up_at: 0, boot: 1 }).collect();
+    let mut sim = Simulation {
+        plan,
+        rng,
+        trace,
+        now: 0,
+        hosts,
+        servers,
+        running: Vec::new(),
+        messages: VecDeque::new(),
+        next_id: 0,
+        crashes_by_request: Vec::new(),
+        late_attempts: 0,
+        refused_sound: 0,
+        sent_sound: 0,
+    };
+    while sim.now < RUN_MS {
+        sim.step()?;
+    }
+    Ok(())
+}
+
+impl Simulation<'_> {
+    fn step(&mut self) -> CaseResult {
+        self.now += STEP_MS;
+        if self.plan.restart_at.is_some_and(|at| at / STEP_MS == self.now / STEP_MS) {
+            self.trace.add(format!("{} host 0 starts anew", self.now));
+            self.running.retain(|request| request.host != 0);
+            self.hosts[0] = Quarantine::new(QuarantineSettings::default());
+        }
+        self.deliver_messages();
+        self.lose_servers();
+        self.check_silent_requests();
+        self.crash_servers();
+        self.end_requests();
+        self.send_new_requests();
+        if self.now.is_multiple_of(EXCHANGE_MS) {
+            self.exchange(NoticeScope::SHARED, self.plan.hosts);
+        } else if self.now.is_multiple_of(ROUND_MS) {
+            self.exchange(NoticeScope::URGENT, 2);
+        }
+        self.check()
+    }
+
+    fn check(&self) -> CaseResult {
+        if self.late_attempts > MAX_LATE_ATTEMPTS {
+            return Err(format!("{} late attempts of the crashing request", self.late_attempts));
+        }
+        // A sound request may be in flight at two crashes before its host hears what else was.
+        let most = MAX_REFUSED_SOUND + self.sent_sound / MIN_SOUND_PER_REFUSED;
+        if self.refused_sound > most {
+            return Err(format!("{} sound requests were refused", self.refused_sound));
+        }
+        Ok(())
+    }
+
+    fn time(&self) -> Millis {
+        self.time_at(self.now)
+    }
+
+    fn time_at(&self, at: u64) -> Millis {
+        // Hosts that start with the run have run for a minute, so that ages reach back.
+        Millis(60_000 + at)
+    }
+
+    fn is_cut_off(&self, host: usize) -> bool {
+        let is_in = |(from, span): (u64, u64)| (from..from + span).contains(&self.now);
+        host == 1 && self.plan.cut.is_some_and(is_in)
+    }
+
+    fn deliver_messages(&mut self) {
+        let now = self.time();
+        while self.messages.front().is_some_and(|(at, _, _)| *at <= self.now) {
+            if let Some((_, host, notices)) = self.messages.pop_front() {
+                notices.iter().for_each(|notice| self.hosts[host].on_notice(now, notice));
+            }
+        }
+    }
+
+    /// Sends notices of each host to up to `count` others.
+    fn exchange(&mut self, scope: NoticeScope, count: usize) {
+        for from in 0..self.hosts.len() {
+            let notices = self.hosts[from].recent_notices(self.time(), scope, self.now);
+            if notices.is_empty() || self.is_cut_off(from) {
+                continue;
+            }
+            let mut others: Vec<usize> = (0..self.hosts.len()).filter(|to| *to != from).collect();
+            others.shuffle(&mut self.rng);
+            for to in others.into_iter().take(count) {
+                if !self.is_cut_off(to) && self.rng.random_bool(0.95) {
+                    self.messages.push_back((self.now + STEP_MS, to, notices.clone()));
+                }
+            }
+        }
+    }
+
+    fn lose_servers(&mut self) {
+        let losses = self.plan.losses.iter().filter(|(at, _)| at / STEP_MS == self.now / STEP_MS);
+        let due: Vec<usize> = losses.map(|(_, count)| *count).collect();
+        for count in due {
+            let first = self.rng.random_range(0..self.servers.len());
+            self.trace.add(format!("{} {count} servers are lost", self.now));
+            for i in 0..count {
+                self.crash((first + i) % self.servers.len());
+            }
+        }
+    }
+
+    fn is_up(&self, server: usize) -> bool {
+        self.servers[server].up_at <= self.now
+    }
+
+    fn crash_id(&self, server: usize) -> CrashId {
+        let name = ServerName::new(&format!("server-{server}"));
+        CrashId { server: name, boot: self.servers[server].boot }
+    }
+
+    /// Ends a server. Hosts whose requests it received first find that at once; other requests on it
+    /// wait until their host asks why.
+    fn crash(&mut self, server: usize) {
+        if !self.is_up(server) {
+            return;
+        }
+        let now = self.time();
+        let crash = self.crash_id(server);
+        self.servers[server].up_at = self.now + BOOT_MS;
+        for request in self.running.iter_mut().filter(|r| r.chain.contains(&server)) {
+            let (least, most) = STALL_CHECK_MS;
+            let check = self.now + self.rng.random_range(least..most);
+            request.checked_at = request.checked_at.or(Some(check));
+        }
+        let (lost, running): (Vec<Request>, Vec<Request>) =
+            self.running.drain(..).partition(|request| request.chain[0] == server);
+        self.running = running;
+        lost.iter().for_each(|request| self.hosts[request.host].on_break(now, request.id));
+        for host in 0..self.hosts.len() {
+            if lost.iter().any(|request| request.host == host) {
+                self.hosts[host].on_crash(now, &crash);
+            }
+        }
+        lost.into_iter().for_each(|request| self.send_again(request));
+    }
+
+    fn send_again(&mut self, request: Request) {
+        if request.attempts < self.plan.max_attempts {
+            self.send(Request { attempts: request.attempts + 1, ..request });
+        }
+    }
+
+    /// Lets hosts ask what their silent requests wait for, and moves these to other servers.
+    fn check_silent_requests(&mut self) {
+        let now = self.now;
+        let (due, running): (Vec<Request>, Vec<Request>) = self
+            .running
+            .drain(..)
+            .partition(|request| request.checked_at.is_some_and(|at| at <= now));
+        self.running = running;
+        let (time, least) = (self.time(), STALL_CHECK_MS.0);
+        for request in &due {
+            let silent_since = self.time_at((now - least).max(request.sent_at));
+            let down = request.chain.iter().filter(|server| !self.is_up(**server));
+            let crashes: SmallVec<[CrashId; 4]> =
+                down.map(|server| self.crash_id(*server)).collect();
+            for crash in crashes {
+                self.hosts[request.host].on_crash_since(time, silent_since, &crash);
+            }
+        }
+        for request in due {
+            self.send(Request { checked_at: None, ..request });
+        }
+    }
+
+    fn crash_servers(&mut self) {
+        let place = self.plan.place;
+        let is_due = |r: &&Request| r.is_crashing && r.crashes_at <= self.now;
+        let victims: Vec<usize> = self
+            .running
+            .iter()
+            .filter(is_due)
+            .map(|r| match place {
+                CrashPlace::First => r.chain[0],
+                CrashPlace::Last => r.chain[r.chain.len() - 1],
+            })
+            .collect();
+        for server in victims {
+            if self.is_up(server) {
+                self.trace.add(format!("{} the request crashes server {server}", self.now));
+                self.crashes_by_request.push(self.now);
+                self.crash(server);
+            }
+        }
+    }
+
+    fn end_requests(&mut self) {
+        let (time, now) = (self.time(), self.now);
+        for request in self.running.iter().filter(|r| !r.is_crashing && r.checked_at.is_none()) {
+            if now >= request.sent_at + FIRST_EVENT_MS {
+                self.hosts[request.host].on_progress(time, request.id);
+            }
+        }
+        let (ended, running): (Vec<Request>, Vec<Request>) = self
+            .running
+            .drain(..)
+            .partition(|request| request.checked_at.is_none() && request.ends_at <= now);
+        self.running = running;
+        ended.iter().for_each(|request| self.hosts[request.host].on_end(time, request.id, true));
+        for server in 0..self.servers.len() {
+            if self.servers[server].up_at == now {
+                self.servers[server].boot += 1;
+            }
+        }
+    }
+
+    fn send_new_requests(&mut self) {
+        let mut count = self.plan.sound_per_step / 1_000;
+        count += u32::from(self.rng.random_ratio(self.plan.sound_per_step % 1_000, 1_000));
+        (0..count).for_each(|_| self.send_new(false));
+        if self.now >= QUIET_MS && self.now.is_multiple_of(self.plan.crashing_interval) {
+            self.send_new(true);
+        }
+    }
+
+    fn send_new(&mut self, is_crashing: bool) {
+        self.next_id += 1;
+        self.sent_sound += u64::from(!is_crashing);
+        let body = if is_crashing { "crashing".to_owned() } else { self.next_id.to_string() };
+        let host = self.rng.random_range(0..self.hosts.len());
+        self.send(Request {
+            id: RequestId(self.next_id),
+            host,
+            chain: SmallVec::new(),
+            fingerprint: Fingerprint::of_call("team", "/", body.as_bytes()),
+            is_crashing,
+            attempts: 1,
+            sent_at: self.now,
+            crashes_at: 0,
+            ends_at: 0,
+            checked_at: None,
+        });
+    }
+
+    /// Sends a request to a chain of servers that are up, unless its host refuses it.
+    fn send(&mut self, mut request: Request) {
+        let now = self.time();
+        // A request that has waited for a later server is moved, another one is sent.
+        let is_moved = request.chain.first().is_some_and(|first| self.is_up(*first));
+        if self.hosts[request.host].find_quarantined(now, &[request.fingerprint]).is_some() {
+            self.refused_sound += u64::from(!request.is_crashing);
+            return;
+        }
+        let mut up: Vec<usize> = (0..self.servers.len()).filter(|i| self.is_up(*i)).collect();
+        up.shuffle(&mut self.rng);
+        request.chain = up.into_iter().take(self.plan.stages).collect();
+        if request.chain.len() < self.plan.stages {
+            return;
+        }
+        request.sent_at = self.now;
+        if request.is_crashing {
+            self.trace.add(format!(
+                "{} host {} sends it to {:?}, moved: {is_moved}",
+                self.now, request.host, request.chain
+            ));
+        }
+        request.crashes_at = self.now + self.rng.random_range(40..300);
+        request.ends_at = self.now + self.rng.random_range(300..2_500);
+        if request.is_crashing {
+            let learned = self.crashes_by_request.get(DECISIVE_CRASHES - 1);
+            let is_late = learned.is_some_and(|at| self.now > at + LEARNING_MS);
+            // A host that others do not reach learns only of its own crashes.
+            self.late_attempts += usize::from(is_late && !self.is_cut_off(request.host));
+            request.ends_at = u64::MAX;
+        }
+        let chain: Vec<CrashId> =
+            request.chain.iter().map(|server| self.crash_id(*server)).collect();
+        let host = &mut self.hosts[request.host];
+        if is_moved {
+            host.on_move(now, request.id, chain);
+        } else {
+            host.on_start(now, request.id, &[request.fingerprint], chain);
+        }
+        self.running.push(request);
+    }
+}
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -24,6 +24,7 @@
 mod command_line;
 mod config_case;
 mod config_store;
+mod crashing_request_case;
 mod error;
 mod fleet_case;
 mod fleet_sim;
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -18,6 +18,10 @@
 /// sent to a server about to be lost with others ends sooner.
 const MIN_PART_RUN_MS: i64 = 10;
 
+/// The number of crashes from which on a request is their cause if no other one was in flight at all
+/// of them.
+const MIN_CRASHES_OF_LONE_REQUEST: usize = 4;
+
 /// A point in time on the clock of this host, in ms; negative before the clock began to run.
 pub(super) type Moment = i64;
 
@@ -272,8 +276,9 @@
 
 /// Returns whether `rivals` explain the open crashes of a candidate as well as it does.
 ///
-/// A request needs a crash that no rival was in flight at. A part needs that no single rival was in
-/// flight at all of them, unless only the rival has succeeded.
+/// A request needs a crash that no rival was in flight at, or several of which no single rival was
+/// in flight at all. A part needs that no single rival was in flight at all of them, unless only
+/// the rival has succeeded.
 fn is_ambiguous(
     candidate: &Candidate<'_>,
     open: &[&CrashRecord],
@@ -284,5 +289,8 @@
             .iter()
             .any(|rival| (candidate.has_succeeded || !rival.has_succeeded) && rival.covers(open));
     }
-    open.iter().all(|record| rivals.iter().any(|rival| rival.includes(&record.crash)))
+    let stands_alone =
+        open.len() >= MIN_CRASHES_OF_LONE_REQUEST && !rivals.iter().any(|rival| rival.covers(open));
+    !stands_alone
+        && open.iter().all(|record| rivals.iter().any(|rival| rival.includes(&record.crash)))
 }
