Leave crashes of an outage out of the evidence against a part of prompts

Seen by callers: sound requests are refused after outages of many servers, since a part that they share was in flight at some crashes of each.

Cause: of the crashes that probably had another cause only the first did not count.

Change: crashes of a part do not count if at least two servers without it were lost at once with them, and more than with it.

--- a/crates/core/src/quarantine/causes.rs
+++ b/crates/core/src/quarantine/causes.rs
@@ -13,6 +13,7 @@
 use super::state::Quarantine;
 use super::state::ServerLoss;
 use super::state::MIN_CANDIDATE_CRASHES;
+use crate::clock::Millis;
 use crate::defect::planted;
 
 /// Number of separate crashes from which on a request may be quarantined.
@@ -25,6 +26,8 @@
 const MIN_OUTAGE_COVERAGE_RATIO: usize = 2;
 /// The most crashes without a part for each one with it at which the part may be their cause.
 const MAX_OTHER_CRASHES_RATIO: usize = 4;
+/// The fewest servers without a part that are lost at once in an outage.
+const MIN_OUTAGE_LOSSES: usize = 2;
 
 impl Quarantine {
     /// Returns the fingerprints that explain the crashes.
@@ -34,7 +37,8 @@
             return has_crash.map(|(fingerprint, _)| *fingerprint).collect();
         }
         let candidates = self.entries.iter().filter_map(|(fingerprint, entry)| {
-            let crashes: SmallVec<[&CrashRecord; 4]> = self.counted_crashes(entry).collect();
+            let crashes: SmallVec<[&CrashRecord; 4]> =
+                self.counted_crashes(*fingerprint, entry).collect();
             (crashes.len() >= MIN_CANDIDATE_CRASHES).then_some(Candidate {
                 fingerprint: *fingerprint,
                 crashes,
@@ -83,9 +87,10 @@
     }
 
     /// Returns the crashes that count against a fingerprint: all but the first one that probably
-    /// has another cause.
+    /// has another cause and, for a part, those of outages.
     pub(super) fn counted_crashes<'a>(
         &'a self,
+        fingerprint: Fingerprint,
         entry: &'a Evidence,
     ) -> impl Iterator<Item = &'a CrashRecord> {
         let uncounted = entry.crashes.iter().position(|record| self.has_other_cause(entry, record));
@@ -95,13 +100,33 @@
             .enumerate()
             .filter(move |(i, _)| Some(*i) != uncounted)
             .map(|(_, record)| record)
+            .filter(move |record| !(fingerprint.is_part() && self.is_of_outage(entry, record)))
     }
 
     /// Returns whether a server on which the fingerprint was not in flight was lost at about the
     /// same time.
     fn has_other_cause(&self, entry: &Evidence, record: &CrashRecord) -> bool {
-        let span = self.settings.common_cause_window.0;
-        let together = |loss: &&ServerLoss| loss.at.abs_diff(record.at) < span;
-        self.losses.iter().filter(together).any(|loss| !entry.includes(&loss.crash))
+        self.losses_beside(entry, record, self.settings.common_cause_window).next().is_some()
+    }
+
+    /// Returns whether a crash is one of several that came at once, at most of which the fingerprint
+    /// was not in flight. Whatever many requests share is in flight at some crashes of an outage.
+    fn is_of_outage(&self, entry: &Evidence, record: &CrashRecord) -> bool {
+        let window = self.settings.part_window;
+        let others = self.losses_beside(entry, record, window).count();
+        let is_near = |known: &&CrashRecord| known.at.abs_diff(record.at) < window.0;
+        others >= MIN_OUTAGE_LOSSES && others > entry.crashes.iter().filter(is_near).count()
+    }
+
+    /// Returns the losses of servers on which the fingerprint was not in flight, less than `span`
+    /// before or after a crash at which it was.
+    fn losses_beside<'a>(
+        &'a self,
+        entry: &'a Evidence,
+        record: &'a CrashRecord,
+        span: Millis,
+    ) -> impl Iterator<Item = &'a ServerLoss> {
+        let is_near = move |loss: &&ServerLoss| loss.at.abs_diff(record.at) < span.0;
+        self.losses.iter().filter(is_near).filter(|loss| !entry.includes(&loss.crash))
     }
 }
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -104,7 +104,7 @@
         let Some(entry) = self.entries.get(&fingerprint) else {
             return QuarantineStatus::Clear;
         };
-        if self.counted_crashes(entry).next().is_none() {
+        if self.counted_crashes(fingerprint, entry).next().is_none() {
             return QuarantineStatus::Clear;
         }
         let age = age(now, entry.last_crash_at);
