--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -171,7 +171,7 @@
         clock: Clock,
     ) -> io::Result<Rc<Self>> {
         let event_log = Rc::new(EventLog::new(clock.clone()));
-        let pool = Pool::new(clock.clone());
+        let pool = Pool::new(clock.clone(), settings.source);
         let store = StoreClient::new(
             adapter.clone(),
             settings.store,
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -1,6 +1,7 @@
 //! TCP sockets with the options that detect dead peers and avoid delays.
 
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -31,13 +32,22 @@
     socket.listen(ACCEPT_BACKLOG)
 }
 
-/// Connects to `address` within `limit` and sets the options of the connection.
+/// Connects to `address` within `limit`, from `source` if one is given, and sets the options of the
+/// connection.
 ///
 /// # Errors
 ///
 /// Returns an error when no connection is established in time.
-pub async fn connect(address: SocketAddrV4, limit: Duration) -> io::Result<TcpStream> {
-    let connecting = TcpStream::connect(address);
+pub async fn connect(
+    source: Option<Ipv4Addr>,
+    address: SocketAddrV4,
+    limit: Duration,
+) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(source) = source {
+        socket.bind(SocketAddrV4::new(source, 0).into())?;
+    }
+    let connecting = socket.connect(address.into());
     let stream = match tokio::time::timeout(limit, connecting).await {
         Ok(stream) => stream?,
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
+use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,13 +96,15 @@
 #[derive(Debug)]
 pub struct Pool {
     clock: Clock,
+    /// The address that connections are made from.
+    source: Option<Ipv4Addr>,
     idle: RefCell<HashMap<SocketAddrV4, Vec<PooledConnection>>>,
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(clock: Clock) -> Rc<Self> {
-        Rc::new(Self { clock, idle: RefCell::default() })
+    /// Creates an empty pool, whose connections are made from `source` if one is given.
+    pub fn new(clock: Clock, source: Option<Ipv4Addr>) -> Rc<Self> {
+        Rc::new(Self { clock, source, idle: RefCell::default() })
     }
 
     /// Returns an idle connection to `address`, or establishes a new one.
@@ -119,7 +122,7 @@
                 return Ok(conn);
             }
         }
-        let stream = net::connect(address, CONNECT_TIMEOUT).await?;
+        let stream = net::connect(self.source, address, CONNECT_TIMEOUT).await?;
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -220,7 +220,7 @@
     if is_known || !gateway.crashes.checks.borrow_mut().insert(server.clone()) {
         return;
     }
-    let connected = net::connect(address, CHECK_TIMEOUT).await;
+    let connected = net::connect(gateway.settings.source, address, CHECK_TIMEOUT).await;
     gateway.crashes.checks.borrow_mut().remove(&server);
     if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
         gateway.crashes.remember_checked(&crash);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a host.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
 use yuccanotch_core::clock::Millis;
@@ -26,6 +27,8 @@
     pub gossip: SocketAddrV4,
     /// The address on which the host exposes its metrics.
     pub metrics: SocketAddrV4,
+    /// The address that connections to others are made from; `None` leaves it to the system.
+    pub source: Option<Ipv4Addr>,
     /// The address of the platform's store.
     pub store: SocketAddrV4,
     /// The bandwidth of the host's link, in Mbit/s.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -121,7 +121,8 @@
 /// Fetches the changes of the host at `address` that this host does not have, and applies them.
 async fn sync_from(gateway: &Gateway, address: SocketAddrV4) {
     let revision = gateway.views.revision();
-    let Ok(Some(shared)) = time::timeout(SYNC_TIMEOUT, fetch(address, revision)).await else {
+    let Ok(Some(shared)) = time::timeout(SYNC_TIMEOUT, fetch(gateway, address, revision)).await
+    else {
         gateway.event_log.line(Event::ChangesUnavailable, &[("from", &address)]);
         return;
     };
@@ -138,8 +139,9 @@
     gateway.views.merge(shared.changes, "host");
 }
 
-async fn fetch(address: SocketAddrV4, revision: u64) -> Option<SharedChanges> {
-    let stream = net::connect(address, CONNECT_TIMEOUT).await.ok()?;
+async fn fetch(gateway: &Gateway, address: SocketAddrV4, revision: u64) -> Option<SharedChanges> {
+    let source = gateway.settings.source;
+    let stream = net::connect(source, address, CONNECT_TIMEOUT).await.ok()?;
     let io = TokioIo::new(stream);
     let (mut sender, connection) =
         client::conn::http2::Builder::new(LocalExecutor).handshake(io).await.ok()?;
