Tell cut links of a host from lost servers, and believe no refuted suspicion

Cause: a suspicion was taken from any host, for as long as that host repeated it, whoever else heard the server meanwhile. Class: hearsay that outweighs what a host hears itself.

Change: core::reachability. Hosts tell each other which servers they heard last. A server that brings a host no connection or no answer while another one hears it is cut off from that host alone: the host ends its suspicion, begins no request there but over connections that live on, and tries it in the background. A suspicion of another host counts until somebody has heard the server since. The rows follow a message, so that hosts of the release before read it as they did.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -51,6 +51,8 @@
     PromptPart => ("prompt-part", crate::prompt_part_case::run),
     /// Crashing requests: one that its caller repeats at all hosts is found and refused.
     CrashingRequest => ("crashing-request", crate::crashing_request_case::run),
+    /// Reachability: cut links are told from lost servers, and nobody takes one for the other.
+    Reachability => ("reachability", crate::reachability_case::run),
     /// Configuration: hosts adopt only accepted configurations, never an older one, and converge.
     Config => ("config", crate::config_case::run),
     /// Orders: all layers of a model stay served while a version is rolled out.
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -34,6 +34,7 @@
 mod peering_case;
 mod prompt_part_case;
 mod quarantine_case;
+mod reachability_case;
 mod rendezvous_case;
 mod retry_case;
 mod route_case;
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -131,6 +131,10 @@
     QuarantineBegan = 2209, Warn, "quarantine began";
     /// A fingerprint no longer explains crashes; requests with it are served.
     QuarantineEnded = 2210, Info, "quarantine ended";
+    /// This host's links to a server that other hosts hear are cut.
+    LinkCut = 2211, Warn, "link to a server is cut";
+    /// This host reaches a server again.
+    LinkRestored = 2212, Info, "link to a server is restored";
     /// A version of the configuration was adopted.
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
--- a/crates/core/src/forward/health.rs
+++ b/crates/core/src/forward/health.rs
@@ -137,6 +137,21 @@
             server_health.peer_suspect_until.max(now + span.min(MAX_SUSPICION));
     }
 
+    /// Ends this host's own suspicion of `server`, since its links are at fault.
+    pub fn on_link_cut(&mut self, server: &ServerName) {
+        if let Some(server_health) = self.servers.get_mut(server) {
+            server_health.failures = 0;
+            server_health.suspect_until = Millis::ZERO;
+        }
+    }
+
+    /// Ends the suspicion of `server` by other hosts, since it was heard after it began.
+    pub fn on_suspicion_refuted(&mut self, server: &ServerName) {
+        if let Some(server_health) = self.servers.get_mut(server) {
+            server_health.peer_suspect_until = Millis::ZERO;
+        }
+    }
+
     /// Records that `server` served a request, which ends a suspicion; returns whether this host
     /// itself suspected it.
     pub fn on_success(&mut self, now: Millis, server: &ServerName) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peering;
 pub mod placement;
 pub mod quarantine;
+pub mod reachability;
 pub mod reason;
 pub mod retry;
 pub mod route;
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -60,6 +60,8 @@
     /// The number of answers that it corrupted or lost recently as the first stage; older ones
     /// count less.
     pub faults: f64,
+    /// Whether a request of this host may begin at it.
+    pub may_begin: bool,
 }
 
 /// The requirements of a request on its chain.
@@ -79,7 +81,9 @@
 impl ChainNeeds<'_> {
     fn may_be_first_stage(&self, holder: &LayerHolder) -> bool {
         let keeps_first = self.current.is_none_or(|chain| chain.first().address == holder.address);
-        keeps_first && self.allowed_first.is_none_or(|first| first.contains(&holder.server))
+        let may_begin = holder.may_begin || self.current.is_some();
+        let is_allowed = self.allowed_first.is_none_or(|first| first.contains(&holder.server));
+        keeps_first && may_begin && is_allowed
     }
 
     /// Returns whether the current chain has the stage of `holder` with exactly these `layers`.
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -252,6 +252,7 @@
                 load: Load::default(),
                 slowness: 1.0,
                 faults: 0.0,
+                may_begin: true,
                 prefill_backlog_ms: 0.0,
             })
         })
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -196,6 +196,7 @@
                     load: Load { active: 1.0, token_layers: loads[index], first: 1.0 },
                     slowness: 1.0,
                     faults: 0.0,
+                    may_begin: true,
                 prefill_backlog_ms: 0.0,
                 })
             })
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -19,6 +19,7 @@
 use yuccanotch_core::forward::outcome::AttemptTarget;
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::routes::RepeatPolicy;
+use yuccanotch_core::reachability::LinkFailure;
 
 use crate::adapter::Forward;
 use crate::adapter::ServerReply;
@@ -52,6 +53,7 @@
         let mut conn = match gateway.pool.acquire(target.address(), Reuse::Allowed).await {
             Ok(conn) => conn,
             Err(_) => {
+                gateway.links.on_failure(target.server(), LinkFailure::NoConnection);
                 gateway.routing.suspect(target.server(), "connect");
                 self.outcome.on_send(receiver);
                 return unanswered(AttemptEnd::NotSent, EndReason::Connect);
@@ -72,6 +74,7 @@
             Err(ended) => return ended,
         };
         let (head, body) = response.into_parts();
+        gateway.links.on_heard(target.server(), conn.is_new());
         let reply = gateway.adapter.decode_reply(&head);
         gateway.record_announcements(target.address(), &reply);
         if let Some(ended) = self.check_reply(&head, &reply, target) {
@@ -148,6 +151,7 @@
                     return Err(unanswered(AttemptEnd::NotSent, EndReason::Closed));
                 }
                 Ok(Err(SendError::Broken(_))) => {
+                    self.gateway.links.on_failure(target.server(), LinkFailure::Break);
                     return Err(unanswered(AttemptEnd::Broken, EndReason::Broken));
                 }
                 Err(_) => {
@@ -269,6 +273,7 @@
             if whole.count > 0 {
                 self.gateway.crashes.on_progress(self.run);
                 self.record_working();
+                self.record_heard();
                 self.record_event_time();
                 self.begin_answer(&head);
                 if let Some(chunks) = &self.chunks {
--- a/crates/gateway/src/exchange/request_log.rs
+++ b/crates/gateway/src/exchange/request_log.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use smallvec::SmallVec;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::name::PromptPart;
 
@@ -9,6 +10,9 @@
 use crate::exchange::Exchange;
 use crate::routing::Target;
 
+/// The time in which the events of a stream are recorded once as a sign of their server.
+const HEARD_INTERVAL: Millis = Millis(100);
+
 impl Exchange {
     /// Logs that the request is sent to `target`.
     pub(super) fn log_sent(&mut self, target: &Target) {
@@ -37,6 +41,16 @@
         }
     }
 
+    /// Records that the server that sends the answer is heard, now and then.
+    pub(super) fn record_heard(&self) {
+        let now = self.gateway.clock.now();
+        let is_due = now.since(self.last_event_at) >= HEARD_INTERVAL
+            || now.0 / HEARD_INTERVAL.0 != self.last_event_at.0 / HEARD_INTERVAL.0;
+        if let Some(current) = self.current.as_ref().filter(|_| is_due) {
+            self.gateway.links.on_heard(current.target.server(), false);
+        }
+    }
+
     /// Records the arrival of events that go to the caller: the time to the first one, or the
     /// longest gap since.
     pub(super) fn record_event_time(&mut self) {
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -6,6 +6,7 @@
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::placement::chain::Chain;
+use yuccanotch_core::reachability::LinkFailure;
 
 use crate::adapter::Order;
 use crate::adapter::OrderReply;
@@ -51,6 +52,7 @@
         let chain = match self.current.as_ref().map(|c| c.target.clone()) {
             Some(Target::Chain(chain)) => chain,
             Some(Target::Server { server, .. }) => {
+                self.gateway.links.on_failure(&server, LinkFailure::Silence);
                 self.gateway.routing.suspect(&server, "silent");
                 return self.lost_unless_alone();
             }
@@ -59,9 +61,11 @@
         let gateway = self.gateway.clone();
         let first = chain.first();
         let Some(report) = gateway.recent_report(first.address, MAX_STALL_REPORT_AGE).await else {
+            gateway.links.on_failure(&first.server, LinkFailure::Silence);
             gateway.routing.suspect(&first.server, "no report");
             return self.lost_unless_alone();
         };
+        gateway.links.on_heard(&first.server, false);
         gateway.routing.record_slowness(first.address, report.slowness);
         let stalled = report.stalled.iter().find(|(id, _)| **id == *self.id());
         let Some((_, address)) = stalled else {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -33,8 +33,11 @@
 use yuccanotch_core::peering::observations::SuspectRow;
 use yuccanotch_core::peering::timing::ROUND_INTERVAL;
 use yuccanotch_core::placement::load::Load;
+use yuccanotch_core::reachability::HostRow;
+use yuccanotch_core::reachability::ReachRows;
 
 use crate::host::Gateway;
+use crate::links;
 
 /// The prefix of the store keys under which aggregators are listed, so that hosts that start find
 /// them.
@@ -123,7 +126,11 @@
         };
         let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
         let decoded = bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config);
-        if let Ok((message, _)) = decoded {
+        if let Ok((message, read)) = decoded {
+            // Hosts of an earlier release send no rows.
+            let rows = bincode::serde::decode_from_slice::<ReachRows, _>(&buf[read..len], config);
+            gateway.links.on_rows(&rows.map(|(rows, _)| rows).unwrap_or_default());
+            links::apply_changes(&gateway);
             if let Some(answer) = on_message(&gateway, message) {
                 send(&gateway, &socket, vec![answer]).await;
             }
@@ -160,8 +167,12 @@
             Content::Summary { .. } | Content::Peers(_) => gateway.crashes.notices(true),
             _ => notices.clone(),
         };
+        let is_full = is_full_exchange || matches!(content, Content::Summary { .. });
+        let rows = gateway.links.rows(own_host_row(gateway), is_full);
         let message = Message { from: from.clone(), content, notices };
-        let Ok(buf) = bincode::serde::encode_to_vec(&message, bincode::config::standard()) else {
+        // Hosts of an earlier release read the message and leave the rows behind it.
+        let encoded = bincode::serde::encode_to_vec((&message, &rows), bincode::config::standard());
+        let Ok(buf) = encoded else {
             continue;
         };
         // If the socket's buffer is full, the datagram is lost; the next round replaces it.
@@ -180,6 +191,17 @@
     }
 }
 
+/// Returns what this host says of its own links.
+fn own_host_row(gateway: &Gateway) -> HostRow {
+    let reaches = gateway.links.state().reaches_servers(gateway.clock.now());
+    HostRow {
+        relay: gateway.settings.relay,
+        domain: short_hash(gateway.settings.domain.as_str()),
+        reaches: reaches && !gateway.shutdown.is_stopping() && gateway.views.servers_read(),
+        age_ms: 0,
+    }
+}
+
 /// Returns what this host itself observes about servers.
 fn own_observations(gateway: &Gateway) -> Observations {
     let now = gateway.clock.now();
@@ -256,8 +278,13 @@
         }
     }
     for row in &others.suspects {
-        if let Some(server) = names.by_hash.get(&row.server) {
+        let Some(server) = names.by_hash.get(&row.server) else {
+            continue;
+        };
+        if gateway.links.believes_suspicion(server) {
             health.on_peer_suspicion(now, server, Millis(u64::from(row.ms)));
+        } else {
+            health.on_suspicion_refuted(server);
         }
     }
     drop(servers);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -38,6 +38,8 @@
 use crate::gossip;
 use crate::gossip::Peers;
 use crate::issuer;
+use crate::links;
+use crate::links::Links;
 use crate::net;
 use crate::pool::Pool;
 use crate::pool::Reuse;
@@ -136,6 +138,8 @@
     pub reports: ReportCache,
     /// Requests in flight and the server crashes that they may have caused.
     pub crashes: CrashTracker,
+    /// This host's links to the servers.
+    pub links: Rc<Links>,
     /// The other hosts, and what they observe.
     pub peers: Peers,
     /// Whether this host follows changes in the store itself.
@@ -180,11 +184,14 @@
             event_log.clone(),
         );
         let views = Views::new(adapter.clone(), clock.clone(), event_log.clone());
+        let links = Links::new(clock.clone(), event_log.clone());
         let routing = RoutingState::new(
             clock.clone(),
             settings.domain.clone(),
             event_log.clone(),
             views.clone(),
+            links.clone(),
+            pool.clone(),
             settings.changeable.repeats,
         );
         let reports_clock = clock.clone();
@@ -203,6 +210,7 @@
             counters: Counters::new().map_err(io::Error::other)?,
             reports: ReportCache::new(reports_clock),
             crashes,
+            links,
             peers,
             follows_store: Cell::new(false),
             shutdown: Shutdown::new(),
@@ -252,9 +260,19 @@
     /// Requests a model server's report; returns `None` if it does not come in time or cannot be
     /// read.
     pub async fn fetch_report(&self, address: SocketAddrV4) -> Option<EngineReport> {
+        self.fetch_report_over(address, Reuse::Allowed).await
+    }
+
+    /// Requests a model server's report over a new connection; otherwise like
+    /// [`Self::fetch_report`].
+    pub async fn fetch_fresh_report(&self, address: SocketAddrV4) -> Option<EngineReport> {
+        self.fetch_report_over(address, Reuse::Fresh).await
+    }
+
+    async fn fetch_report_over(&self, address: SocketAddrV4, reuse: Reuse) -> Option<EngineReport> {
         let req = self.adapter.encode_report_request();
-        let (status, body) =
-            time::timeout(REPORT_TIMEOUT, self.send_request(address, req)).await.ok()??;
+        let sending = self.send_request(address, req, reuse);
+        let (status, body) = time::timeout(REPORT_TIMEOUT, sending).await.ok()??;
         if !status.is_success() {
             return None;
         }
@@ -293,8 +311,8 @@
         order: &Order<'_>,
     ) -> Option<OrderReply> {
         let req = self.adapter.encode_order(server, order);
-        let (status, _) =
-            time::timeout(ORDER_TIMEOUT, self.send_request(address, req)).await.ok()??;
+        let sending = self.send_request(address, req, Reuse::Allowed);
+        let (status, _) = time::timeout(ORDER_TIMEOUT, sending).await.ok()??;
         Some(self.adapter.decode_order_reply(status))
     }
 
@@ -303,8 +321,9 @@
         &self,
         address: SocketAddrV4,
         req: WholeRequest,
+        reuse: Reuse,
     ) -> Option<(StatusCode, Bytes)> {
-        let mut conn = self.pool.acquire(address, Reuse::Allowed).await.ok()?;
+        let mut conn = self.pool.acquire(address, reuse).await.ok()?;
         let response = conn.send(req).await.ok()?;
         let (head, body) = response.into_parts();
         let reply = self.adapter.decode_reply(&head);
@@ -365,6 +384,7 @@
         ready_gateway.readiness_response()
     }));
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers));
+    tokio::task::spawn_local(links::run(gateway.clone()));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
     tokio::task::spawn_local(sync::run(gateway.clone()));
     tokio::task::spawn_local(maintain_listing(gateway.clone()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gossip;
 pub mod host;
 pub mod issuer;
+pub mod links;
 pub mod net;
 pub mod pool;
 pub mod probe_server;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -55,6 +55,7 @@
     task: JoinHandle<()>,
     address: SocketAddrV4,
     idle_until: Millis,
+    is_new: bool,
 }
 
 impl Drop for PooledConnection {
@@ -64,6 +65,11 @@
 }
 
 impl PooledConnection {
+    /// Returns whether the connection was established for the present request.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -129,7 +135,7 @@
             // The request in progress, if any, gets the error as the result of its send.
             let _ = connection.await;
         });
-        Ok(PooledConnection { sender, task, address, idle_until: Millis::ZERO })
+        Ok(PooledConnection { sender, task, address, idle_until: Millis::ZERO, is_new: true })
     }
 
     fn take_idle(&self, address: SocketAddrV4) -> Option<PooledConnection> {
@@ -144,10 +150,18 @@
         None
     }
 
+    /// Returns whether an idle connection to `address` can be used.
+    pub fn has_idle(&self, address: SocketAddrV4) -> bool {
+        let now = self.clock.now();
+        let is_usable = |conn: &PooledConnection| now < conn.idle_until && conn.sender.is_ready();
+        self.idle.borrow().get(&address).is_some_and(|conns| conns.iter().any(is_usable))
+    }
+
     /// Returns a connection to the pool after a complete answer. `keep_alive` is how long the
     /// server keeps it open when idle.
     pub fn release(&self, mut conn: PooledConnection, keep_alive: Option<Millis>) {
         let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
+        conn.is_new = false;
         conn.idle_until = self.clock.now() + Millis(keep_alive.0 * KEEP_ALIVE_USED_PERCENT / 100);
         let mut idle = self.idle.borrow_mut();
         let conns = idle.entry(conn.address).or_default();
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -39,6 +39,8 @@
 use yuccanotch_core::placement::path::NoChain;
 
 use crate::event_log::EventLog;
+use crate::links::Links;
+use crate::pool::Pool;
 use crate::views::Views;
 
 /// The extra cost of a plain server in another failure domain, in requests in progress.
@@ -102,6 +104,8 @@
     domain: DomainName,
     event_log: Rc<EventLog>,
     views: Rc<Views>,
+    links: Rc<Links>,
+    pool: Rc<Pool>,
     retry_limits: Cell<RetryBudgetLimits>,
     /// The loads of model servers, summed over all hosts.
     pub loads: RefCell<ServerLoads>,
@@ -124,6 +128,8 @@
         domain: DomainName,
         event_log: Rc<EventLog>,
         views: Rc<Views>,
+        links: Rc<Links>,
+        pool: Rc<Pool>,
         retry_limits: RetryBudgetLimits,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -131,6 +137,8 @@
             domain,
             event_log,
             views,
+            links,
+            pool,
             retry_limits: Cell::new(retry_limits),
             loads: RefCell::default(),
             health: RefCell::default(),
@@ -192,6 +200,12 @@
         path::choose_chain(profile, &holders, needs)
     }
 
+    /// Returns whether a request may begin at the server as far as this host's links tell.
+    fn may_begin(&self, server: &ServerName, address: SocketAddrV4) -> bool {
+        let links = self.links.state();
+        !links.is_cut(server) || links.may_begin(server, self.pool.has_idle(address))
+    }
+
     /// Describes which resource is missing for a request of `service`: the layer without a holder,
     /// the free slot or the matching layer ranges.
     pub fn describe_shortage(&self, service: &Service, tokens: f64) -> String {
@@ -268,6 +282,7 @@
                     prefill_backlog_ms: loads.prefill_backlog(now, &e.id, per_ms) / per_ms,
                     slowness: health.slowness(now, &e.id),
                     faults: health.faults(now, &e.id),
+                    may_begin: self.may_begin(&e.id, e.address),
                 })
             })
             .collect()
@@ -299,6 +314,7 @@
             .filter(|e| e.service == service.name && e.state == ServerState::Ready)
             .filter(|e| !must_be_tried || tried.contains(&e.id))
             .filter(|e| !pauses.includes(now, &e.id))
+            .filter(|e| self.may_begin(&e.id, e.address))
             .map(|e| (cost(e) + rng.random::<f64>() * 0.5, e))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, e)| Target::Server { server: e.id.clone(), address: e.address })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub control: SocketAddrV4,
     /// The address on which the host exchanges gossip datagrams.
     pub gossip: SocketAddrV4,
+    /// The address on which the host takes requests of other hosts.
+    pub relay: SocketAddrV4,
     /// The address on which the host exposes its metrics.
     pub metrics: SocketAddrV4,
     /// The address that connections to others are made from; `None` leaves it to the system.
