Pass requests to a host that reaches servers while this one is cut off from them

Cause: a host knew no way but its own links. Class: a single path, taken for the state of what lies behind it.

Change: a host that reaches no server at which a request could begin passes it to a host that says it reaches servers: one of its own failure domain if there is one, a random one of them. It goes over one hop at most, with the time that is left, the number of servers that may still get it and those that have had it, so that attempts, budget and refusals mean what they did. The caller that leaves cancels it; a link between hosts that breaks is an unknown outcome; begun streams go on after their last whole event. A host takes requests of others up to an eighth of its sockets and refuses at once what it does not reach itself.

--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -93,6 +93,22 @@
         }
     }
 
+    /// Creates the state of a request that another host has passed on, of which `attempts_left` more
+    /// servers may get it.
+    pub fn passed_on(repeat: RepeatPolicy, attempts_left: u8) -> Self {
+        Self { attempts_left, ..Self::new(repeat, attempts_left) }
+    }
+
+    /// Returns the number of servers that may still get the request.
+    pub fn attempts_left(&self) -> u8 {
+        self.attempts_left
+    }
+
+    /// Records that another host has sent the request to `count` servers beyond the first one.
+    pub fn on_more_servers(&mut self, count: u8) {
+        self.attempts_left = self.attempts_left.saturating_sub(count);
+    }
+
     /// Records that the request is about to be sent to a server.
     pub fn on_send(&mut self, target: AttemptTarget) {
         self.target = target;
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -53,6 +53,8 @@
         StreamSilent = "stream_silent",
         /// The server states that it did not run the request.
         Declined = "declined",
+        /// Another host, to which the request was passed, refused it.
+        HostDeclined = "host_declined",
         /// The answer belongs to another request.
         OtherAnswer = "other_answer",
         /// A success response has no signature of the server, or has a content encoding.
@@ -105,6 +107,8 @@
         Malformed = "malformed",
         /// No configuration is known yet.
         NoConfiguration = "no_configuration",
+        /// Too many requests that other hosts have passed on are in progress.
+        TooManyRelayed = "too_many_relayed",
         /// No route matches the request.
         NoRoute = "no_route",
         /// The key is missing or belongs to no team.
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -409,6 +409,15 @@
     /// Returns the headers of a request that the host forwards to a server.
     fn forwarded_headers(&self, head: &request::Parts, forward: &Forward<'_>) -> HeaderMap;
 
+    /// Returns the headers of a caller's request that the host passes to another host, with the time
+    /// left until the deadline and the number of the last event that the caller has received.
+    fn relayed_headers(
+        &self,
+        head: &request::Parts,
+        time_left: Millis,
+        resume_after: Option<u64>,
+    ) -> HeaderMap;
+
     /// Decodes the head of a server's answer.
     fn decode_reply(&self, head: &response::Parts) -> ServerReply;
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -36,14 +36,27 @@
 use crate::host::Gateway;
 use crate::net;
 use crate::probe_server;
+use crate::relay::Relayed;
 
 /// The smallest head buffer that the HTTP library allows, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
+/// The most bytes that a host adds to the head of a request that it passes on.
+const MAX_RELAY_HEAD_BYTES: usize = 4 << 10;
+
+/// Who sends the requests on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Sender {
+    /// A caller.
+    Caller,
+    /// Another host, which passes on requests of its callers.
+    Host,
+}
+
 fn rejection_status(rejection: Rejection) -> StatusCode {
     match rejection {
         Rejection::Malformed | Rejection::BodyBroken => StatusCode::BAD_REQUEST,
-        Rejection::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
+        Rejection::NoConfiguration | Rejection::TooManyRelayed => StatusCode::SERVICE_UNAVAILABLE,
         Rejection::NoRoute => StatusCode::NOT_FOUND,
         Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
         Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -56,7 +69,7 @@
 ///
 /// Connections beyond half of the allowed sockets are closed at once, so that their callers can try
 /// another host.
-pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener) {
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, sender: Sender) {
     let closing = gateway.shutdown.closing();
     tokio::pin!(closing);
     loop {
@@ -67,22 +80,23 @@
         if gateway.caller_connections.get() >= gateway.settings.sockets / 2 {
             continue;
         }
-        tokio::task::spawn_local(serve(gateway.clone(), stream));
+        tokio::task::spawn_local(serve(gateway.clone(), stream, sender));
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, sender: Sender) {
     if net::set_options(&stream).is_err() {
         return;
     }
     gateway.caller_connections.set(gateway.caller_connections.get() + 1);
     let limits = gateway.views.configuration().map(|c| c.limits).unwrap_or_default();
     let handler = gateway.clone();
-    let service = service_fn(move |req| handle(handler.clone(), req));
+    let service = service_fn(move |req| handle(handler.clone(), req, sender));
+    let added = if sender == Sender::Host { MAX_RELAY_HEAD_BYTES } else { 0 };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.to_duration())
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES) + added)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let stopping = gateway.shutdown.closing();
@@ -103,17 +117,29 @@
 async fn handle(
     gateway: Rc<Gateway>,
     req: Request<Incoming>,
+    sender: Sender,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let started = gateway.clock.now();
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    let relayed = match sender {
+        Sender::Caller => None,
+        Sender::Host => Relayed::take(&mut head.headers),
+    };
+    let taken = relayed.as_ref().and_then(|_| gateway.take_request());
     let caller = match gateway.adapter.decode_caller(&head) {
         Ok(caller) => caller,
         Err(_) => return Ok(reject(&gateway, &CallerRequest::default(), Rejection::Malformed)),
     };
+    if sender == Sender::Host && taken.is_none() {
+        let rejection =
+            if relayed.is_some() { Rejection::TooManyRelayed } else { Rejection::Malformed };
+        return Ok(reject(&gateway, &caller, rejection));
+    }
     let _active = gateway.begin_request();
     let admitted = match admit(&gateway, head, body, &caller).await {
         Ok(mut admitted) => {
             admitted.started = started;
+            admitted.relayed = relayed;
             admitted
         }
         Err(rejection) => return Ok(reject(&gateway, &caller, rejection)),
@@ -125,6 +151,7 @@
     tokio::task::spawn_local(async move {
         exchange.run(gone).await;
         drop(active);
+        drop(taken);
     });
     match head_rx.await {
         Ok(response) => Ok(response.map(|body| body.with_guard(guard))),
@@ -161,7 +188,8 @@
         .clone();
     let body = read_body(body, &configuration.limits, caller).await?;
     let started = gateway.clock.now();
-    Ok(Admitted { head, body, caller: caller.clone(), route, service, team, started })
+    let caller = caller.clone();
+    Ok(Admitted { head, body, caller, route, service, team, started, relayed: None })
 }
 
 async fn read_body(
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -39,6 +39,8 @@
     retries: HashMap<EndReason, Counter>,
     turned_away: HashMap<Rejection, Counter>,
     sent: Counter,
+    passed_on: Counter,
+    taken: Counter,
     moves: Counter,
     moves_refused: Counter,
     leaving: HashMap<LeavingSource, Counter>,
@@ -73,6 +75,8 @@
                 })
                 .collect(),
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
+            passed_on: counter(&recorder, "yuccanotch_requests_passed_on_total", None),
+            taken: counter(&recorder, "yuccanotch_requests_taken_total", None),
             moves: counter(&recorder, "yuccanotch_moves_total", None),
             moves_refused: counter(&recorder, "yuccanotch_moves_refused_total", None),
             leaving: LeavingSource::ALL
@@ -101,6 +105,16 @@
         self.sent.increment(1);
     }
 
+    /// Counts a request that is passed to another host.
+    pub fn request_passed_on(&self) {
+        self.passed_on.increment(1);
+    }
+
+    /// Counts a request that another host has passed to this one.
+    pub fn request_taken(&self) {
+        self.taken.increment(1);
+    }
+
     /// Counts the end of an attempt; `again` tells whether another attempt follows.
     pub fn attempt_ended(&self, reason: EndReason, again: bool) {
         increment(&self.attempts, reason);
@@ -176,6 +190,8 @@
         self.gauge("yuccanotch_servers_suspected", suspects as f64);
         let quarantined = gateway.crashes.quarantined_count();
         self.gauge("yuccanotch_fingerprints_quarantined", quarantined as f64);
+        let cut = gateway.links.state().cut_servers().len();
+        self.gauge("yuccanotch_links_cut", cut as f64);
         let paused = gateway.routing.pauses.borrow().count(now);
         self.gauge("yuccanotch_servers_paused", paused as f64);
         self.handle.render()
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -38,7 +38,7 @@
 use crate::routing::Target;
 
 /// The largest accepted body of an answer that is not a stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// The shortest time after which a decline because of a later server shows that the request has
 /// waited for it.
 const MIN_STALL: Millis = Millis(150);
@@ -236,7 +236,7 @@
     }
 
     /// Passes the events of a stream to the caller, each as soon as it is complete.
-    async fn relay_stream(
+    pub(super) async fn relay_stream(
         &mut self,
         head: http::response::Parts,
         reply: ServerReply,
@@ -305,6 +305,7 @@
         self.outcome.on_answer_begun();
         let mut fields = self.gateway.adapter.returned_headers(&head.headers);
         fields.remove(header::CONTENT_LENGTH);
+        self.add_own_fields(&mut fields);
         let (chunks, body) = answer::chunked();
         self.chunks = Some(chunks);
         // If the caller has disconnected, its guard ends this task.
@@ -312,6 +313,6 @@
     }
 }
 
-fn unanswered(end: AttemptEnd, why: EndReason) -> AttemptResult {
+pub(super) fn unanswered(end: AttemptEnd, why: EndReason) -> AttemptResult {
     AttemptResult::Unanswered { end, server_answer: None, why }
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -1,10 +1,13 @@
 //! One request of a caller, from its admission to its final answer.
 
+mod at_host;
 mod attempt;
 mod request_log;
 mod room_wait;
 mod silence;
 
+use std::fmt::Display;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -15,7 +18,6 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio::time;
 use yuccanotch_core::clock::Millis;
@@ -30,7 +32,6 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::routes::Team;
 use yuccanotch_core::ids::RequestId;
-use yuccanotch_core::name::ServerName;
 use yuccanotch_core::quarantine;
 use yuccanotch_core::quarantine::Fingerprints;
 
@@ -40,6 +41,9 @@
 use crate::answer::CallerGone;
 use crate::answer::ChunkSender;
 use crate::host::Gateway;
+use crate::relay;
+use crate::relay::Relayed;
+use crate::relay::TriedServers;
 use crate::routing::InProgress;
 use crate::routing::Target;
 
@@ -73,7 +77,7 @@
     deadline: Millis,
     outcome: RequestState,
     // Servers that have received the request.
-    tried: SmallVec<[ServerName; 4]>,
+    tried: TriedServers,
     head_tx: Option<oneshot::Sender<Response<AnswerBody>>>,
     chunks: Option<ChunkSender>,
     events: EventSplitter,
@@ -93,6 +97,8 @@
     // The id of the request on this host, for the quarantine.
     run: RequestId,
     fingerprints: Fingerprints,
+    // Whether another host has passed the request on.
+    is_relayed: bool,
     // When a refused caller may try again; `None` for a random short time.
     retry_after: Option<Millis>,
 }
@@ -113,6 +119,16 @@
     pub team: Option<Arc<Team>>,
     /// When the head of the request was read.
     pub started: Millis,
+    /// The state of the request, if another host has passed it on.
+    pub relayed: Option<Relayed>,
+}
+
+/// Where a request is sent.
+enum Destination {
+    /// A server or a chain of servers.
+    Servers(Target),
+    /// Another host, with the address at which it takes requests.
+    Host(SocketAddrV4),
 }
 
 /// The result of an attempt.
@@ -149,7 +165,13 @@
         admitted: Admitted,
         head_tx: oneshot::Sender<Response<AnswerBody>>,
     ) -> Self {
-        let Admitted { head, body, caller, route, service, team, started } = admitted;
+        let Admitted { head, body, caller, route, service, team, started, relayed } = admitted;
+        let is_relayed = relayed.is_some();
+        let outcome = match &relayed {
+            Some(relayed) => RequestState::passed_on(route.repeat, relayed.attempts_left),
+            None => RequestState::new(route.repeat, route.max_attempts),
+        };
+        let Relayed { version, tried, .. } = relayed.unwrap_or_default();
         let wait = caller.deadline.unwrap_or(route.timeout).min(route.timeout);
         let fingerprints = quarantine::fingerprints(
             team.as_ref().map_or("", |t| t.name.as_str()),
@@ -163,7 +185,8 @@
             fingerprints,
             retry_after: None,
             deadline: started + wait.since(DEADLINE_MARGIN),
-            outcome: RequestState::new(route.repeat, route.max_attempts),
+            outcome,
+            is_relayed,
             events: EventSplitter::new(caller.resume_after),
             gateway,
             head,
@@ -173,10 +196,10 @@
             service,
             team,
             started,
-            tried: SmallVec::new(),
+            tried,
             head_tx: Some(head_tx),
             chunks: None,
-            version: None,
+            version,
             first_event_delay: Millis::ZERO,
             last_event_at: started,
             sent_at: started,
@@ -190,7 +213,10 @@
     /// Sends the request to servers until it has a final answer, its deadline has passed or the
     /// caller has disconnected.
     pub async fn run(mut self, gone: CallerGone) {
-        self.gateway.routing.on_request(&self.service.name);
+        // The host that passed the request on has counted it.
+        if !self.is_relayed {
+            self.gateway.routing.on_request(&self.service.name);
+        }
         let left = self.deadline.since(self.gateway.clock.now()).to_duration();
         let ended = tokio::select! {
             biased;
@@ -225,7 +251,7 @@
             if self.refuse_if_quarantined().await {
                 return;
             }
-            let Some(target) = self.wait_for_target().await else {
+            let Some(destination) = self.wait_for_destination().await else {
                 let lacks =
                     self.gateway.routing.describe_shortage(&self.service, self.expected_load());
                 self.gateway
@@ -241,20 +267,16 @@
             if self.refuse_if_quarantined().await {
                 return;
             }
-            let ended = self.attempt(&target).await;
+            let ended = match &destination {
+                Destination::Servers(target) => self.attempt(target).await,
+                Destination::Host(relay) => self.attempt_at_host(*relay).await,
+            };
             self.current = None;
             let AttemptResult::Unanswered { end, server_answer, why } = ended else {
                 return;
             };
             self.end_reason = why;
-            self.record_end_of_run(end, &target);
-            if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
-                self.gateway.routing.record_fault(target.server());
-            }
-            self.gateway.event_log.line(
-                Event::AttemptEnded,
-                &[("id", &self.id()), ("server", target.server()), ("why", &why)],
-            );
+            self.record_end(end, &destination, why);
             let conditions = self.retry_conditions(end);
             let mut next = self.outcome.on_end(end, conditions);
             if next == NextStep::AwaitBudget {
@@ -287,6 +309,26 @@
         true
     }
 
+    /// Records how an attempt ended.
+    fn record_end(&self, end: AttemptEnd, destination: &Destination, why: EndReason) {
+        let log = |key: &'static str, to: &dyn Display| {
+            let id = self.id();
+            self.gateway
+                .event_log
+                .line(Event::AttemptEnded, &[("id", &id), (key, to), ("why", &why)]);
+        };
+        match destination {
+            Destination::Servers(target) => {
+                self.record_end_of_run(end, target);
+                if matches!(end, AttemptEnd::Broken | AttemptEnd::Failed) {
+                    self.gateway.routing.record_fault(target.server());
+                }
+                log("server", target.server());
+            }
+            Destination::Host(relay) => log("host", relay),
+        }
+    }
+
     /// Records for the quarantine how an attempt on `target` ended.
     fn record_end_of_run(&self, end: AttemptEnd, target: &Target) {
         match end {
@@ -329,9 +371,17 @@
         f64::from(prompt) + MEAN_HELD_FRACTION * expected.min(most)
     }
 
+    /// Adds what a host that passed the request on needs to know to the head of an answer.
+    fn add_own_fields(&self, fields: &mut HeaderMap) {
+        if self.is_relayed {
+            relay::write_tried(fields, &self.tried);
+        }
+    }
+
     /// Sends a server's complete answer to the caller as the final one.
     fn send_whole_answer(&mut self, response: Response<Bytes>) {
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
+        self.add_own_fields(&mut head.headers);
         self.log_done(head.status);
         if let Some(head_tx) = self.head_tx.take() {
             let body = AnswerBody::whole(body);
@@ -379,6 +429,7 @@
             };
             fields.insert(header::RETRY_AFTER, value);
         }
+        self.add_own_fields(&mut fields);
         self.log_done(status);
         if let Some(head_tx) = self.head_tx.take() {
             let body = AnswerBody::whole(Bytes::new());
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -11,6 +11,7 @@
 use yuccanotch_core::forward::waiting::QueuePosition;
 use yuccanotch_core::name::ServiceName;
 
+use crate::exchange::Destination;
 use crate::exchange::Exchange;
 use crate::exchange::MIN_TIME_FOR_RETRY;
 use crate::routing::Candidates;
@@ -23,23 +24,29 @@
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Exchange {
-    /// Returns the target of the request as soon as one has room and no request with precedence
-    /// waits; `None` if the wait takes too long or no allowed server is listed.
-    pub(super) async fn wait_for_target(&self) -> Option<Target> {
+    /// Returns where the request goes as soon as a target has room and no request with precedence
+    /// waits, or another host takes it because this one reaches no server; `None` if the wait takes
+    /// too long or no allowed server is listed.
+    pub(super) async fn wait_for_destination(&self) -> Option<Destination> {
         let routing = &self.gateway.routing;
         let until = self.wait_deadline();
         let waiter = self.enter_queue();
         let candidates = self.candidates();
         loop {
+            if let Some(host) = self.choose_host() {
+                return Some(Destination::Host(host));
+            }
             let found = waiter
                 .may_try()
                 .then(|| routing.choose_target(&self.service, self.expected_load(), candidates))
                 .flatten();
             let unavailable =
                 matches!(candidates, Candidates::Tried(tried) if !routing.is_listed(tried));
-            let is_over = unavailable || self.gateway.clock.now() >= until;
+            // The host that passed the request on has other hosts to choose from.
+            let is_in_vain = self.is_relayed && routing.reaches_none(&self.service);
+            let is_over = unavailable || is_in_vain || self.gateway.clock.now() >= until;
             if found.is_some() || is_over || self.must_not_wait() {
-                return found;
+                return found.map(Destination::Servers);
             }
             let _ = time::timeout(ROOM_CHECK_INTERVAL, routing.capacity_freed.notified()).await;
         }
@@ -86,11 +93,13 @@
         let hosts = gateway.hosts_sharing_retries();
         let within_budget = gateway.routing.has_retry(&self.service.name, hosts);
         let conditions = RetryConditions { within_budget, within_deadline };
+        let has_other_target = || {
+            let load = self.expected_load();
+            let target = gateway.routing.choose_target(&self.service, load, self.candidates());
+            target.is_some_and(|target| self.may_replace_current(&target))
+        };
         self.outcome.would_retry(AttemptEnd::Silent, conditions)
-            && gateway
-                .routing
-                .choose_target(&self.service, self.expected_load(), self.candidates())
-                .is_some_and(|target| self.may_replace_current(&target))
+            && (has_other_target() || self.choose_host().is_some())
     }
 
     /// Returns whether `target` can replace a silent one. A plain server that is suspected or has had
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -56,7 +56,7 @@
                 self.gateway.routing.suspect(&server, "silent");
                 return self.lost_unless_alone();
             }
-            None => return ServerProgress::Lost,
+            None => return self.check_silent_host(),
         };
         let gateway = self.gateway.clone();
         let first = chain.first();
@@ -121,7 +121,7 @@
     /// Returns the state of a silent target: lost if the request can be sent elsewhere at once. If
     /// not, the request stays, since the target may go on and ending the attempt would end the
     /// answer.
-    fn lost_unless_alone(&self) -> ServerProgress {
+    pub(super) fn lost_unless_alone(&self) -> ServerProgress {
         if self.may_go_elsewhere() {
             ServerProgress::Lost
         } else {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -33,6 +33,7 @@
 use crate::adapter::WholeRequest;
 use crate::answer::AnswerBody;
 use crate::callers;
+use crate::callers::Sender;
 use crate::counters::Counters;
 use crate::event_log::EventLog;
 use crate::gossip;
@@ -150,6 +151,8 @@
     pub is_issuer: Cell<bool>,
     /// The number of open connections of callers.
     pub caller_connections: Cell<usize>,
+    /// The number of requests of other hosts in progress.
+    pub taken_requests: Cell<usize>,
     active_requests: Rc<Cell<usize>>,
     changeable: RefCell<Rc<Changeable>>,
 }
@@ -216,6 +219,7 @@
             shutdown: Shutdown::new(),
             is_issuer: Cell::new(false),
             caller_connections: Cell::new(0),
+            taken_requests: Cell::new(0),
             active_requests: Rc::default(),
             changeable,
         }))
@@ -359,6 +363,7 @@
 pub async fn run(gateway: Rc<Gateway>, read_settings: Option<ReadSettings>) -> io::Result<()> {
     let settings = &gateway.settings;
     let callers = net::listen(settings.callers)?;
+    let relay = net::listen(settings.relay)?;
     let ready = net::listen(settings.ready)?;
     let control = net::listen(settings.control)?;
     let metrics = net::listen(settings.metrics)?;
@@ -383,7 +388,8 @@
     tokio::task::spawn_local(probe_server::serve(ready, move || {
         ready_gateway.readiness_response()
     }));
-    tokio::task::spawn_local(callers::accept(gateway.clone(), callers));
+    tokio::task::spawn_local(callers::accept(gateway.clone(), callers, Sender::Caller));
+    tokio::task::spawn_local(callers::accept(gateway.clone(), relay, Sender::Host));
     tokio::task::spawn_local(links::run(gateway.clone()));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
     tokio::task::spawn_local(sync::run(gateway.clone()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod probe_server;
 pub mod quarantine;
+pub mod relay;
 pub mod reload;
 pub mod reports;
 pub mod routing;
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -206,6 +206,35 @@
         !links.is_cut(server) || links.may_begin(server, self.pool.has_idle(address))
     }
 
+    /// Returns whether this host reaches no server at which a request of `service` could begin: all
+    /// links to them fail, or all links of the host do.
+    pub fn reaches_none(&self, service: &Service) -> bool {
+        let now = self.clock.now();
+        let links = self.links.state();
+        if links.is_cut_off(now) {
+            return true;
+        }
+        let health = self.health.borrow();
+        let servers = self.views.servers();
+        let begins = |e: &&ServerEntry| match &service.engine {
+            Some(_) => {
+                e.engine.as_ref().and_then(|engine| engine.layers).is_some_and(|l| l.from == 0)
+            }
+            None => true,
+        };
+        let is_reached = |e: &ServerEntry| {
+            let has_idle = self.pool.has_idle(e.address);
+            let fails = links.is_failing(&e.id) && !health.is_usable(now, &e.id) && !has_idle;
+            links.may_begin(&e.id, has_idle) && !fails
+        };
+        let mut ready = servers
+            .iter()
+            .filter(|e| e.service == service.name && e.state == ServerState::Ready)
+            .filter(begins)
+            .peekable();
+        ready.peek().is_some() && !ready.any(is_reached)
+    }
+
     /// Describes which resource is missing for a request of `service`: the layer without a holder,
     /// the free slot or the matching layer ranges.
     pub fn describe_shortage(&self, service: &Service, tokens: f64) -> String {
