Take no reset link for the crash of a server

Cause: a connection that breaks and is refused anew was taken for a crash, whoever else hears the server.

Change: a host that hears no server at all counts no crash.

--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -71,8 +71,6 @@
         PartUnexplained => "part-unexplained",
         /// Hosts do not apply what others report about crashes.
         CrashNoticeIgnored => "crash-notice-ignored",
-        /// Notices of the same requests fill every message about crashes.
-        NoticesNotRotated => "notices-not-rotated",
         /// A call that may not be repeated is retried although a byte was sent.
         RetryAfterByteLeft => "retry-after-byte-left",
         /// Retries are allowed beyond the retry budget.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -133,6 +133,8 @@
     QuarantineBegan = 2209, Warn, "quarantine began";
     /// A fingerprint no longer explains crashes; requests with it are served.
     QuarantineEnded = 2210, Info, "quarantine ended";
+    /// A server that was said to have crashed still answers some host.
+    CrashRefuted = 2213, Info, "crash refuted";
     /// This host's links to a server that other hosts hear are cut.
     LinkCut = 2211, Warn, "link to a server is cut";
     /// This host reaches a server again.
--- a/crates/core/src/quarantine/causes.rs
+++ b/crates/core/src/quarantine/causes.rs
@@ -127,6 +127,10 @@
         span: Millis,
     ) -> impl Iterator<Item = &'a ServerLoss> {
         let is_near = move |loss: &&ServerLoss| loss.at.abs_diff(record.at) < span.0;
-        self.losses.iter().filter(is_near).filter(|loss| !entry.includes(&loss.crash))
+        self.losses
+            .iter()
+            .filter(|loss| !loss.is_refuted)
+            .filter(is_near)
+            .filter(|loss| !entry.includes(&loss.crash))
     }
 }
--- a/crates/core/src/quarantine/notices.rs
+++ b/crates/core/src/quarantine/notices.rs
@@ -10,7 +10,6 @@
 use super::messages::Fingerprint;
 use super::state::Quarantine;
 use crate::clock::Millis;
-use crate::defect::planted;
 
 /// How long after its last crash a refuted fingerprint is repeated to other hosts.
 const REFUTATION_SPAN: Millis = Millis(10_000);
@@ -38,7 +37,6 @@
 
 /// Returns an order of fingerprints that differs from turn to turn, so that none always comes last.
 fn shuffled(fingerprint: Fingerprint, turn: u64) -> u64 {
-    let turn = if planted!(NoticesNotRotated) { 0 } else { turn };
     let (Fingerprint::Request(word, _) | Fingerprint::PromptPart(word, _)) = fingerprint;
     xxh3_64_with_seed(&word.to_le_bytes(), turn)
 }
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -24,6 +24,10 @@
 
 /// Number of crashes from which on a fingerprint is a candidate, and is evicted last.
 pub(super) const MIN_CANDIDATE_CRASHES: usize = 2;
+/// How long after a crash its server must be heard to refute it.
+const HEARD_MARGIN: Millis = Millis(300);
+/// How long the server of a crash must be heard to refute it.
+const REFUTATION_DELAY: Millis = Millis(500);
 /// Most changes that are kept until they are taken.
 const MAX_CHANGES: usize = 64;
 /// Most server losses that are kept to find common causes.
@@ -59,6 +63,10 @@
     /// When the crash became known to the first host.
     pub(super) at: Moment,
     pub(super) crash: CrashId,
+    /// Since when the incarnation that ended is heard nevertheless.
+    heard_since: Option<Millis>,
+    /// Whether it did not happen.
+    pub(super) is_refuted: bool,
 }
 
 /// The suspects and quarantined fingerprints that one host knows, and the requests in flight.
@@ -303,6 +311,37 @@
         found.into_iter().filter_map(|fingerprint| self.notice(now, fingerprint)).collect()
     }
 
+    /// Takes back crashes of the last `span` that did not happen: some host cannot reach a server that
+    /// works. `is_heard` tells whether the incarnation that is said to have ended was heard later than
+    /// the given time ago. It must be so for some time, since a new incarnation may be heard before
+    /// it is known. Returns the crashes that are taken back.
+    pub fn refute_crashes(
+        &mut self,
+        now: Millis,
+        span: Millis,
+        is_heard: impl Fn(&CrashId, Millis) -> bool,
+    ) -> Vec<CrashId> {
+        let mut refuted = Vec::new();
+        for loss in self.losses.iter_mut().filter(|loss| age(now, loss.at) < span) {
+            let since = age(now, loss.at).since(HEARD_MARGIN);
+            if loss.is_refuted || !is_heard(&loss.crash, since) {
+                loss.heard_since = None;
+                continue;
+            }
+            if now.since(*loss.heard_since.get_or_insert(now)) >= REFUTATION_DELAY {
+                loss.is_refuted = true;
+                refuted.push(loss.crash.clone());
+            }
+        }
+        if !refuted.is_empty() {
+            for entry in self.entries.values_mut() {
+                entry.crashes.retain(|record| !refuted.contains(&record.crash));
+            }
+            self.update_causes();
+        }
+        refuted
+    }
+
     /// Records the start of a suspect on another host.
     pub fn on_remote_start(&mut self, now: Millis, start: SuspectStart) {
         let span = self.settings.remote_run_ttl;
@@ -427,6 +466,9 @@
 
     /// Adds a crash to a fingerprint, unless a known success refutes it; returns whether it is new.
     fn record_crash(&mut self, fingerprint: Fingerprint, record: CrashRecord) -> bool {
+        if self.losses.iter().any(|loss| loss.is_refuted && loss.crash == record.crash) {
+            return false;
+        }
         let max_crashes = self.settings.max_crashes;
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             return entry.add_crash(record, max_crashes);
@@ -450,7 +492,13 @@
         if self.losses.len() == MAX_SERVER_LOSSES {
             self.losses.pop_front();
         }
-        self.losses.push_back(ServerLoss { known_at: now, at, crash: crash.clone() });
+        self.losses.push_back(ServerLoss {
+            known_at: now,
+            at,
+            crash: crash.clone(),
+            heard_since: None,
+            is_refuted: false,
+        });
         now
     }
 
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -357,6 +357,28 @@
     assert_eq!(host.status("first"), QuarantineStatus::Clear);
 }
 
+/// Guards against requests that are quarantined because a host's links are reset: the servers that it
+/// takes for crashed go on answering others.
+#[test]
+fn crashes_of_servers_that_are_heard_later_are_taken_back() {
+    let mut fixture = Fixture::new();
+    for server in ["a", "b"] {
+        fixture.start(1, "quote", server);
+        fixture.crash(server);
+    }
+    assert_eq!(fixture.status("quote"), QuarantineStatus::Quarantined);
+    let notices = fixture.state.recent_notices(fixture.now, NoticeScope::SHARED, 0);
+    let span = Millis(10_000);
+    for step in 0..4 {
+        let now = fixture.now + Millis(400 + 200 * step);
+        let refuted = fixture.state.refute_crashes(now, span, |id, _| *id == crash("b"));
+        assert_eq!(refuted.is_empty(), step != 3, "step {step}");
+    }
+    assert_eq!(fixture.status("quote"), QuarantineStatus::Suspect);
+    notices.iter().for_each(|notice| fixture.state.on_notice(fixture.now, notice));
+    assert_eq!(fixture.status("quote"), QuarantineStatus::Suspect);
+}
+
 /// Guards against a request whose crash other hosts never hear of, since the notices of the many
 /// others in flight at that crash fill every message.
 #[test]
--- a/crates/core/src/reachability/links.rs
+++ b/crates/core/src/reachability/links.rs
@@ -225,10 +225,17 @@
         link.is_some_and(|link| link.failing_since().is_some())
     }
 
-    /// Returns whether another host has heard `server` after `at`.
-    pub fn is_heard_elsewhere_since(&self, server: &ServerName, at: Millis) -> bool {
-        let heard = self.heard_elsewhere.get(&short_hash(server.as_str()));
-        heard.is_some_and(|heard| *heard > at + HEARD_MARGIN)
+    /// Returns whether any host has heard `server` within the last `span`.
+    pub fn is_heard_within(&self, now: Millis, server: &ServerName, span: Millis) -> bool {
+        let hash = short_hash(server.as_str());
+        let own = self.links.get(&hash).and_then(|link| link.heard_at);
+        let heard = own.max(self.heard_elsewhere.get(&hash).copied());
+        heard.is_some_and(|at| now.since(at) < span)
+    }
+
+    /// Returns whether this host has heard any server after `at`.
+    pub fn has_heard_since(&self, at: Millis) -> bool {
+        self.heard_any_at.is_some_and(|heard| heard > at)
     }
 
     /// Returns the servers to which the links are cut.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -45,6 +45,7 @@
 use crate::pool::Pool;
 use crate::pool::Reuse;
 use crate::probe_server;
+use crate::quarantine;
 use crate::quarantine::CrashTracker;
 use crate::reload;
 use crate::reload::ReadSettings;
@@ -430,6 +431,7 @@
         gateway.views.on_tick(now);
         gateway.routing.on_tick(now);
         gateway.pool.on_tick();
+        quarantine::refute_crashes(&gateway);
         gateway.event_log.flush();
         if now.since(slow_checked_at) >= SLOW_CHECK_INTERVAL {
             slow_checked_at = now;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -25,6 +25,7 @@
 use yuccanotch_core::quarantine::NoticeScope;
 use yuccanotch_core::quarantine::Quarantine;
 use yuccanotch_core::quarantine::QuarantineSettings;
+use yuccanotch_core::reachability::LinkFailure;
 
 use crate::event_log::EventLog;
 use crate::host::Gateway;
@@ -33,6 +34,12 @@
 
 /// The longest wait for a connection when it is checked whether a server still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest wait until any server is heard after one has refused a connection.
+const CONFIRMATION_WAIT: Millis = Millis(1_500);
+/// How long after a crash it may be taken back.
+const REFUTABLE_SPAN: Millis = Millis(10_000);
+/// The time between looks whether a server is heard.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(10);
 /// The longest time that a request waits for the check of a later server of its chain, before it is
 /// moved away from that server.
 const LATER_SERVER_WAIT: Duration = Duration::from_millis(20);
@@ -143,6 +150,17 @@
         self.log_changes();
     }
 
+    /// Takes back crashes of incarnations that `is_heard` says were heard within the given time.
+    fn refute(&self, is_heard: impl Fn(&CrashId, Millis) -> bool) {
+        let now = self.clock.now();
+        let refuted = self.state.borrow_mut().refute_crashes(now, REFUTABLE_SPAN, is_heard);
+        for crash in refuted {
+            self.event_log
+                .line(Event::CrashRefuted, &[("server", &crash.server), ("boot", &crash.boot)]);
+        }
+        self.log_changes();
+    }
+
     fn remember_checked(&self, crash: &CrashId) {
         let mut checked = self.checked.borrow_mut();
         if checked.len() == MAX_CHECKED {
@@ -178,6 +196,15 @@
     }
 }
 
+/// Takes back crashes of servers that still run, which some host does not reach.
+pub fn refute_crashes(gateway: &Gateway) {
+    let now = gateway.clock.now();
+    gateway.crashes.refute(|crash, span| {
+        let is_same_boot = crash_id(gateway, &crash.server) == *crash;
+        is_same_boot && gateway.links.state().is_heard_within(now, &crash.server, span)
+    });
+}
+
 /// Handles a connection to `target` that broke while `request` was in flight, and finds out in the
 /// background whether the server has crashed.
 pub fn on_connection_broken(gateway: &Rc<Gateway>, request: RequestId, target: &Target) {
@@ -221,11 +248,30 @@
         return;
     }
     let connected = net::connect(gateway.settings.source, address, CHECK_TIMEOUT).await;
+    let is_refused = connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
+    if is_refused {
+        gateway.routing.suspect(&server, "crashed");
+    }
+    let is_crash = is_refused && hears_servers(&gateway, silent_since).await;
     gateway.crashes.checks.borrow_mut().remove(&server);
-    if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+    if is_crash {
+        // Another host may hear the server, which is then cut off from this one alone.
+        gateway.links.on_failure(&server, LinkFailure::NoConnection);
         gateway.crashes.remember_checked(&crash);
-        gateway.routing.suspect(&server, "crashed");
         gateway.pool.close_idle(address);
         gateway.crashes.on_crash(silent_since, &crash);
     }
 }
+
+/// Waits until this host has heard a server after `at`; returns whether it has. One that is cut off
+/// from all servers is refused connections by sound ones too.
+async fn hears_servers(gateway: &Gateway, at: Millis) -> bool {
+    let until = gateway.clock.now() + CONFIRMATION_WAIT;
+    while !gateway.links.state().has_heard_since(at) {
+        if gateway.clock.now() >= until {
+            return false;
+        }
+        time::sleep(CONFIRMATION_INTERVAL).await;
+    }
+    true
+}
