--- a/crates/core/src/reachability/links.rs
+++ b/crates/core/src/reachability/links.rs
@@ -233,11 +233,6 @@
         heard.is_some_and(|at| now.since(at) < span)
     }
 
-    /// Returns whether this host has heard any server after `at`.
-    pub fn has_heard_since(&self, at: Millis) -> bool {
-        self.heard_any_at.is_some_and(|heard| heard > at)
-    }
-
     /// Returns the servers to which the links are cut.
     pub fn cut_servers(&self) -> Vec<ServerName> {
         let cut = self.links.values().filter(|link| link.is_cut);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -34,12 +34,8 @@
 
 /// The longest wait for a connection when it is checked whether a server still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
-/// The longest wait until any server is heard after one has refused a connection.
-const CONFIRMATION_WAIT: Millis = Millis(1_500);
 /// How long after a crash it may be taken back.
 const REFUTABLE_SPAN: Millis = Millis(10_000);
-/// The time between looks whether a server is heard.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(10);
 /// The longest time that a request waits for the check of a later server of its chain, before it is
 /// moved away from that server.
 const LATER_SERVER_WAIT: Duration = Duration::from_millis(20);
@@ -248,13 +244,9 @@
         return;
     }
     let connected = net::connect(gateway.settings.source, address, CHECK_TIMEOUT).await;
-    let is_refused = connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused);
-    if is_refused {
-        gateway.routing.suspect(&server, "crashed");
-    }
-    let is_crash = is_refused && hears_servers(&gateway, silent_since).await;
     gateway.crashes.checks.borrow_mut().remove(&server);
-    if is_crash {
+    if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
+        gateway.routing.suspect(&server, "crashed");
         // Another host may hear the server, which is then cut off from this one alone.
         gateway.links.on_failure(&server, LinkFailure::NoConnection);
         gateway.crashes.remember_checked(&crash);
@@ -262,16 +254,3 @@
         gateway.crashes.on_crash(silent_since, &crash);
     }
 }
-
-/// Waits until this host has heard a server after `at`; returns whether it has. One that is cut off
-/// from all servers is refused connections by sound ones too.
-async fn hears_servers(gateway: &Gateway, at: Millis) -> bool {
-    let until = gateway.clock.now() + CONFIRMATION_WAIT;
-    while !gateway.links.state().has_heard_since(at) {
-        if gateway.clock.now() >= until {
-            return false;
-        }
-        time::sleep(CONFIRMATION_INTERVAL).await;
-    }
-    true
-}
