Send a safe request elsewhere when an answer that has begun does not end

Seen by callers: a safe request whose server sends a body slowly and without end ends with 504 at its deadline, though another server could answer it (504 where 200 was due, test a_safe_request_is_answered_by_another_server_than_one_that_answers_without_end).

Cause: the time that a plain server has was limited up to the head of its answer only. Change: it holds for the body too.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -212,14 +212,15 @@
         conn: PooledConnection,
         target: &Target,
     ) -> AttemptResult {
-        let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
-            return unanswered(AttemptEnd::Broken, EndReason::BodyBroken);
+        let body = match self.receive_body(body).await {
+            Ok(body) => body,
+            Err(ended) => return ended,
         };
         if !reply.closes {
             self.gateway.pool.release(conn, reply.keep_alive);
         }
         let fields = self.gateway.adapter.returned_headers(&head.headers);
-        let mut response = Response::new(body.to_bytes());
+        let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = fields;
         if head.status.is_server_error() {
@@ -235,6 +236,26 @@
         AttemptResult::Done
     }
 
+    /// Receives a body. A safe request goes elsewhere, if it can, when a body that has begun does not
+    /// end.
+    async fn receive_body(&self, body: Incoming) -> Result<Bytes, AttemptResult> {
+        let is_safe = self.route.repeat == RepeatPolicy::Safe;
+        let limit = if is_safe { self.plain_server_timeout() } else { Duration::MAX };
+        let receiving = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        tokio::pin!(receiving);
+        loop {
+            match time::timeout(limit, &mut receiving).await {
+                Ok(Ok(body)) => return Ok(body.to_bytes()),
+                Ok(Err(_)) => return Err(unanswered(AttemptEnd::Broken, EndReason::BodyBroken)),
+                Err(_) => {
+                    if let ServerProgress::Lost = self.lost_unless_alone() {
+                        return Err(unanswered(AttemptEnd::Silent, EndReason::BodyBroken));
+                    }
+                }
+            }
+        }
+    }
+
     /// Passes the events of a stream to the caller, each as soon as it is complete.
     pub(super) async fn relay_stream(
         &mut self,
