Limit what a server may send before the head of its answer is whole

Seen by callers: nothing; a host read interim answers without end until the deadline of the request, 292 MB in 3 s, with the processor that takes.

Cause: the HTTP library limits one head, not the number of interim ones.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event_log;
 pub mod exchange;
 pub mod gossip;
+mod head_limit;
 pub mod host;
 pub mod issuer;
 pub mod links;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -21,6 +21,8 @@
 use yuccanotch_core::clock::Millis;
 
 use crate::adapter::WholeRequest;
+use crate::head_limit::HeadLimit;
+use crate::head_limit::LimitedStream;
 use crate::net;
 
 /// The longest wait for a connection to be established within the region.
@@ -56,6 +58,7 @@
     address: SocketAddrV4,
     idle_until: Millis,
     is_new: bool,
+    head_limit: HeadLimit,
 }
 
 impl Drop for PooledConnection {
@@ -76,7 +79,10 @@
     ///
     /// Returns an error that tells whether the request may have arrived.
     pub async fn send(&mut self, req: WholeRequest) -> Result<Response<Incoming>, SendError> {
-        match self.sender.try_send_request(req).await {
+        self.head_limit.set();
+        let sent = self.sender.try_send_request(req).await;
+        self.head_limit.lift();
+        match sent {
             Ok(response) => Ok(response),
             Err(mut e) => {
                 let why = e.error().to_string();
@@ -129,13 +135,22 @@
             }
         }
         let stream = net::connect(self.source, address, CONNECT_TIMEOUT).await?;
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, head_limit.clone());
         let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             // The request in progress, if any, gets the error as the result of its send.
             let _ = connection.await;
         });
-        Ok(PooledConnection { sender, task, address, idle_until: Millis::ZERO, is_new: true })
+        Ok(PooledConnection {
+            sender,
+            task,
+            address,
+            idle_until: Millis::ZERO,
+            is_new: true,
+            head_limit,
+        })
     }
 
     fn take_idle(&self, address: SocketAddrV4) -> Option<PooledConnection> {
