Give up the issuer's lease while cut off from servers that others reach

Seen by operators: an issuer that has lost its links to the servers kept its lease and gave no order that arrives until the cut ended.

Cause: only the store and fencing ended a term. Change: a host whose links to several servers are proven cut, since others hear these, and that hears none releases the lease and takes none. An outage of all servers is no such case.

--- a/crates/core/src/reachability/links.rs
+++ b/crates/core/src/reachability/links.rs
@@ -249,6 +249,13 @@
         failing.len() >= MIN_FAILING_LINKS && !is_heard
     }
 
+    /// Returns whether this host reaches no server while others do, so that another host should give
+    /// the orders. An outage of all servers is no such case.
+    pub fn must_yield(&self, now: Millis) -> bool {
+        let cut = self.links.values().filter(|link| link.is_cut).count();
+        cut >= MIN_FAILING_LINKS && self.is_cut_off(now)
+    }
+
     /// Returns whether this host reaches servers, as it tells others.
     pub fn reaches_servers(&self, now: Millis) -> bool {
         let is_heard = self.heard_any_at.is_some_and(|at| now.since(at) < HEARD_TTL);
--- a/crates/core/src/reachability/tests.rs
+++ b/crates/core/src/reachability/tests.rs
@@ -102,6 +102,23 @@
     assert!(!host.is_cut_off(START + Millis(1_300)));
 }
 
+/// Guards against an issuer that keeps its lease while it reaches no server, and against a deployment
+/// without an issuer in an outage of all servers.
+#[test]
+fn a_host_yields_the_orders_only_if_others_hear_the_servers_that_it_does_not_reach() {
+    let (mut host, mut other) = (Reachability::default(), Reachability::default());
+    for i in 0..3 {
+        host.on_failure(START, &server(i), LinkFailure::NoConnection);
+    }
+    let now = START + Millis(500);
+    assert!(host.is_cut_off(now) && !host.must_yield(now));
+    (0..3).for_each(|i| other.on_heard(START + Millis(400), &server(i)));
+    tell(now, &other, &mut host);
+    assert!(host.must_yield(now));
+    host.on_reached(now, &server(2));
+    assert!(!host.must_yield(now));
+}
+
 #[test]
 fn requests_go_to_hosts_that_reach_servers_those_of_the_own_domain_first() {
     let mut host = Reachability::default();
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -72,6 +72,9 @@
         if gateway.shutdown.is_stopping() || !gateway.views.servers_read() {
             continue;
         }
+        if gateway.links.state().must_yield(gateway.clock.now()) {
+            continue;
+        }
         if !gateway.peers.node().may_become_issuer(gateway.clock.now()) {
             continue;
         }
@@ -130,7 +133,8 @@
         if gateway.store.era() != era_of(term.fence) {
             return;
         }
-        if gateway.shutdown.is_stopping() {
+        let must_yield = gateway.links.state().must_yield(gateway.clock.now());
+        if must_yield || gateway.shutdown.is_stopping() {
             let _ = gateway.store.call(&StoreCall::Release { lease: term.lease }).await;
             return;
         }
