Count a new connection that is reset before an answer as none

Cause: a break was no failure of the link if the server had been heard within half a second, on whatever connection.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -136,6 +136,7 @@
         req: Request<Full<Bytes>>,
         target: &Target,
     ) -> Result<Response<Incoming>, AttemptResult> {
+        let is_new = conn.is_new();
         let sending = conn.send(req);
         tokio::pin!(sending);
         let mut timeout = FIRST_EVENT_TIMEOUT;
@@ -151,7 +152,10 @@
                     return Err(unanswered(AttemptEnd::NotSent, EndReason::Closed));
                 }
                 Ok(Err(SendError::Broken(_))) => {
-                    self.gateway.links.on_failure(target.server(), LinkFailure::Break);
+                    // A new connection that breaks before an answer was none.
+                    let failure =
+                        if is_new { LinkFailure::NoConnection } else { LinkFailure::Break };
+                    self.gateway.links.on_failure(target.server(), failure);
                     return Err(unanswered(AttemptEnd::Broken, EndReason::Broken));
                 }
                 Err(_) => {
