Try a server that was cut off with a request, not with a connection alone

Seen by callers: on links that take connections and carry nothing, hosts took plain servers for reached every 250 ms; requests waited there, so that callers of cut-off hosts sent 65 to 435 requests where those of others sent 320 a host.

Cause: the background attempt at a plain server only opened a connection. Change: it asks for the health check of the service.

--- a/crates/core/src/forward/routes.rs
+++ b/crates/core/src/forward/routes.rs
@@ -97,6 +97,8 @@
     pub name: ServiceName,
     /// The performance figures of the engines, for a service of model engines.
     pub engine: Option<EngineProfile>,
+    /// The path at which its servers answer health checks.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits on the size and duration of what callers send.
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -430,6 +430,9 @@
     /// Encodes a request for a model server's report.
     fn encode_report_request(&self) -> WholeRequest;
 
+    /// Encodes a health check of a server at `path`; `None` if the path is not valid.
+    fn encode_health_check(&self, path: &str) -> Option<WholeRequest>;
+
     /// Decodes a model server's report.
     ///
     /// # Errors
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -284,6 +284,16 @@
         self.adapter.decode_report(&body).ok()
     }
 
+    /// Checks the health of a server at `path` over a new connection; returns whether it answers, with
+    /// whatever status.
+    pub async fn answers_health_check(&self, address: SocketAddrV4, path: &str) -> bool {
+        let Some(req) = self.adapter.encode_health_check(path) else {
+            return false;
+        };
+        let sending = self.send_request(address, req, Reuse::Fresh);
+        time::timeout(REPORT_TIMEOUT, sending).await.is_ok_and(|answer| answer.is_some())
+    }
+
     /// Returns a model server's report that is at most `max_age` old, and requests one if none is
     /// cached.
     pub async fn recent_report(
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -5,7 +5,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,8 +31,6 @@
 const MAX_PROBES: usize = 4;
 /// The longest wait for a connection to a server that is tried.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long a new connection must last to show that the link works.
-const PROBE_HOLD: Duration = Duration::from_millis(50);
 
 /// What this host knows of its links.
 pub struct Links {
@@ -144,22 +141,20 @@
     }
 }
 
-/// Finds out whether a new connection to `server` works: one that is reset at once does not.
+/// Finds out whether `server` answers on a new connection.
 async fn probe(gateway: Rc<Gateway>, server: ServerName, address: SocketAddrV4) {
-    let source = gateway.settings.source;
-    let Ok(stream) = net::connect(source, address, PROBE_TIMEOUT).await else {
+    let service = gateway.views.servers().get(&server).map(|entry| entry.service.clone());
+    let configuration = gateway.views.configuration();
+    let service = service.and_then(|name| configuration?.service(&name).cloned());
+    let Some(service) = service else {
         return;
     };
-    let is_model = gateway.views.servers().get(&server).is_some_and(|entry| entry.engine.is_some());
-    let works = if is_model {
-        drop(stream);
-        gateway.fetch_fresh_report(address).await.is_some()
-    } else {
-        time::sleep(PROBE_HOLD).await;
-        let pending = stream.try_read(&mut [0]);
-        pending.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    let answers = match (&service.engine, &service.health_path) {
+        (Some(_), _) => gateway.fetch_fresh_report(address).await.is_some(),
+        (None, Some(path)) => gateway.answers_health_check(address, path).await,
+        (None, None) => net::connect(gateway.settings.source, address, PROBE_TIMEOUT).await.is_ok(),
     };
-    if works {
+    if answers {
         gateway.links.on_heard(&server, true);
         apply_changes(&gateway);
     }
