Split the host, its routing, the losses of servers and the stand-in's server by duty

No behaviour changes: functions move to listing.rs, shutdown.rs, routing/target.rs, routing/records.rs, quarantine/losses.rs and the stand-in's behavior.rs.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -23,6 +23,7 @@
 
 mod causes;
 mod evidence;
+mod losses;
 mod messages;
 mod notices;
 mod runs;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,7 +16,6 @@
 use tokio::net::UdpSocket;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
-use tokio::sync::watch as watch_channel;
 use tokio::time;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
@@ -27,9 +26,6 @@
 use crate::adapter::Order;
 use crate::adapter::OrderReply;
 use crate::adapter::ProtocolAdapter;
-use crate::adapter::StoreCall;
-use crate::adapter::StoreError;
-use crate::adapter::StoreReply;
 use crate::adapter::WholeRequest;
 use crate::answer::AnswerBody;
 use crate::callers;
@@ -41,6 +37,7 @@
 use crate::issuer;
 use crate::links;
 use crate::links::Links;
+use crate::listing;
 use crate::net;
 use crate::pool::Pool;
 use crate::pool::Reuse;
@@ -53,11 +50,12 @@
 use crate::routing::RoutingState;
 use crate::settings::Changeable;
 use crate::settings::Settings;
+use crate::shutdown;
+use crate::shutdown::Shutdown;
 use crate::store::StoreClient;
 use crate::sync;
 use crate::views::Views;
 use crate::watch;
-use crate::watch::Backoff;
 
 /// The longest wait for the report of a model server.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -70,51 +68,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// The time between report requests to a server that was found slow.
 const SLOW_CHECK_INTERVAL: Millis = Millis(1_000);
-/// How long a stopping host still accepts connections: the load balancer needs two readiness checks
-/// to stop sending new ones.
-const DRAIN_NOTICE: Millis = Millis(2_600);
-/// How long before the end of the grace period the process exits.
-const EXIT_MARGIN: Millis = Millis(150);
-/// The lease duration of the host's entry in the store.
-const LISTING_TTL: Millis = Millis(120_000);
-/// The time between checks of the host's entry in the store.
-const LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// The pause after a read of the listed hosts.
-const LISTING_READ_PAUSE: Duration = Duration::from_millis(2_000);
-
-/// The state of the shutdown.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
-enum ShutdownPhase {
-    /// The host serves callers.
-    Running,
-    /// The host reports that it is not ready but still accepts connections.
-    Stopping,
-    /// The host accepts no connections and closes each after its current request.
-    Closing,
-}
-
-/// Tells the tasks of the process how far its shutdown has come.
-pub struct Shutdown {
-    tx: watch_channel::Sender<ShutdownPhase>,
-}
-
-impl Shutdown {
-    fn new() -> Self {
-        Self { tx: watch_channel::Sender::new(ShutdownPhase::Running) }
-    }
-
-    /// Returns whether the process was told to stop.
-    pub fn is_stopping(&self) -> bool {
-        *self.tx.borrow() >= ShutdownPhase::Stopping
-    }
-
-    /// Resolves when callers' connections must close once their current request has ended.
-    pub async fn closing(&self) {
-        let mut rx = self.tx.subscribe();
-        // The sender lives as long as the process.
-        let _ = rx.wait_for(|&p| p >= ShutdownPhase::Closing).await;
-    }
-}
 
 /// The state that the tasks of a host share.
 pub struct Gateway {
@@ -404,34 +357,16 @@
     tokio::task::spawn_local(links::run(gateway.clone()));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
     tokio::task::spawn_local(sync::run(gateway.clone()));
-    tokio::task::spawn_local(maintain_listing(gateway.clone()));
+    tokio::task::spawn_local(listing::run(gateway.clone()));
     tokio::task::spawn_local(run_upkeep(gateway.clone()));
     if let Some(read_settings) = read_settings {
         tokio::task::spawn_local(reload::run(gateway.clone(), hangup, read_settings));
     }
     term.recv().await;
-    shutdown(&gateway).await;
+    shutdown::run(&gateway).await;
     Ok(())
 }
 
-async fn shutdown(gateway: &Gateway) {
-    let began = gateway.clock.now();
-    gateway.shutdown.tx.send_replace(ShutdownPhase::Stopping);
-    gateway.event_log.line(Event::GatewayStopping, &[("active", &gateway.active_requests.get())]);
-    time::sleep(DRAIN_NOTICE.to_duration()).await;
-    gateway.shutdown.tx.send_replace(ShutdownPhase::Closing);
-    let end = began + gateway.changeable().grace.since(EXIT_MARGIN);
-    while gateway.clock.now() < end {
-        let idle = gateway.active_requests.get() == 0 && gateway.caller_connections.get() == 0;
-        if idle {
-            break;
-        }
-        time::sleep(Duration::from_millis(20)).await;
-    }
-    gateway.event_log.line(Event::GatewayStopped, &[("active", &gateway.active_requests.get())]);
-    gateway.event_log.flush();
-}
-
 /// Does the periodic work for the life of the process.
 async fn run_upkeep(gateway: Rc<Gateway>) {
     let mut slow_checked_at = Millis::ZERO;
@@ -466,82 +401,3 @@
         });
     }
 }
-
-/// Lists this host in the store while it is an aggregator, so that hosts that start find it, and
-/// reads which hosts are listed when this host hears too few others.
-async fn maintain_listing(gateway: Rc<Gateway>) {
-    let mut backoff = Backoff::default();
-    let mut lease: Option<Lease> = None;
-    loop {
-        time::sleep(LISTING_CHECK_INTERVAL).await;
-        let now = gateway.clock.now();
-        let is_aggregator = gateway.peers.node().is_aggregator();
-        let result = match &mut lease {
-            Some(held) if now >= held.renew_at => renew_listing(&gateway, held).await,
-            None if is_aggregator => match write_listing(&gateway).await {
-                Ok(held) => {
-                    lease = Some(held);
-                    Ok(())
-                }
-                Err(e) => Err(e),
-            },
-            _ if gateway.peers.node().needs_listing(now) => {
-                let result = read_listing(&gateway).await;
-                time::sleep(LISTING_READ_PAUSE).await;
-                result
-            }
-            _ => Ok(()),
-        };
-        match result {
-            Ok(()) => backoff.reset(),
-            Err(_) => backoff.pause().await,
-        }
-        if lease.as_ref().is_some_and(|held| held.is_gone || held.era != gateway.store.era()) {
-            lease = None;
-        }
-    }
-}
-
-/// The lease of this host's entry in the store.
-struct Lease {
-    id: u64,
-    era: u64,
-    renew_at: Millis,
-    is_gone: bool,
-}
-
-/// Adds the hosts that the store lists to the known ones.
-async fn read_listing(gateway: &Gateway) -> Result<(), StoreError> {
-    let (items, _) = gateway.store.range(gossip::HOSTS_PREFIX).await?;
-    for item in items {
-        gossip::add_listed_host(gateway, &item.value);
-    }
-    Ok(())
-}
-
-/// Reads the listed hosts and writes this host's entry; returns the entry's lease.
-async fn write_listing(gateway: &Gateway) -> Result<Lease, StoreError> {
-    read_listing(gateway).await?;
-    let granted = gateway.store.call(&StoreCall::Grant { ttl: LISTING_TTL }).await?;
-    let era = gateway.store.era();
-    let StoreReply::Lease { lease: Some(id) } = granted else {
-        return Err(StoreError::Malformed("the answer names no lease".to_owned()));
-    };
-    let key = format!("{}{}", gossip::HOSTS_PREFIX, gateway.settings.host);
-    let puts = vec![(key, gossip::encode_own_peer(gateway), id)];
-    let call = StoreCall::Write { expected: Vec::new(), puts, removes: Vec::new() };
-    gateway.store.call(&call).await?;
-    Ok(Lease { id, era, renew_at: next_listing_renewal(gateway), is_gone: false })
-}
-
-fn next_listing_renewal(gateway: &Gateway) -> Millis {
-    gateway.clock.now() + Millis(LISTING_TTL.0 / 4)
-}
-
-/// Renews the lease of the host's entry, or finds that the store no longer has it.
-async fn renew_listing(gateway: &Gateway, lease: &mut Lease) -> Result<(), StoreError> {
-    let reply = gateway.store.call(&StoreCall::Renew { lease: lease.id }).await?;
-    lease.is_gone = reply == StoreReply::LeaseGone;
-    lease.renew_at = next_listing_renewal(gateway);
-    Ok(())
-}
--- /dev/null
+++ b/crates/gateway/src/routing/target.rs
@@ -0,0 +1,68 @@
+//! Where requests are sent.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use yuccanotch_core::name::ServerName;
+use yuccanotch_core::placement::chain::Chain;
+
+use crate::routing::RoutingState;
+
+/// Where a request is sent: a plain server, which answers alone, or a chain of model servers, which
+/// hold parts of the layers.
+#[derive(Clone, Debug)]
+pub enum Target {
+    /// One plain server.
+    Server {
+        /// The name of the server.
+        server: ServerName,
+        /// The address that the server listens on.
+        address: SocketAddrV4,
+    },
+    /// A chain of model servers; the first one receives the request.
+    Chain(Rc<Chain>),
+}
+
+impl Target {
+    /// Returns the server that receives the request.
+    pub fn server(&self) -> &ServerName {
+        match self {
+            Self::Server { server, .. } => server,
+            Self::Chain(chain) => &chain.first().server,
+        }
+    }
+
+    /// Returns the address that the request is sent to.
+    pub fn address(&self) -> SocketAddrV4 {
+        match self {
+            Self::Server { address, .. } => *address,
+            Self::Chain(chain) => chain.first().address,
+        }
+    }
+}
+
+/// The servers that may receive a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Candidates<'a> {
+    /// All servers of the service; plain servers that have already received the request are chosen
+    /// last.
+    All {
+        /// The servers that have already received the request.
+        tried: &'a [ServerName],
+    },
+    /// Only servers that have already received the request.
+    Tried(&'a [ServerName]),
+}
+
+/// Counts as one request in progress at its target until it is dropped.
+pub struct InProgress {
+    pub(super) routing: Rc<RoutingState>,
+    pub(super) target: Target,
+    pub(super) tokens: f64,
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.routing.end(&self.target, self.tokens);
+    }
+}
