--- a/crates/entry/src/quarantine.rs
+++ b/crates/entry/src/quarantine.rs
@@ -221,7 +221,15 @@
     }
 
     fn end_attempt(&mut self) {
-        self.host.quarantine.lock().on_end(self.now(), self.request, self.answer_complete);
+        let now = self.now();
+        let mut state = self.host.quarantine.lock();
+        if self.answer_complete {
+            state.on_end(now, self.request, true);
+        } else {
+            // A server that the attempt was given up at may still crash because of it.
+            state.on_break(now, self.request);
+        }
+        drop(state);
         if std::mem::take(&mut self.announced) {
             for name in self.host.peers.known_peers() {
                 let message = QuarantineMessage::Ended(self.request);
