Take a host whose last lost servers others replaced for no cut-off one

Found in the review: a host with little traffic counted as cut off while two servers had failed in the last half minute and nothing was heard for 0.3 s, so that it passed on requests that it could send itself, and told others that it reached no server.

Change: only failures since the last answer of any server count, and a host that seems cut off tries some servers in the background, whatever it knows of them.

--- a/crates/check/src/reachability_case.rs
+++ b/crates/check/src/reachability_case.rs
@@ -234,7 +234,7 @@
             let own = HostRow {
                 relay: SocketAddrV4::new(Ipv4Addr::from(from as u32 + 1), 1),
                 domain: 0,
-                reaches: links.reaches_servers(time),
+                reaches: links.reaches_servers(),
                 age_ms: 0,
             };
             let rows = (is_full || links.is_urgent(time)).then(|| links.rows(time, own, self.now));
@@ -297,7 +297,7 @@
             return Ok(());
         }
         for host in 0..self.plan.cut_hosts {
-            if self.hosts[host].links.reaches_servers(self.time()) {
+            if self.hosts[host].links.reaches_servers() {
                 return Err(format!(
                     "the cut-off host {host} says at {} that it reaches servers",
                     self.now
--- a/crates/core/src/reachability/links.rs
+++ b/crates/core/src/reachability/links.rs
@@ -62,7 +62,7 @@
     /// Since when the server sends nothing.
     silent_since: Option<Millis>,
     is_cut: bool,
-    changed_at: Millis,
+    failed_at: Option<Millis>,
 }
 
 impl Link {
@@ -97,7 +97,7 @@
     /// Records an answer, or a part of one, of `server` to this host.
     pub fn on_heard(&mut self, now: Millis, server: &ServerName) {
         self.heard_any_at = Some(now);
-        let link = self.link(now, server);
+        let link = self.link(server);
         link.heard_at = Some(now);
         link.silent_since = None;
         self.settle(short_hash(server.as_str()));
@@ -105,24 +105,27 @@
 
     /// Records an answer of `server` on a new connection.
     pub fn on_reached(&mut self, now: Millis, server: &ServerName) {
-        self.link(now, server).no_connection_since = None;
+        self.link(server).no_connection_since = None;
         self.on_heard(now, server);
     }
 
     /// Records a failure of the link to `server`.
     pub fn on_failure(&mut self, now: Millis, server: &ServerName, failure: LinkFailure) {
-        let link = self.link(now, server);
+        let link = self.link(server);
         match failure {
             LinkFailure::NoConnection => {
                 link.no_connection_since.get_or_insert(now);
             }
             LinkFailure::Break
-                if link.heard_at.is_some_and(|at| now.since(at) < BREAK_TOLERANCE) => {}
+                if link.heard_at.is_some_and(|at| now.since(at) < BREAK_TOLERANCE) =>
+            {
+                return;
+            }
             LinkFailure::Silence | LinkFailure::Break => {
                 link.silent_since.get_or_insert(now);
             }
         }
-        link.changed_at = now;
+        link.failed_at = Some(now);
         self.settle(short_hash(server.as_str()));
     }
 
@@ -131,14 +134,14 @@
         self.links.remove(&short_hash(server.as_str()));
     }
 
-    fn link(&mut self, now: Millis, server: &ServerName) -> &mut Link {
+    fn link(&mut self, server: &ServerName) -> &mut Link {
         self.links.entry(short_hash(server.as_str())).or_insert_with(|| Link {
             server: server.clone(),
             heard_at: None,
             no_connection_since: None,
             silent_since: None,
             is_cut: false,
-            changed_at: now,
+            failed_at: None,
         })
     }
 
@@ -202,7 +205,8 @@
     /// Returns whether every message should carry rows, since some host's links fail.
     pub fn is_urgent(&self, now: Millis) -> bool {
         let fails = |link: &Link| {
-            link.failing_since().is_some() && now.since(link.changed_at) < FORGET_AFTER
+            let is_recent = link.failed_at.is_some_and(|at| now.since(at) < FORGET_AFTER);
+            link.failing_since().is_some() && is_recent
         };
         self.hosts.any_cut(now) || self.links.values().any(fails)
     }
@@ -241,12 +245,14 @@
         cut
     }
 
-    /// Returns whether this host probably reaches no server: several links fail, and it has heard
-    /// none since the first of them failed.
+    /// Returns whether this host probably reaches no server: several links have failed and it has
+    /// heard none since.
     pub fn is_cut_off(&self, now: Millis) -> bool {
-        let failing: Vec<Millis> = self.links.values().filter_map(Link::failing_since).collect();
+        let has_failed =
+            |link: &&Link| link.failed_at.is_some() && link.failed_at > self.heard_any_at;
+        let failed = self.links.values().filter(has_failed).count();
         let is_heard = self.heard_any_at.is_some_and(|at| now.since(at) < CUT_OFF_SILENCE);
-        failing.len() >= MIN_FAILING_LINKS && !is_heard
+        failed >= MIN_FAILING_LINKS && !is_heard
     }
 
     /// Returns whether this host reaches no server while others do, so that another host should give
@@ -256,10 +262,11 @@
         cut >= MIN_FAILING_LINKS && self.is_cut_off(now)
     }
 
-    /// Returns whether this host reaches servers, as it tells others.
-    pub fn reaches_servers(&self, now: Millis) -> bool {
-        let is_heard = self.heard_any_at.is_some_and(|at| now.since(at) < HEARD_TTL);
-        is_heard || self.links.values().all(|link| link.failing_since().is_none())
+    /// Returns whether this host reaches servers, as it tells others: the last thing that happened on
+    /// its links was no failure.
+    pub fn reaches_servers(&self) -> bool {
+        let failed_at = self.links.values().filter_map(|link| link.failed_at).max();
+        failed_at.is_none() || self.heard_any_at >= failed_at
     }
 
     /// Records that another host suspects the server with the short hash `server`; returns whether
@@ -299,8 +306,8 @@
         self.heard_elsewhere.retain(|_, at| now.since(*at) < FORGET_AFTER);
         self.suspicions.retain(|_, s| now.since(s.repeated_at) < SUSPICION_GAP);
         self.links.retain(|_, link| {
-            let last = link.heard_at.unwrap_or(Millis::ZERO).max(link.changed_at);
-            link.is_cut || now.since(last) < FORGET_AFTER
+            let last = link.heard_at.max(link.failed_at);
+            link.is_cut || last.is_some_and(|at| now.since(at) < FORGET_AFTER)
         });
     }
 }
--- a/crates/core/src/reachability/tests.rs
+++ b/crates/core/src/reachability/tests.rs
@@ -21,7 +21,7 @@
 
 /// Tells `to` at `now` what `from` knows.
 fn tell(now: Millis, from: &Reachability, to: &mut Reachability) {
-    let own = host_row(9, DOMAIN, from.reaches_servers(now));
+    let own = host_row(9, DOMAIN, from.reaches_servers());
     to.on_rows(now, &from.rows(now, own, 0));
 }
 
@@ -92,12 +92,12 @@
 fn a_host_that_hears_no_server_any_more_is_cut_off_and_says_so() {
     let mut host = Reachability::default();
     host.on_heard(START, &server(0));
-    assert!(host.reaches_servers(START + Millis(5_000)));
+    assert!(host.reaches_servers());
     host.on_failure(START + Millis(100), &server(0), LinkFailure::Silence);
     host.on_failure(START + Millis(200), &server(1), LinkFailure::NoConnection);
     assert!(!host.is_cut_off(START + Millis(200)));
     assert!(host.is_cut_off(START + Millis(400)));
-    assert!(!host.reaches_servers(START + Millis(1_200)));
+    assert!(!host.reaches_servers());
     host.on_heard(START + Millis(1_300), &server(2));
     assert!(!host.is_cut_off(START + Millis(1_300)));
 }
@@ -119,6 +119,18 @@
     assert!(!host.must_yield(now));
 }
 
+/// Guards against a host with little traffic that passes its requests on because two servers were
+/// lost a while ago.
+#[test]
+fn an_idle_host_with_two_lost_servers_is_not_cut_off() {
+    let mut host = Reachability::default();
+    host.on_failure(START, &server(0), LinkFailure::NoConnection);
+    host.on_failure(START + Millis(100), &server(1), LinkFailure::NoConnection);
+    host.on_heard(START + Millis(200), &server(2));
+    assert!(!host.is_cut_off(START + Millis(5_000)));
+    assert!(host.reaches_servers());
+}
+
 #[test]
 fn requests_go_to_hosts_that_reach_servers_those_of_the_own_domain_first() {
     let mut host = Reachability::default();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -193,7 +193,7 @@
 
 /// Returns what this host says of its own links.
 fn own_host_row(gateway: &Gateway) -> HostRow {
-    let reaches = gateway.links.state().reaches_servers(gateway.clock.now());
+    let reaches = gateway.links.state().reaches_servers();
     HostRow {
         relay: gateway.settings.relay,
         domain: short_hash(gateway.settings.domain.as_str()),
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -9,10 +9,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use tokio::time;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::servers::ServerEntry;
+use yuccanotch_core::forward::servers::ServerState;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::observations::short_hash;
 use yuccanotch_core::reachability::HostRow;
@@ -138,6 +141,23 @@
             }
         }
         next += MAX_PROBES;
+        if gateway.links.state().is_cut_off(gateway.clock.now()) {
+            probe_some(&gateway);
+        }
+    }
+}
+
+/// Tries some servers at which requests begin, whatever is known of the links to them: two lost
+/// servers in a row are no cut.
+fn probe_some(gateway: &Rc<Gateway>) {
+    let servers = gateway.views.servers();
+    let begins = |e: &&ServerEntry| {
+        let layers = e.engine.as_ref().map(|engine| engine.layers);
+        let is_first = layers.is_none_or(|layers| layers.is_some_and(|l| l.from == 0));
+        e.state == ServerState::Ready && is_first
+    };
+    for entry in servers.iter().filter(begins).choose_multiple(&mut rand::rng(), MAX_PROBES) {
+        tokio::task::spawn_local(probe(gateway.clone(), entry.id.clone(), entry.address));
     }
 }
 
