--- a/crates/core/src/quarantine/causes.rs
+++ b/crates/core/src/quarantine/causes.rs
@@ -81,7 +81,8 @@
         let (Some(first), Some(last)) = (entry.crashes.first(), entry.crashes.last()) else {
             return (0, 0);
         };
-        let losses = self.losses.iter().filter(|loss| (first.at..=last.at).contains(&loss.at));
+        let losses = self.losses.iter().filter(|loss| !loss.is_refuted);
+        let losses = losses.filter(|loss| (first.at..=last.at).contains(&loss.at));
         let (covered, others): (Vec<_>, Vec<_>) = losses.partition(|l| entry.includes(&l.crash));
         (covered.len(), others.len())
     }
