--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -46,7 +46,7 @@
 
 /// Who sends the requests on a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Sender {
+pub enum RequestSource {
     /// A caller.
     Caller,
     /// Another host, which passes on requests of its callers.
@@ -69,7 +69,7 @@
 ///
 /// Connections beyond half of the allowed sockets are closed at once, so that their callers can try
 /// another host.
-pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, sender: Sender) {
+pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, source: RequestSource) {
     let closing = gateway.shutdown.closing();
     tokio::pin!(closing);
     loop {
@@ -80,19 +80,19 @@
         if gateway.caller_connections.get() >= gateway.settings.sockets / 2 {
             continue;
         }
-        tokio::task::spawn_local(serve(gateway.clone(), stream, sender));
+        tokio::task::spawn_local(serve(gateway.clone(), stream, source));
     }
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream, sender: Sender) {
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, source: RequestSource) {
     if net::set_options(&stream).is_err() {
         return;
     }
     gateway.caller_connections.set(gateway.caller_connections.get() + 1);
     let limits = gateway.views.configuration().map(|c| c.limits).unwrap_or_default();
     let handler = gateway.clone();
-    let service = service_fn(move |req| handle(handler.clone(), req, sender));
-    let added = if sender == Sender::Host { MAX_RELAY_HEAD_BYTES } else { 0 };
+    let service = service_fn(move |req| handle(handler.clone(), req, source));
+    let added = if source == RequestSource::Host { MAX_RELAY_HEAD_BYTES } else { 0 };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.to_duration())
@@ -117,20 +117,20 @@
 async fn handle(
     gateway: Rc<Gateway>,
     req: Request<Incoming>,
-    sender: Sender,
+    source: RequestSource,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let started = gateway.clock.now();
     let (mut head, body) = req.into_parts();
-    let relayed = match sender {
-        Sender::Caller => None,
-        Sender::Host => Relayed::take(&mut head.headers),
+    let relayed = match source {
+        RequestSource::Caller => None,
+        RequestSource::Host => Relayed::take(&mut head.headers),
     };
     let taken = relayed.as_ref().and_then(|_| gateway.take_request());
     let caller = match gateway.adapter.decode_caller(&head) {
         Ok(caller) => caller,
         Err(_) => return Ok(reject(&gateway, &CallerRequest::default(), Rejection::Malformed)),
     };
-    if sender == Sender::Host && taken.is_none() {
+    if source == RequestSource::Host && taken.is_none() {
         let rejection =
             if relayed.is_some() { Rejection::TooManyRelayed } else { Rejection::Malformed };
         return Ok(reject(&gateway, &caller, rejection));
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -101,7 +102,7 @@
     }
 
     /// Builds the request for another host, with the time that is left until the deadline.
-    fn build_relayed_request(&self, attempts_left: u8) -> Request<Full<bytes::Bytes>> {
+    fn build_relayed_request(&self, attempts_left: u8) -> Request<Full<Bytes>> {
         let time_left = self.deadline.since(self.gateway.clock.now());
         let resume_after = self.events.last_event_id();
         let mut fields = self.gateway.adapter.relayed_headers(&self.head, time_left, resume_after);
@@ -118,7 +119,7 @@
     async fn send_to_host(
         &mut self,
         conn: &mut PooledConnection,
-        req: Request<Full<bytes::Bytes>>,
+        req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, AttemptResult> {
         let may_rerun = self.route.repeat.allows_rerun();
         let limit = if may_rerun { HOST_TIMEOUT } else { Duration::MAX };
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -330,7 +330,7 @@
         self.outcome.on_answer_begun();
         let mut fields = self.gateway.adapter.returned_headers(&head.headers);
         fields.remove(header::CONTENT_LENGTH);
-        self.add_own_fields(&mut fields);
+        self.add_relay_fields(&mut fields);
         let (chunks, body) = answer::chunked();
         self.chunks = Some(chunks);
         // If the caller has disconnected, its guard ends this task.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -372,7 +372,7 @@
     }
 
     /// Adds what a host that passed the request on needs to know to the head of an answer.
-    fn add_own_fields(&self, fields: &mut HeaderMap) {
+    fn add_relay_fields(&self, fields: &mut HeaderMap) {
         if self.is_relayed {
             relay::write_tried(fields, &self.tried);
         }
@@ -381,7 +381,7 @@
     /// Sends a server's complete answer to the caller as the final one.
     fn send_whole_answer(&mut self, response: Response<Bytes>) {
         let (mut head, body) = response.into_parts();
-        self.add_own_fields(&mut head.headers);
+        self.add_relay_fields(&mut head.headers);
         self.log_done(head.status);
         if let Some(head_tx) = self.head_tx.take() {
             let body = AnswerBody::whole(body);
@@ -429,7 +429,7 @@
             };
             fields.insert(header::RETRY_AFTER, value);
         }
-        self.add_own_fields(&mut fields);
+        self.add_relay_fields(&mut fields);
         self.log_done(status);
         if let Some(head_tx) = self.head_tx.take() {
             let body = AnswerBody::whole(Bytes::new());
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -29,7 +29,7 @@
 use crate::adapter::WholeRequest;
 use crate::answer::AnswerBody;
 use crate::callers;
-use crate::callers::Sender;
+use crate::callers::RequestSource;
 use crate::counters::Counters;
 use crate::event_log::EventLog;
 use crate::gossip;
@@ -352,8 +352,8 @@
     tokio::task::spawn_local(probe_server::serve(ready, move || {
         ready_gateway.readiness_response()
     }));
-    tokio::task::spawn_local(callers::accept(gateway.clone(), callers, Sender::Caller));
-    tokio::task::spawn_local(callers::accept(gateway.clone(), relay, Sender::Host));
+    tokio::task::spawn_local(callers::accept(gateway.clone(), callers, RequestSource::Caller));
+    tokio::task::spawn_local(callers::accept(gateway.clone(), relay, RequestSource::Host));
     tokio::task::spawn_local(links::run(gateway.clone()));
     tokio::task::spawn_local(issuer::run(gateway.clone()));
     tokio::task::spawn_local(sync::run(gateway.clone()));
