Refuse a request at four separate crashes whatever else explains them

Callers saw a request that its caller repeats end server after server while hardly anything succeeded. Then each request in flight meets several crashes, so another request or a part of prompts is taken for the cause, explains the crashes of the one that causes them, and lets it go on. Class: an explanation found first is never doubted by what happens after it.

A request at four separate crashes, one of which no cause explains, is a cause too.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -51,6 +51,8 @@
     PromptPart => ("prompt-part", crate::prompt_part_case::run),
     /// Crashing requests: one that its caller repeats at all hosts is found and refused.
     CrashingRequest => ("crashing-request", crate::crashing_request_case::run),
+    /// Crashing requests in an outage: several at once, while hardly anything succeeds.
+    CrashingInOutage => ("crashing-in-outage", crate::crashing_request_case::run_in_outage),
     /// Reachability: cut links are told from lost servers, and nobody takes one for the other.
     Reachability => ("reachability", crate::reachability_case::run),
     /// Configuration: hosts adopt only accepted configurations, never an older one, and converge.
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -22,6 +22,10 @@
 /// of them.
 const MIN_CRASHES_OF_LONE_REQUEST: usize = 4;
 
+/// The number of separate crashes from which on a request is refused although others explain all but
+/// one of them as well. While hardly any request succeeds, what explains them may be wrong.
+const REPEATED_REQUEST_EVENTS: usize = 4;
+
 /// A point in time on the clock of this host, in ms; negative before the clock began to run.
 pub(super) type Moment = i64;
 
@@ -200,6 +204,13 @@
     fn includes(&self, crash: &CrashId) -> bool {
         self.crashes.iter().any(|record| record.crash == *crash)
     }
+
+    /// Returns whether this is a request that comes again and again and was in flight at a crash each
+    /// time, so that it is refused whatever else was.
+    fn is_repeated_request(&self, window: Millis) -> bool {
+        let is_request = !self.fingerprint.is_part();
+        is_request && count_events(&self.crashes, window, 0) >= REPEATED_REQUEST_EVENTS
+    }
 }
 
 /// How many separate crashes make a fingerprint the cause.
@@ -234,7 +245,8 @@
 ///
 /// The candidate with the most crashes comes first, then one that has never succeeded, then a
 /// request before a part, which affects more requests. The crashes of a cause do not count against
-/// the candidates after it, which merely came with it.
+/// the candidates after it, which merely came with it; but a request that was in flight at several
+/// more, one of which no cause explains, is a cause too.
 pub(super) fn find_causes(
     mut candidates: Vec<Candidate<'_>>,
     thresholds: Thresholds,
@@ -253,7 +265,9 @@
         let min_run_ms = if candidate.fingerprint.is_part() { MIN_PART_RUN_MS } else { 0 };
         let events = count_events(&open, window, min_run_ms);
         let is_convincing = !candidate.fingerprint.is_part() || candidate.stands_out;
-        if events < thresholds.events(candidate.fingerprint) || !is_convincing {
+        let is_repeated = candidate.is_repeated_request(window) && !open.is_empty();
+        let has_events = is_repeated || events >= thresholds.events(candidate.fingerprint);
+        if !has_events || !is_convincing {
             continue;
         }
         let is_rival = |c: &&Candidate<'_>| {
@@ -262,7 +276,8 @@
                 && !causes.contains(&c.fingerprint)
         };
         let rivals: Vec<&Candidate<'_>> = candidates.iter().filter(is_rival).collect();
-        if is_ambiguous(candidate, &open, &rivals) && !planted!(PartUnexplained) {
+        let is_ambiguous = !is_repeated && is_ambiguous(candidate, &open, &rivals);
+        if is_ambiguous && !planted!(PartUnexplained) {
             continue;
         }
         causes.insert(candidate.fingerprint);
