Keep to the rates that servers name, over all hosts together

A server in need names how many requests a second it takes from all hosts together; hosts ignored it and sent up to twice what was allowed (102 requests in 4 s where 49 are, on 76 hosts). Class: a limit over all hosts that no host knows of.

core::limits: the newest answer counts, hosts tell each other of rates in rows behind their messages, which the landed release leaves unread; a few hosts of the server's failure domain share the rate, chosen alike on all by rendezvous over the hosts that digests name, with small buckets that start empty.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -55,6 +55,8 @@
     CrashingInOutage => ("crashing-in-outage", crate::crashing_request_case::run_in_outage),
     /// Reachability: cut links are told from lost servers, and nobody takes one for the other.
     Reachability => ("reachability", crate::reachability_case::run),
+    /// Rates that servers name: all hosts together keep to them, and use most of them.
+    ServerLimit => ("server-limit", crate::server_limit_case::run),
     /// Configuration: hosts adopt only accepted configurations, never an older one, and converge.
     Config => ("config", crate::config_case::run),
     /// Orders: all layers of a model stay served while a version is rolled out.
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -38,6 +38,7 @@
 mod rendezvous_case;
 mod retry_case;
 mod route_case;
+mod server_limit_case;
 mod share_case;
 mod stream_case;
 mod trace;
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -121,6 +121,14 @@
         LeavingForgottenOnReload => "leaving-forgotten-on-reload",
         /// A server's request for a shorter pause ends a longer one early.
         PauseCutShort => "pause-cut-short",
+        /// Each host sends a server the whole rate that it names.
+        LimitNotDivided => "limit-not-divided",
+        /// The rate that a server named is kept although its answers name none any more.
+        LimitNeverEnds => "limit-never-ends",
+        /// A host that learns of a rate may send many requests at once.
+        LimitBucketStartsFull => "limit-bucket-starts-full",
+        /// Requests that are sent do not count against the rate of a server.
+        LimitUncounted => "limit-uncounted",
         /// Revisions of the store are compared without the era.
         RevisionWithoutEra => "revision-without-era",
         /// The older copy of a restored store replaces what is known of servers at once.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -135,6 +135,12 @@
     QuarantineEnded = 2210, Info, "quarantine ended";
     /// A server that was said to have crashed still answers some host.
     CrashRefuted = 2213, Info, "crash refuted";
+    /// A server names how many requests it takes from all hosts together.
+    ServerLimited = 2214, Info, "server limited";
+    /// A server names no rate any more.
+    ServerLimitEnded = 2215, Info, "server limit ended";
+    /// A server names a rate that is negative or no number.
+    LimitNotFollowed = 2216, Warn, "server limit not followed";
     /// This host's links to a server that other hosts hear are cut.
     LinkCut = 2211, Warn, "link to a server is cut";
     /// This host reaches a server again.
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -63,6 +63,15 @@
     pub engine: Option<EngineEntry>,
 }
 
+impl ServerEntry {
+    /// Returns whether requests of its service may begin at it: it is a plain server, or it holds the
+    /// first layer.
+    pub fn begins_requests(&self) -> bool {
+        let layers = self.engine.as_ref().map(|engine| engine.layers);
+        layers.is_none_or(|layers| layers.is_some_and(|l| l.from == 0))
+    }
+}
+
 /// A change of the list.
 #[derive(Clone, Debug)]
 pub enum ServerChange {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod ids;
+pub mod limits;
 pub mod name;
 pub mod orders;
 pub mod peer;
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -30,6 +30,7 @@
 use crate::peering::timing::ISSUER_TIMEOUT;
 use crate::peering::timing::LISTING_WAIT;
 use crate::peering::timing::LONE_WAIT;
+use crate::peering::timing::MEMBERS_WAIT;
 use crate::peering::timing::PEER_TIMEOUT;
 use crate::peering::timing::READER_SPREAD;
 use crate::peering::timing::READER_TIMEOUT;
@@ -97,6 +98,8 @@
     other_domains_at: Millis,
     has_issuer_in_domain: bool,
     members_in_digest: usize,
+    // When the hosts of the own domain were last known to be alive, by the short hashes of their names.
+    members: HashMap<u32, Millis>,
     last_summary: Millis,
     last_seed_call: Millis,
     next_seed: usize,
@@ -126,6 +129,7 @@
             other_domains_at: Millis::ZERO,
             has_issuer_in_domain: false,
             members_in_digest: 0,
+            members: HashMap::new(),
             last_summary: Millis::ZERO,
             last_seed_call: Millis::ZERO,
             next_seed: 0,
@@ -235,6 +239,28 @@
         recent.map(|(_, count)| *count).max().unwrap_or(1).max(self.host_count(now))
     }
 
+    /// Returns the short hashes of the hosts of the own domain that were alive within the last
+    /// `window`, this one included; none while this host does not know the others.
+    pub fn domain_members(&self, now: Millis, window: Millis) -> Vec<u32> {
+        let is_new = self.started_at.is_none_or(|at| now.since(at) < MEMBERS_WAIT);
+        if is_new || !(self.is_aggregator || self.has_aggregator(now)) {
+            return Vec::new();
+        }
+        let recent = self.members.iter().filter(|(_, at)| now.since(**at) < window);
+        let own = short_hash(self.own.host.as_str());
+        let mut members: Vec<u32> = recent.map(|(host, _)| *host).chain([own]).collect();
+        members.sort_unstable();
+        members.dedup();
+        members
+    }
+
+    /// Returns the failure domains of which hosts are believed alive, the own one included.
+    pub fn live_domains(&self, now: Millis) -> Vec<DomainName> {
+        let live = self.domains.iter().filter(|(_, d)| now.since(d.updated_at) < SUMMARY_TTL);
+        let live = live.map(|(domain, _)| domain.clone());
+        live.chain([self.own.domain.clone()]).collect()
+    }
+
     /// Returns whether a live host is the order issuer.
     pub fn hears_issuer(&self, now: Millis) -> bool {
         let in_domain = self.has_issuer_in_domain && self.has_aggregator(now);
@@ -383,6 +409,7 @@
                 findings.push(Finding::DomainLost(domain.clone()));
             }
         }
+        self.members.retain(|_, at| now.since(*at) < FORGET_AFTER);
         self.domains.retain(|_, d| now.since(d.updated_at) < FORGET_AFTER);
     }
 
--- a/crates/core/src/peering/node/receive.rs
+++ b/crates/core/src/peering/node/receive.rs
@@ -67,6 +67,9 @@
             known.incarnation = status.incarnation;
         }
         known.heard_at = Some(now);
+        if peer.domain == self.own.domain {
+            self.members.insert(short_hash(peer.host.as_str()), now);
+        }
         known.is_stopping = status.is_stopping;
         known.is_issuer = status.is_issuer;
         known.reads_store = status.reads_store;
@@ -117,6 +120,7 @@
             known.digest_at = Some(now);
         }
         self.members_in_digest = included.len();
+        self.members.extend(included.iter().map(|report| (report.host, now)));
         let is_from_first = self.first_aggregator == Some(from.gossip);
         if is_from_first {
             self.first_digest_at = now;
--- a/crates/core/src/peering/timing.rs
+++ b/crates/core/src/peering/timing.rs
@@ -18,6 +18,8 @@
 pub const AVOIDANCE: Millis = Millis(4_000);
 /// How long a starting host looks for an aggregator before it may become one.
 pub const LONE_WAIT: Millis = Millis(350);
+/// How long a starting host does not count on what it knows of the hosts of its domain.
+pub const MEMBERS_WAIT: Millis = Millis(2_000);
 /// How long a host that has heard nobody waits before it looks up the listed hosts.
 pub const LISTING_WAIT: Millis = Millis(600);
 /// How long reports and digests count, from their arrival.
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -19,6 +19,7 @@
 use yuccanotch_core::forward::revision::revision_of;
 use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::servers::ServerEntry;
+use yuccanotch_core::limits::RequestedLimit;
 use yuccanotch_core::name::PromptPart;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::placement::chain::Chain;
@@ -105,6 +106,8 @@
     pub is_leaving: bool,
     /// The pause that the server asks for, in an answer that turns a request away.
     pub pause: Option<RequestedPause>,
+    /// The rate that the server names for requests of all hosts together.
+    pub limit: Option<RequestedLimit>,
 }
 
 /// A call to the store, a key-value store with revisions and leases.
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -8,9 +8,24 @@
 use crate::adapter::ServerReply;
 use crate::host::Gateway;
 
+/// What a server answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Question {
+    /// The request of a caller.
+    Request,
+    /// A question of the host itself: for a report, with an order or about the server's health.
+    Own,
+}
+
 impl Gateway {
-    /// Records what the server at `address` announces about itself in an answer, of whatever kind.
-    pub(crate) fn record_announcements(&self, address: SocketAddrV4, reply: &ServerReply) {
+    /// Records what the server at `address` announces about itself in an answer to `question`.
+    pub(crate) fn record_announcements(
+        &self,
+        address: SocketAddrV4,
+        reply: &ServerReply,
+        question: Question,
+    ) {
+        self.record_limit(address, reply.limit, question);
         if reply.is_leaving {
             self.record_leaving_at(address);
         }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -194,6 +194,8 @@
         self.gauge("yuccanotch_links_cut", cut as f64);
         let paused = gateway.routing.pauses.borrow().count(now);
         self.gauge("yuccanotch_servers_paused", paused as f64);
+        let limited = gateway.routing.limits.borrow().count();
+        self.gauge("yuccanotch_servers_limited", limited as f64);
         self.handle.render()
     }
 }
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -35,12 +35,16 @@
 const HOST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl Exchange {
-    /// Chooses a host for the request if this one reaches no server that it could begin at. A
+    /// Chooses a host for the request if this one reaches no server that it could begin at, or may
+    /// send nothing to any, by the rates that they name. A
     /// request that another host has passed on goes no further.
     pub(super) fn choose_host(&self) -> Option<SocketAddrV4> {
         let gateway = &self.gateway;
         let may_run = self.outcome.may_try_new_server() || self.outcome.has_begun();
-        if self.is_relayed || !may_run || !gateway.routing.reaches_none(&self.service) {
+        let routing = &gateway.routing;
+        let has_server =
+            !routing.reaches_none(&self.service) && !routing.lacks_share(&self.service);
+        if self.is_relayed || !may_run || has_server {
             return None;
         }
         let domain = short_hash(gateway.settings.domain.as_str());
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -23,6 +23,7 @@
 
 use crate::adapter::Forward;
 use crate::adapter::ServerReply;
+use crate::announcements::Question;
 use crate::answer;
 use crate::exchange::silence::EVENT_TIMEOUT;
 use crate::exchange::silence::FIRST_EVENT_TIMEOUT;
@@ -48,6 +49,7 @@
     pub(super) async fn attempt(&mut self, target: &Target) -> AttemptResult {
         let gateway = self.gateway.clone();
         self.set_current(target.clone());
+        gateway.routing.on_send(target.server());
         let known = self.tried.contains(target.server());
         let receiver = if known { AttemptTarget::Tried } else { AttemptTarget::Untried };
         let mut conn = match gateway.pool.acquire(target.address(), Reuse::Allowed).await {
@@ -76,7 +78,7 @@
         let (head, body) = response.into_parts();
         gateway.links.on_heard(target.server(), conn.is_new());
         let reply = gateway.adapter.decode_reply(&head);
-        gateway.record_announcements(target.address(), &reply);
+        gateway.record_announcements(target.address(), &reply, Question::Request);
         if let Some(ended) = self.check_reply(&head, &reply, target) {
             if let Some(address) = reply.at_fault {
                 self.check_declining_stage(address).await;
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -43,7 +43,8 @@
             let unavailable =
                 matches!(candidates, Candidates::Tried(tried) if !routing.is_listed(tried));
             // The host that passed the request on has other hosts to choose from.
-            let is_in_vain = self.is_relayed && routing.reaches_none(&self.service);
+            let is_in_vain = self.is_relayed
+                && (routing.reaches_none(&self.service) || routing.lacks_share(&self.service));
             let is_over = unavailable || is_in_vain || self.gateway.clock.now() >= until;
             if found.is_some() || is_over || self.must_not_wait() {
                 return found.map(Destination::Servers);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,12 +11,14 @@
 
 use bytes::Bytes;
 use rand::Rng;
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::time;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::revision::era_of;
+use yuccanotch_core::limits::LimitRows;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::messages::Content;
 use yuccanotch_core::peering::messages::Message;
@@ -127,9 +129,11 @@
         let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
         let decoded = bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config);
         if let Ok((message, read)) = decoded {
-            // Hosts of an earlier release send no rows.
-            let rows = bincode::serde::decode_from_slice::<ReachRows, _>(&buf[read..len], config);
-            gateway.links.on_rows(&rows.map(|(rows, _)| rows).unwrap_or_default());
+            // Hosts of earlier releases send no rows, or only the first ones.
+            let (reach_rows, read) = decode_next::<ReachRows>(&buf[..len], read);
+            let (limit_rows, _) = decode_next::<LimitRows>(&buf[..len], read);
+            gateway.links.on_rows(&reach_rows);
+            gateway.on_limit_rows(&limit_rows);
             links::apply_changes(&gateway);
             if let Some(answer) = on_message(&gateway, message) {
                 send(&gateway, &socket, vec![answer]).await;
@@ -138,6 +142,16 @@
     }
 }
 
+/// Decodes what stands in `buf` from `at` on, and returns it with the place behind it; the default if
+/// nothing that can be read stands there.
+fn decode_next<T: DeserializeOwned + Default>(buf: &[u8], at: usize) -> (T, usize) {
+    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+    match bincode::serde::decode_from_slice(&buf[at..], config) {
+        Ok((value, read)) => (value, at + read),
+        Err(_) => (T::default(), buf.len()),
+    }
+}
+
 /// Runs the rounds of the exchange.
 async fn send_rounds(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
@@ -148,6 +162,7 @@
         let observations = own_observations(&gateway);
         let outgoing = gateway.peers.node.borrow_mut().on_round(now, &status, observations);
         log_findings(&gateway);
+        gateway.update_limit_shares();
         if gateway.peers.node().is_aggregator() {
             adopt_others(&gateway);
         }
@@ -162,6 +177,8 @@
     let from = own_status(gateway);
     let is_full_exchange = gateway.peers.node().is_full_exchange();
     let notices = gateway.crashes.notices(is_full_exchange);
+    let turn = gateway.links.next_turn();
+    let limit_rows = gateway.routing.limits.borrow().rows(gateway.clock.now(), turn);
     for Outgoing { to, content } in outgoing {
         let notices = match content {
             Content::Summary { .. } | Content::Peers(_) => gateway.crashes.notices(true),
@@ -170,8 +187,11 @@
         let is_full = is_full_exchange || matches!(content, Content::Summary { .. });
         let rows = gateway.links.rows(own_host_row(gateway), is_full);
         let message = Message { from: from.clone(), content, notices };
-        // Hosts of an earlier release read the message and leave the rows behind it.
-        let encoded = bincode::serde::encode_to_vec((&message, &rows), bincode::config::standard());
+        // Hosts of earlier releases read the message and leave what they do not know behind it.
+        let encoded = bincode::serde::encode_to_vec(
+            (&message, &rows, &limit_rows),
+            bincode::config::standard(),
+        );
         let Ok(buf) = encoded else {
             continue;
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod head_limit;
 pub mod host;
 pub mod issuer;
+mod limits;
 pub mod links;
 mod listing;
 pub mod net;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -83,8 +83,13 @@
         if !is_full_exchange && !state.is_urgent(now) {
             return ReachRows::default();
         }
+        state.rows(now, own, self.next_turn())
+    }
+
+    /// Returns the number of one more message, by which messages differ that cannot carry everything.
+    pub fn next_turn(&self) -> u64 {
         self.turn.set(self.turn.get() + 1);
-        state.rows(now, own, self.turn.get())
+        self.turn.get()
     }
 
     /// Returns whether to believe another host's suspicion of `server`.
@@ -151,11 +156,7 @@
 /// servers in a row are no cut.
 fn probe_some(gateway: &Rc<Gateway>) {
     let servers = gateway.views.servers();
-    let begins = |e: &&ServerEntry| {
-        let layers = e.engine.as_ref().map(|engine| engine.layers);
-        let is_first = layers.is_none_or(|layers| layers.is_some_and(|l| l.from == 0));
-        e.state == ServerState::Ready && is_first
-    };
+    let begins = |e: &&ServerEntry| e.state == ServerState::Ready && e.begins_requests();
     for entry in servers.iter().filter(begins).choose_multiple(&mut rand::rng(), MAX_PROBES) {
         tokio::task::spawn_local(probe(gateway.clone(), entry.id.clone(), entry.address));
     }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -20,11 +20,14 @@
 use yuccanotch_core::forward::pauses::Pauses;
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::servers::ServerEntry;
+use yuccanotch_core::forward::servers::ServerList;
 use yuccanotch_core::forward::servers::ServerState;
 use yuccanotch_core::forward::waiting::WaitQueue;
+use yuccanotch_core::limits::ServerLimits;
 use yuccanotch_core::name::DomainName;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::name::ServiceName;
+use yuccanotch_core::peering::observations::short_hash;
 use yuccanotch_core::placement::chain::Chain;
 use yuccanotch_core::placement::engine::AcceleratorKind;
 use yuccanotch_core::placement::engine::EngineProfile;
@@ -68,6 +71,8 @@
     pub health: RefCell<Health>,
     /// The servers that have asked this host for a pause.
     pub pauses: RefCell<Pauses>,
+    /// The rates that servers name.
+    pub limits: RefCell<ServerLimits>,
     // Requests of this host in progress at each plain server.
     plain_active: RefCell<HashMap<ServerName, u32>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -98,6 +103,7 @@
             loads: RefCell::default(),
             health: RefCell::default(),
             pauses: RefCell::default(),
+            limits: RefCell::default(),
             plain_active: RefCell::default(),
             budgets: RefCell::default(),
             waiting: RefCell::default(),
@@ -155,10 +161,38 @@
         path::choose_chain(profile, &holders, needs)
     }
 
-    /// Returns whether a request may begin at the server as far as this host's links tell.
+    /// Returns whether a request may begin at the server as far as this host's links and the rate
+    /// that the server names tell.
     fn may_begin(&self, server: &ServerName, address: SocketAddrV4) -> bool {
         let links = self.links.state();
-        !links.is_cut(server) || links.may_begin(server, self.pool.has_idle(address))
+        let is_reached =
+            !links.is_cut(server) || links.may_begin(server, self.pool.has_idle(address));
+        let hash = short_hash(server.as_str());
+        is_reached && self.limits.borrow().may_send(self.clock.now(), hash)
+    }
+
+    /// Returns the ready servers at which requests of `service` may begin.
+    fn first_servers<'a>(
+        &self,
+        servers: &'a ServerList,
+        service: &'a Service,
+    ) -> impl Iterator<Item = &'a ServerEntry> {
+        servers
+            .iter()
+            .filter(|e| e.service == service.name && e.state == ServerState::Ready)
+            .filter(|e| e.begins_requests())
+    }
+
+    /// Returns whether all servers at which a request of `service` could begin name a rate of which
+    /// this host has no share.
+    pub fn lacks_share(&self, service: &Service) -> bool {
+        let limits = self.limits.borrow();
+        if limits.count() == 0 {
+            return false;
+        }
+        let servers = self.views.servers();
+        let mut first = self.first_servers(&servers, service).peekable();
+        first.peek().is_some() && !first.any(|e| limits.has_share(short_hash(e.id.as_str())))
     }
 
     /// Returns whether this host reaches no server at which a request of `service` could begin: all
@@ -171,22 +205,12 @@
         }
         let health = self.health.borrow();
         let servers = self.views.servers();
-        let begins = |e: &&ServerEntry| match &service.engine {
-            Some(_) => {
-                e.engine.as_ref().and_then(|engine| engine.layers).is_some_and(|l| l.from == 0)
-            }
-            None => true,
-        };
         let is_reached = |e: &ServerEntry| {
             let has_idle = self.pool.has_idle(e.address);
             let fails = links.is_failing(&e.id) && !health.is_usable(now, &e.id) && !has_idle;
             links.may_begin(&e.id, has_idle) && !fails
         };
-        let mut ready = servers
-            .iter()
-            .filter(|e| e.service == service.name && e.state == ServerState::Ready)
-            .filter(begins)
-            .peekable();
+        let mut ready = self.first_servers(&servers, service).peekable();
         ready.peek().is_some() && !ready.any(is_reached)
     }
 
--- a/crates/gateway/src/routing/records.rs
+++ b/crates/gateway/src/routing/records.rs
@@ -11,6 +11,7 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::servers::ServerState;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::peering::observations::short_hash;
 use yuccanotch_core::placement::engine::LayerRange;
 
 use crate::routing::RoutingState;
@@ -60,6 +61,12 @@
         }
     }
 
+    /// Records that this host sends a request to `server`, which counts against the rate that it
+    /// names, whether the request was sent before or not.
+    pub fn on_send(&self, server: &ServerName) {
+        self.limits.borrow_mut().on_send(self.clock.now(), short_hash(server.as_str()));
+    }
+
     /// Returns whether the server `id` is in a pause.
     pub fn is_paused(&self, id: &ServerName) -> bool {
         self.pauses.borrow().includes(self.clock.now(), id)
