Refuse a passed request of a host with a newer configuration

A cut-off host passes requests to one that reaches the servers, which served them by its own configuration. If that was older, a caller who had been served by the newer one got the older again: a dropped route served, an added one refused. Class: two hosts serve one caller and neither knows what the other has promised.

The passed request names the version in a header of its own; a host with an older one answers 503 and another host is tried.

--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -107,6 +107,8 @@
         Malformed = "malformed",
         /// No configuration is known yet.
         NoConfiguration = "no_configuration",
+        /// Another host has passed the request on, which serves by a newer configuration.
+        OlderConfiguration = "older_configuration",
         /// Too many requests that other hosts have passed on are in progress.
         TooManyRelayed = "too_many_relayed",
         /// No route matches the request.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -56,7 +56,9 @@
 fn rejection_status(rejection: Rejection) -> StatusCode {
     match rejection {
         Rejection::Malformed | Rejection::BodyBroken => StatusCode::BAD_REQUEST,
-        Rejection::NoConfiguration | Rejection::TooManyRelayed => StatusCode::SERVICE_UNAVAILABLE,
+        Rejection::NoConfiguration | Rejection::OlderConfiguration | Rejection::TooManyRelayed => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         Rejection::NoRoute => StatusCode::NOT_FOUND,
         Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
         Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -135,6 +137,11 @@
             if relayed.is_some() { Rejection::TooManyRelayed } else { Rejection::Malformed };
         return Ok(reject(&gateway, &caller, rejection));
     }
+    // A caller must not be served by an older configuration than before at the host that it talks to.
+    let newest = relayed.as_ref().and_then(|relayed| relayed.configuration);
+    if newest > gateway.views.configuration().map(|c| c.version) {
+        return Ok(reject(&gateway, &caller, Rejection::OlderConfiguration));
+    }
     let _active = gateway.begin_request();
     let admitted = match admit(&gateway, head, body, &caller).await {
         Ok(mut admitted) => {
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -110,7 +110,12 @@
         let time_left = self.deadline.since(self.gateway.clock.now());
         let resume_after = self.events.last_event_id();
         let mut fields = self.gateway.adapter.relayed_headers(&self.head, time_left, resume_after);
-        let relayed = Relayed { attempts_left, version: self.version, tried: self.tried.clone() };
+        let relayed = Relayed {
+            attempts_left,
+            version: self.version,
+            tried: self.tried.clone(),
+            configuration: self.gateway.views.configuration().map(|c| c.version),
+        };
         relayed.write(&mut fields);
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,9 @@
 /// On a request: how many more servers may get it, the weights version of the answer so far, and the
 /// servers that have had it, as `COUNT;VERSION;NAME,NAME`.
 const RELAY: HeaderName = HeaderName::from_static("yuccanotch-relay");
+/// On a request: the version of the configuration that the sending host serves by. Hosts of earlier
+/// releases send none.
+const CONFIGURATION: HeaderName = HeaderName::from_static("yuccanotch-configuration");
 /// On an answer: the servers that have had the request.
 const TRIED: HeaderName = HeaderName::from_static("yuccanotch-tried");
 /// The most names that are read of a list of servers.
@@ -39,6 +42,8 @@
     pub version: Option<u64>,
     /// The servers that have had the request.
     pub tried: TriedServers,
+    /// The version of the configuration that the host serves by, if it says so.
+    pub configuration: Option<u64>,
 }
 
 impl Relayed {
@@ -49,10 +54,15 @@
         if let Ok(value) = HeaderValue::from_str(&text) {
             fields.insert(RELAY, value);
         }
+        if let Some(configuration) = self.configuration {
+            fields.insert(CONFIGURATION, HeaderValue::from(configuration));
+        }
     }
 
     /// Takes the state out of the head of a request; returns `None` if it has none that can be read.
     pub fn take(fields: &mut HeaderMap) -> Option<Self> {
+        let configuration = fields.remove(CONFIGURATION);
+        let configuration = configuration.and_then(|v| v.to_str().ok()?.parse().ok());
         let value = fields.remove(RELAY)?;
         let mut parts = value.to_str().ok()?.splitn(3, ';');
         let attempts_left = parts.next()?.parse().ok()?;
@@ -60,7 +70,7 @@
             "" => None,
             version => Some(version.parse().ok()?),
         };
-        Some(Self { attempts_left, version, tried: split(parts.next()?) })
+        Some(Self { attempts_left, version, tried: split(parts.next()?), configuration })
     }
 }
 
