--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -41,6 +41,7 @@
     sent: Counter,
     passed_on: Counter,
     taken: Counter,
+    unreadable: Counter,
     moves: Counter,
     moves_refused: Counter,
     leaving: HashMap<LeavingSource, Counter>,
@@ -77,6 +78,7 @@
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
             passed_on: counter(&recorder, "yuccanotch_requests_passed_on_total", None),
             taken: counter(&recorder, "yuccanotch_requests_taken_total", None),
+            unreadable: counter(&recorder, "yuccanotch_messages_unreadable_total", None),
             moves: counter(&recorder, "yuccanotch_moves_total", None),
             moves_refused: counter(&recorder, "yuccanotch_moves_refused_total", None),
             leaving: LeavingSource::ALL
@@ -115,6 +117,11 @@
         self.taken.increment(1);
     }
 
+    /// Counts a message of another host that this one could not read.
+    pub fn message_unreadable(&self) {
+        self.unreadable.increment(1);
+    }
+
     /// Counts the end of an attempt; `again` tells whether another attempt follows.
     pub fn attempt_ended(&self, reason: EndReason, again: bool) {
         increment(&self.attempts, reason);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,20 +5,19 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use rand::Rng;
-use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::time;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::forward::revision::era_of;
-use yuccanotch_core::limits::LimitRows;
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::messages::Content;
 use yuccanotch_core::peering::messages::Message;
@@ -36,16 +35,17 @@
 use yuccanotch_core::peering::timing::ROUND_INTERVAL;
 use yuccanotch_core::placement::load::Load;
 use yuccanotch_core::reachability::HostRow;
-use yuccanotch_core::reachability::ReachRows;
 
+use crate::datagram::Datagram;
+use crate::datagram::MAX_DATAGRAM_BYTES;
 use crate::host::Gateway;
 use crate::links;
 
 /// The prefix of the store keys under which aggregators are listed, so that hosts that start find
 /// them.
 pub const HOSTS_PREFIX: &str = "yuccanotch/hosts/";
-/// The largest datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+/// The most senders of unreadable messages that are remembered, so that each is logged once.
+const MAX_UNREADABLE_SENDERS: usize = 64;
 /// The largest difference between the lengths of two rounds, which keeps hosts from sending at the
 /// same time, in ms.
 const ROUND_JITTER_MS: u64 = 20;
@@ -63,6 +63,8 @@
     node: RefCell<Node>,
     names: RefCell<ServerNames>,
     incarnation: u64,
+    /// The senders of messages that this host could not read.
+    unreadable_senders: RefCell<HashSet<SocketAddrV4>>,
 }
 
 impl Peers {
@@ -73,6 +75,7 @@
             node: RefCell::new(Node::new(own, seeds)),
             names: RefCell::default(),
             incarnation: rand::rng().random(),
+            unreadable_senders: RefCell::default(),
         }
     }
 
@@ -123,32 +126,28 @@
     tokio::task::spawn_local(async move { send_rounds(sender_gateway, sender_socket).await });
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((len, SocketAddr::V4(_))) = socket.recv_from(&mut buf).await else {
+        let Ok((len, SocketAddr::V4(from))) = socket.recv_from(&mut buf).await else {
             continue;
         };
-        let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-        let decoded = bincode::serde::decode_from_slice::<Message, _>(&buf[..len], config);
-        if let Ok((message, read)) = decoded {
-            // Hosts of earlier releases send no rows, or only the first ones.
-            let (reach_rows, read) = decode_next::<ReachRows>(&buf[..len], read);
-            let (limit_rows, _) = decode_next::<LimitRows>(&buf[..len], read);
-            gateway.links.on_rows(&reach_rows);
-            gateway.on_limit_rows(&limit_rows);
-            links::apply_changes(&gateway);
-            if let Some(answer) = on_message(&gateway, message) {
-                send(&gateway, &socket, vec![answer]).await;
-            }
+        let Some(datagram) = Datagram::decode(&buf[..len]) else {
+            record_unreadable(&gateway, from);
+            continue;
+        };
+        gateway.links.on_rows(&datagram.reach);
+        gateway.on_limit_rows(&datagram.limits);
+        links::apply_changes(&gateway);
+        if let Some(answer) = on_message(&gateway, datagram.message) {
+            send(&gateway, &socket, vec![answer]).await;
         }
     }
 }
 
-/// Decodes what stands in `buf` from `at` on, and returns it with the place behind it; the default if
-/// nothing that can be read stands there.
-fn decode_next<T: DeserializeOwned + Default>(buf: &[u8], at: usize) -> (T, usize) {
-    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-    match bincode::serde::decode_from_slice(&buf[at..], config) {
-        Ok((value, read)) => (value, at + read),
-        Err(_) => (T::default(), buf.len()),
+/// Counts a message that cannot be read, and logs its sender once.
+fn record_unreadable(gateway: &Gateway, from: SocketAddrV4) {
+    gateway.counters.message_unreadable();
+    let mut senders = gateway.peers.unreadable_senders.borrow_mut();
+    if senders.len() < MAX_UNREADABLE_SENDERS && senders.insert(from) {
+        gateway.event_log.line(Event::MessageUnreadable, &[("from", &from)]);
     }
 }
 
@@ -187,12 +186,8 @@
         let is_full = is_full_exchange || matches!(content, Content::Summary { .. });
         let rows = gateway.links.rows(own_host_row(gateway), is_full);
         let message = Message { from: from.clone(), content, notices };
-        // Hosts of earlier releases read the message and leave what they do not know behind it.
-        let encoded = bincode::serde::encode_to_vec(
-            (&message, &rows, &limit_rows),
-            bincode::config::standard(),
-        );
-        let Ok(buf) = encoded else {
+        let datagram = Datagram { message, reach: rows, limits: limit_rows.clone() };
+        let Some(buf) = datagram.encode() else {
             continue;
         };
         // If the socket's buffer is full, the datagram is lost; the next round replaces it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod callers;
 pub mod counters;
+pub mod datagram;
 pub mod event_log;
 pub mod exchange;
 pub mod gossip;
