--- a/crates/check/src/crashing_request_case.rs
+++ b/crates/check/src/crashing_request_case.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use rand::seq::IndexedRandom;
 use rand::seq::SliceRandom;
 use rand::Rng;
 use rand::SeedableRng;
@@ -28,19 +27,20 @@
 use yuccanotch_core::quarantine::QuarantineSettings;
 
 use crate::case::CaseResult;
+use crate::crashing_request_plan::CrashPlace;
+use crate::crashing_request_plan::Outage;
+use crate::crashing_request_plan::Plan;
+use crate::crashing_request_plan::QUIET_MS;
+use crate::crashing_request_plan::RUN_MS;
+use crate::crashing_request_plan::STEP_MS;
 use crate::trace::Trace;
 
-const RUN_MS: u64 = 18_000;
-const STEP_MS: u64 = 10;
-/// The time before the first crashing request, and before the first other crash.
-const QUIET_MS: u64 = 2_000;
 /// The time between two messages of a host about what is new.
 const ROUND_MS: u64 = 50;
 /// The time between two full exchanges of a host with the others.
 const EXCHANGE_MS: u64 = 500;
 /// The time from the sending of a sound request to its first event.
 const FIRST_EVENT_MS: u64 = 100;
-const BOOT_MS: u64 = 3_000;
 /// The shortest and longest time until a host asks what a silent request waits for.
 const STALL_CHECK_MS: (u64, u64) = (120, 400);
 /// The crashes after which, and [`LEARNING_MS`] later, hosts refuse the crashing request.
@@ -60,78 +60,6 @@
 const MAX_REFUSED_SOUND: u64 = 3;
 const MIN_SOUND_PER_REFUSED: u64 = 100;
 
-/// Which server of its chain the crashing request crashes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum CrashPlace {
-    First,
-    Last,
-}
-
-/// Parameters of a run, drawn from the seed.
-#[derive(Debug)]
-struct Plan {
-    hosts: usize,
-    servers: usize,
-    /// The number of servers in a chain.
-    stages: usize,
-    place: CrashPlace,
-    /// Sound requests in a step, in thousandths.
-    sound_per_step: u32,
-    /// The time between two sendings of the crashing request by its caller.
-    crashing_interval: u64,
-    max_attempts: u32,
-    /// When servers crash for another reason, and how many.
-    losses: Vec<(u64, usize)>,
-    /// When a host starts anew.
-    restart_at: Option<u64>,
-    /// When a host is cut off from the others, for how long it is so.
-    cut: Option<(u64, u64)>,
-    /// What makes crashes last, in the case that has it.
-    outage: Option<Outage>,
-}
-
-/// What makes crashes last: several crashing requests, slow recovery, and callers that repeat.
-#[derive(Clone, Copy, Debug)]
-struct Outage {
-    /// The number of different crashing requests.
-    crashing_requests: u64,
-    /// The time until a server that crashed is back, in ms.
-    boot_ms: u64,
-    /// How often the caller of a sound request repeats it.
-    caller_repeats: u32,
-    /// The number of parts that prompts begin with; zero for requests without prompts.
-    parts: u64,
-    /// How many times as long as usual sound requests run.
-    duration_factor: u64,
-}
-
-impl Outage {
-    /// What holds in the case without an outage.
-    const NONE: Self = Self {
-        crashing_requests: 1,
-        boot_ms: BOOT_MS,
-        caller_repeats: 0,
-        parts: 0,
-        duration_factor: 1,
-    };
-
-    fn draw(rng: &mut Pcg64Mcg) -> Self {
-        Self {
-            crashing_requests: rng.random_range(1..=3),
-            boot_ms: STEP_MS * rng.random_range(200..=800),
-            caller_repeats: rng.random_range(0..=2),
-            parts: *[0, 1, 8, 60].choose(rng).expect("a number"),
-            duration_factor: rng.random_range(1..=3),
-        }
-    }
-}
-
-impl Plan {
-    fn outage(&self) -> Outage {
-        self.outage.unwrap_or(Outage::NONE)
-    }
-}
-
 #[derive(Debug)]
 struct Server {
     up_at: u64,
@@ -196,24 +124,7 @@
     trace: &mut Trace,
     draw_outage: fn(&mut Pcg64Mcg) -> Option<Outage>,
 ) -> CaseResult {
-    let servers = rng.random_range(8..=24);
-    let loss_count = rng.random_range(0..=2);
-    let losses = (0..loss_count)
-        .map(|_| (rng.random_range(QUIET_MS..RUN_MS - 8_000), rng.random_range(1..=servers / 3)))
-        .collect();
-    let plan = Plan {
-        hosts: rng.random_range(2..=10),
-        servers,
-        stages: rng.random_range(1..=4),
-        place: *[CrashPlace::First, CrashPlace::Last].choose(&mut rng).expect("a place"),
-        sound_per_step: rng.random_range(20..=1_000),
-        crashing_interval: *[200, 500, 1_000, 2_000].choose(&mut rng).expect("an interval"),
-        max_attempts: rng.random_range(1..=3),
-        losses,
-        restart_at: rng.random_bool(0.3).then_some(rng.random_range(QUIET_MS..RUN_MS - 8_000)),
-        cut: rng.random_bool(0.3).then_some((rng.random_range(QUIET_MS..10_000), 4_000)),
-        outage: draw_outage(&mut rng),
-    };
+    let plan = Plan::draw(&mut rng, draw_outage);
     let crashing_requests = plan.outage().crashing_requests as usize;
     trace.add(format!("{plan:?}"));
     let hosts = (0..plan.hosts).map(|_| Quarantine::new(QuarantineSettings::default())).collect();
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -25,6 +25,7 @@
 mod config_case;
 mod config_store;
 mod crashing_request_case;
+mod crashing_request_plan;
 mod error;
 mod fleet_case;
 mod fleet_sim;
