--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -111,7 +111,8 @@
     AnswerBrokenOff = 2108, Warn, "answer broken off";
     /// A request is refused or not sent again, since one of its fingerprints crashes servers.
     RequestQuarantined = 2109, Info, "request quarantined";
-    /// A request is passed to another host, since this one reaches no server for it.
+    /// A request is passed to another host, since this one reaches no server for it or may send
+    /// nothing to any.
     RequestPassedOn = 2110, Info, "request passed on";
     /// A server is suspected to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -245,8 +245,8 @@
 ///
 /// The candidate with the most crashes comes first, then one that has never succeeded, then a
 /// request before a part, which affects more requests. The crashes of a cause do not count against
-/// the candidates after it, which merely came with it; but a request that was in flight at several
-/// more, one of which no cause explains, is a cause too.
+/// the candidates after it, which merely came with it. A request at [`REPEATED_REQUEST_EVENTS`]
+/// separate crashes, one of which no cause explains, is a cause all the same.
 pub(super) fn find_causes(
     mut candidates: Vec<Candidate<'_>>,
     thresholds: Thresholds,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other about a request that one passes to another.
 //!
 //! A request goes over at most one hop: the host that takes it sends it to servers or refuses it. It
-//! has the caller's head with the time that is left, and one header of its own.
+//! has the caller's head with the time that is left, and headers that only hosts read.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
