Say why changes of another host are unavailable, and render the gauges first

The lines of fetches between hosts do not tell a dead source from a full link, and the users' collector cuts the metrics after 4 KB, before any gauge.

Change: 2503 and 2504 carry bytes and time, 2504 the reason; a counter of the bytes that a host serves; gauges are rendered before counters.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -32,7 +32,9 @@
 
 /// The metrics of a host.
 pub struct Counters {
-    recorder: PrometheusRecorder,
+    /// The gauges have a recorder of their own, so that they are rendered first: a collector that
+    /// reads only the beginning still gets the state of the host.
+    gauges: PrometheusRecorder,
     handle: PrometheusHandle,
     requests: HashMap<EndReason, Counter>,
     attempts: HashMap<EndReason, Counter>,
@@ -46,6 +48,8 @@
     moves_refused: Counter,
     leaving: HashMap<LeavingSource, Counter>,
     pauses: HashMap<PauseKind, Counter>,
+    changes_served: Counter,
+    changes_served_bytes: Counter,
     first_event: Histogram,
     longest_gap: Histogram,
 }
@@ -95,9 +99,11 @@
                     (*k, counter(&recorder, name, Some(k.as_str())))
                 })
                 .collect(),
+            changes_served: counter(&recorder, "yuccanotch_changes_served_total", None),
+            changes_served_bytes: counter(&recorder, "yuccanotch_changes_served_bytes_total", None),
             first_event: histogram("yuccanotch_first_event_ms"),
             longest_gap: histogram("yuccanotch_longest_gap_ms"),
-            recorder,
+            gauges: PrometheusBuilder::new().build_recorder(),
             handle,
         })
     }
@@ -165,6 +171,12 @@
         }
     }
 
+    /// Counts an answer with changes for another host, of `bytes` bytes.
+    pub fn changes_served(&self, bytes: usize) {
+        self.changes_served.increment(1);
+        self.changes_served_bytes.increment(bytes as u64);
+    }
+
     /// Records the time to the first event of a stream and its longest gap between events.
     pub fn stream_ended(&self, first_event: Millis, longest_gap: Millis) {
         self.first_event.record(first_event.0 as f64);
@@ -172,7 +184,7 @@
     }
 
     fn gauge(&self, name: &'static str, value: f64) {
-        let gauge: Gauge = self.recorder.register_gauge(&Key::from_static_name(name), &METADATA);
+        let gauge: Gauge = self.gauges.register_gauge(&Key::from_static_name(name), &METADATA);
         gauge.set(value);
     }
 
@@ -203,7 +215,7 @@
         self.gauge("yuccanotch_servers_paused", paused as f64);
         let limited = gateway.routing.limits.borrow().count();
         self.gauge("yuccanotch_servers_limited", limited as f64);
-        self.handle.render()
+        self.gauges.handle().render() + &self.handle.render()
     }
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,6 +1,7 @@
 //! The changes of the configuration and the list of servers that hosts fetch from each other over
 //! HTTP/2: hosts that do not follow the store, and hosts that the store does not answer.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -12,13 +13,13 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client;
 use hyper::rt::Executor;
 use hyper::server;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::TcpListener;
@@ -51,6 +52,29 @@
     removal_delay_ms: u64,
 }
 
+quick_error! {
+    /// Why changes could not be fetched from a host.
+    #[derive(Debug)]
+    enum FetchError {
+        /// The host takes no connection.
+        Connect {
+            display("connect")
+        }
+        /// The host closed the connection before its answer was complete.
+        Closed {
+            display("closed")
+        }
+        /// The answer was not complete in time.
+        Timeout {
+            display("timeout")
+        }
+        /// The answer is too large or cannot be decoded.
+        Unreadable {
+            display("unreadable")
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LocalExecutor;
 
@@ -74,6 +98,7 @@
         let gateway = gateway.clone();
         let service = service_fn(move |req: Request<Incoming>| {
             let body = encode(&gateway, requested_revision(req.uri().path()));
+            gateway.counters.changes_served(body.len());
             async move { Ok::<_, Infallible>(Response::new(Full::new(body))) }
         });
         let connection = server::conn::http2::Builder::new(LocalExecutor)
@@ -121,10 +146,14 @@
 /// Fetches the changes of the host at `address` that this host does not have, and applies them.
 async fn sync_from(gateway: &Gateway, address: SocketAddrV4) {
     let revision = gateway.views.revision();
-    let Ok(Some(shared)) = time::timeout(SYNC_TIMEOUT, fetch(gateway, address, revision)).await
-    else {
-        gateway.event_log.line(Event::ChangesUnavailable, &[("from", &address)]);
-        return;
+    let began = gateway.clock.now();
+    let read = Cell::new(0);
+    let fetching = time::timeout(SYNC_TIMEOUT, fetch(gateway, address, revision, &read)).await;
+    let took = gateway.clock.now().since(began);
+    let shared = match fetching {
+        Ok(Ok(shared)) => shared,
+        Ok(Err(why)) => return log_unavailable(gateway, address, &why, read.get(), took),
+        Err(_) => return log_unavailable(gateway, address, &FetchError::Timeout, read.get(), took),
     };
     gateway.event_log.line(
         Event::ChangesFetched,
@@ -133,27 +162,68 @@
             ("items", &shared.changes.items.len()),
             ("after", &revision),
             ("revision", &shared.changes.revision),
+            ("bytes", &read.get()),
+            ("took_ms", &took.0),
         ],
     );
     gateway.views.delay_removals(Millis(shared.removal_delay_ms));
     gateway.views.merge(shared.changes, "host");
 }
 
-async fn fetch(gateway: &Gateway, address: SocketAddrV4, revision: u64) -> Option<SharedChanges> {
+fn log_unavailable(
+    gateway: &Gateway,
+    address: SocketAddrV4,
+    why: &FetchError,
+    bytes: usize,
+    took: Millis,
+) {
+    gateway.event_log.line(
+        Event::ChangesUnavailable,
+        &[("from", &address), ("why", why), ("bytes", &bytes), ("took_ms", &took.0)],
+    );
+}
+
+/// Fetches the changes after `revision` from the host at `address`. `read` counts the bytes of the
+/// answer, also of one that is not complete.
+async fn fetch(
+    gateway: &Gateway,
+    address: SocketAddrV4,
+    revision: u64,
+    read: &Cell<usize>,
+) -> Result<SharedChanges, FetchError> {
     let source = gateway.settings.source;
-    let stream = net::connect(source, address, CONNECT_TIMEOUT).await.ok()?;
+    let stream =
+        net::connect(source, address, CONNECT_TIMEOUT).await.map_err(|_| FetchError::Connect)?;
     let io = TokioIo::new(stream);
-    let (mut sender, connection) =
-        client::conn::http2::Builder::new(LocalExecutor).handshake(io).await.ok()?;
+    let (mut sender, connection) = client::conn::http2::Builder::new(LocalExecutor)
+        .handshake(io)
+        .await
+        .map_err(|_| FetchError::Closed)?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
     let uri = format!("http://{address}{CHANGES_PATH}{revision}");
-    let req = Request::get(uri).body(Full::new(Bytes::new())).ok()?;
-    let response = sender.send_request(req).await.ok()?;
-    let body =
-        Limited::new(response.into_body(), MAX_CHANGES_BYTES).collect().await.ok()?.to_bytes();
+    let req = Request::get(uri).body(Full::new(Bytes::new())).map_err(|_| FetchError::Closed)?;
+    let response = sender.send_request(req).await.map_err(|_| FetchError::Closed)?;
+    let body = read_body(response.into_body(), read).await?;
     task.abort();
     let config = bincode::config::standard().with_limit::<MAX_CHANGES_BYTES>();
-    bincode::serde::decode_from_slice(&body, config).ok().map(|(shared, _)| shared)
+    bincode::serde::decode_from_slice(&body, config)
+        .map(|(shared, _)| shared)
+        .map_err(|_| FetchError::Unreadable)
+}
+
+async fn read_body(mut body: Incoming, read: &Cell<usize>) -> Result<Vec<u8>, FetchError> {
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| FetchError::Closed)?;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
+            read.set(buf.len());
+        }
+        if buf.len() > MAX_CHANGES_BYTES {
+            return Err(FetchError::Unreadable);
+        }
+    }
+    Ok(buf)
 }
