Add a failing test of members that do not return to restarted aggregators

A domain of 24 hosts whose two aggregators are restarted in turn has four aggregators 5 s later, since members that heard them stop keep them as stopping.

--- a/crates/core/src/peering/sim.rs
+++ b/crates/core/src/peering/sim.rs
@@ -138,10 +138,16 @@
         let host = &mut self.hosts[index];
         host.incarnations += 1;
         host.status.incarnation = host.incarnations;
+        host.status.is_stopping = false;
         host.node = Some(Node::new(host.status.peer.clone(), self.seeds.clone()));
         host.next_round = self.now + Millis(index as u64 % ROUND_INTERVAL.0);
     }
 
+    /// Tells a host to stop; it goes on with its part until its process ends.
+    pub fn stop(&mut self, index: usize) {
+        self.hosts[index].status.is_stopping = true;
+    }
+
     /// Ends the process of a host.
     pub fn crash(&mut self, index: usize) {
         self.hosts[index].node = None;
--- a/crates/core/src/peering/tests.rs
+++ b/crates/core/src/peering/tests.rs
@@ -11,6 +11,9 @@
 /// The time within which a host hears of a loss of both aggregators, and of others in their place.
 const TAKEOVER: Millis = Millis(5_000);
 
+/// The time from the signal to stop until a host has ended, and from then until it starts again.
+const STOP: (Millis, Millis) = (Millis(7_000), Millis(1_000));
+
 /// The most rounds that a rising load may be behind at the second aggregator, which gets a report in
 /// every tenth round, and while messages are late.
 const MAX_LAG: u16 = 16;
@@ -83,6 +86,26 @@
     assert_eq!(host_counts(&sim), (28, 28));
 }
 
+// Members that had heard an aggregator stop did not take it back, so that the hosts that had started
+// since formed a group of their own.
+#[test]
+fn members_return_to_aggregators_that_were_restarted() {
+    let mut sim = Sim::new(3, 24);
+    sim.run(START);
+    let before = aggregators(&sim, 0, 24);
+    let (stopping, gone) = STOP;
+    for &index in &before {
+        sim.stop(index);
+        sim.run(stopping);
+        sim.crash(index);
+        sim.run(gone);
+        sim.start(index);
+    }
+    sim.run(TAKEOVER);
+    assert_eq!(aggregators(&sim, 0, 24), before);
+    assert_eq!(host_counts(&sim), (72, 72));
+}
+
 #[test]
 fn a_frozen_aggregator_is_replaced_and_returns() {
     let mut sim = Sim::new(2, 8);
