Take a restarted host back as an aggregator

Callers saw: 404 for routes of a version acknowledged over 3 s before. One of two causes: members that heard an aggregator stop kept it as stopping until they heard it again, but members hear only aggregators. After a restart of the two hosts with wide links, the members that had not been restarted went on with narrow aggregators of their own.

Change: a host that has not been heard for the timeout no longer counts as stopping; only hosts that somebody hears are named as alive, so whoever is named at its address afterwards is another process. Nothing changes in the messages.

--- a/crates/check/src/peering_case.rs
+++ b/crates/check/src/peering_case.rs
@@ -1,4 +1,4 @@
-//! Randomised case of the exchange between hosts: hosts crash, freeze, start anew, are cut off and
+//! Randomised case of the exchange between hosts: hosts stop, crash, freeze, start anew, are cut off and
 //! lose what they send as aggregators, while messages are lost and overtake each other. After the
 //! faults, all hosts know of each other, every domain has two aggregators, and every host sees the
 //! work of all others once. Then no aggregator goes back to an older report while messages overtake
@@ -32,6 +32,7 @@
 /// A fault of the simulated cluster.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
+    Stop,
     Crash,
     Restart,
     Freeze,
@@ -41,7 +42,8 @@
     Heal,
 }
 
-const FAULTS: [Fault; 7] = [
+const FAULTS: [Fault; 8] = [
+    Fault::Stop,
     Fault::Crash,
     Fault::Restart,
     Fault::Freeze,
@@ -77,6 +79,9 @@
         sim.hosts[index].side = 0;
         sim.hosts[index].is_frozen = false;
         sim.hosts[index].loses_digests = false;
+        if sim.hosts[index].status.is_stopping {
+            sim.start(index);
+        }
     }
     sim.loss_period = 0;
     sim.delay_period = 0;
@@ -97,9 +102,10 @@
 
 fn apply(sim: &mut Sim, fault: Fault, index: usize) {
     match fault {
+        Fault::Stop => sim.stop(index),
         Fault::Crash => sim.crash(index),
         Fault::Restart => {
-            if sim.hosts[index].node.is_none() {
+            if sim.hosts[index].node.is_none() || sim.hosts[index].status.is_stopping {
                 sim.start(index);
             }
         }
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -99,6 +99,8 @@
         PeeringHearsay => "peering-hearsay",
         /// A host keeps an aggregator that sends no digests.
         PeeringKeepsSilentAggregator => "peering-keeps-silent-aggregator",
+        /// A host that was heard stopping is not taken back as an aggregator after its restart.
+        PeeringKeepsStopping => "peering-keeps-stopping",
         /// An older change of an item replaces a newer one.
         ItemLogOlderChange => "item-log-older-change",
         /// Changes between hosts leave out removed items.
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -342,6 +342,8 @@
             if known.heard_at.is_some_and(|at| now.since(at) >= PEER_TIMEOUT) {
                 known.heard_at = None;
                 known.is_issuer = false;
+                // Whoever is named as alive at this address from now on is another process.
+                known.is_stopping &= planted!(PeeringKeepsStopping);
                 known.added_at = known.added_at.max(now.since(PEER_TIMEOUT));
                 if known.peer.domain == self.own.domain {
                     findings.push(Finding::Lost(known.peer.clone()));
