Send few large answers at a time between hosts, compressed, and ask a second source beside

Callers saw: 404 for routes of a version acknowledged over 3 s before, and most model requests late in these seconds. Second of two causes: all members of a failure domain fetched the whole configuration from one host at once. Its link of 20 Mbit/s completed none of the answers within the 1.5 s after which each member gave up, all began again, its digests waited behind the bulk, so it was avoided, and the next aggregator in the ranking got the same load. And a host asked the one source with the newest revision for as long as it was heard, although it never answered.

Change: core::catch_up decides on both sides. A host sends two large answers at a time and names members that have the change meanwhile; values of 4 KB or more are compressed once; a host that gets no first byte within a sixth of the time limit asks another source beside, and lays a failed one aside. All waits derive from the limit of the settings. Hosts of the landed release do not ask for the compressed format and get what they read today.

Ruled out: the store (the aggregators adopt within 0.3 s of the sending).

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -75,6 +75,8 @@
     Forward => ("forward", crate::forward_case::run),
     /// Peering: hosts count each other, choose aggregators and see each other's work.
     Peering => ("peering", crate::peering_case::run),
+    /// Catch-up: a large change reaches all hosts in time, over whatever links.
+    CatchUp => ("catch-up", crate::catch_up_case::run),
     /// Item log: hosts that read from the store and from each other never go back and converge.
     ItemLog => ("item-log", crate::item_log_case::run),
     /// Streams: an answer over failing chains is complete, of one model version and final.
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -12,6 +12,8 @@
 
 mod admit_case;
 mod case;
+mod catch_up_case;
+mod catch_up_sim;
 mod claim_case;
 mod cmd_claim_figures;
 mod cmd_defects;
--- /dev/null
+++ b/crates/core/src/catch_up/tests.rs
@@ -0,0 +1,96 @@
+//! Tests of the decisions of hosts that are behind.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
+
+use crate::catch_up::FetchEnd;
+use crate::catch_up::Fetches;
+use crate::catch_up::Reply;
+use crate::catch_up::Transfers;
+use crate::catch_up::Waits;
+use crate::clock::Millis;
+
+const LIMIT: Millis = Millis(3_000);
+const LARGE: usize = 60_000;
+const SMALL: usize = 600;
+
+fn host(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_000)
+}
+
+fn fetches() -> (Fetches, Waits) {
+    let waits = Waits::new(LIMIT);
+    (Fetches::new(waits), waits)
+}
+
+#[test]
+fn a_second_source_is_asked_beside_one_that_sends_nothing() {
+    let (mut fetches, waits) = fetches();
+    let sources = [host(1), host(2), host(3)];
+    assert_eq!(fetches.next(Millis(0), &sources), Some(host(1)));
+    let wait = waits.first_byte();
+    assert_eq!(fetches.next(wait.since(Millis(1)), &sources), None);
+    assert_eq!(fetches.next(wait, &sources), Some(host(2)));
+    assert_eq!(fetches.next(wait + wait, &sources), None, "two at a time are enough");
+}
+
+#[test]
+fn no_second_source_is_asked_while_the_first_one_sends() {
+    let (mut fetches, waits) = fetches();
+    let sources = [host(1), host(2)];
+    fetches.next(Millis(0), &sources);
+    fetches.on_bytes(Millis(10), host(1));
+    assert_eq!(fetches.next(waits.first_byte(), &sources), None);
+    assert!(fetches.overdue(waits.silence()).is_empty());
+    assert_eq!(fetches.overdue(waits.silence() + Millis(10)).as_slice(), [host(1)]);
+}
+
+#[test]
+fn a_source_that_failed_is_asked_only_if_there_is_no_other_for_a_while() {
+    let (mut fetches, waits) = fetches();
+    fetches.next(Millis(0), &[host(1)]);
+    fetches.on_end(Millis(5), host(1), FetchEnd::Failed);
+    assert_eq!(fetches.next(Millis(6), &[host(1), host(2)]), Some(host(2)));
+    fetches.on_end(Millis(7), host(2), FetchEnd::Failed);
+    assert_eq!(fetches.next(Millis(8), &[host(1), host(2)]), Some(host(1)));
+    fetches.on_end(Millis(9), host(1), FetchEnd::Applied);
+    let later = Millis(9) + waits.aside();
+    assert_eq!(fetches.next(later, &[host(1), host(2)]), Some(host(1)));
+}
+
+#[test]
+fn a_referral_is_followed_before_all_other_sources() {
+    let (mut fetches, _) = fetches();
+    fetches.next(Millis(0), &[host(1)]);
+    assert!(!fetches.is_referred(host(1)));
+    fetches.on_end(Millis(5), host(1), FetchEnd::Referred(host(9)));
+    assert_eq!(fetches.next(Millis(6), &[host(1)]), Some(host(9)));
+    assert!(fetches.is_referred(host(9)));
+    fetches.on_end(Millis(9), host(9), FetchEnd::Failed);
+    assert_eq!(fetches.next(Millis(10), &[host(1)]), Some(host(1)));
+}
+
+#[test]
+fn few_large_answers_are_sent_at_a_time_and_small_ones_always() {
+    let mut transfers = Transfers::default();
+    let decide = |transfers: &mut Transfers, bytes| transfers.decide(Millis(0), bytes, &[]);
+    assert_eq!(decide(&mut transfers, LARGE), Reply::Send);
+    assert_eq!(decide(&mut transfers, LARGE), Reply::Send);
+    assert_eq!(decide(&mut transfers, LARGE), Reply::Wait);
+    assert_eq!(decide(&mut transfers, SMALL), Reply::Send);
+    transfers.on_end(SMALL);
+    assert_eq!(decide(&mut transfers, LARGE), Reply::Wait);
+    transfers.on_end(LARGE);
+    assert_eq!(decide(&mut transfers, LARGE), Reply::Send);
+}
+
+#[test]
+fn a_busy_host_names_each_holder_to_one_that_asks_and_then_the_next_one() {
+    let mut transfers = Transfers::default();
+    let holders = [host(4), host(5)];
+    (0..2).for_each(|_| assert_eq!(transfers.decide(Millis(0), LARGE, &holders), Reply::Send));
+    assert_eq!(transfers.decide(Millis(0), LARGE, &holders), Reply::Refer(host(4)));
+    assert_eq!(transfers.decide(Millis(1), LARGE, &holders), Reply::Refer(host(5)));
+    assert_eq!(transfers.decide(Millis(2), LARGE, &holders), Reply::Wait);
+    assert_eq!(transfers.decide(Millis(150), LARGE, &holders), Reply::Refer(host(4)));
+}
--- /dev/null
+++ b/crates/core/src/catch_up/waits.rs
@@ -0,0 +1,45 @@
+//! The waits of a host that is behind.
+
+use crate::clock::Millis;
+
+/// The shortest time limit that the waits follow.
+const MIN_LIMIT: Millis = Millis(500);
+
+/// The waits that follow from the time within which a change has to be in force on every host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Waits {
+    limit: Millis,
+}
+
+impl Waits {
+    /// Creates the waits for a time limit; one below 500 ms counts as 500 ms.
+    pub fn new(limit: Millis) -> Self {
+        Self { limit: limit.max(MIN_LIMIT) }
+    }
+
+    /// Returns the time limit itself.
+    pub fn limit(&self) -> Millis {
+        self.limit
+    }
+
+    /// Returns how long a source may leave a request without a first byte before another one is
+    /// asked beside it.
+    pub fn first_byte(&self) -> Millis {
+        Millis(self.limit.0 / 6)
+    }
+
+    /// Returns how long a request may wait for its turn before it is given up.
+    pub fn turn(&self) -> Millis {
+        Millis(self.limit.0 / 2)
+    }
+
+    /// Returns how long a source may send nothing in the middle of an answer.
+    pub fn silence(&self) -> Millis {
+        Millis(self.limit.0 / 4)
+    }
+
+    /// Returns how long a source is asked only if there is no other one after a fetch from it failed.
+    pub fn aside(&self) -> Millis {
+        Millis(self.limit.0 / 4)
+    }
+}
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -99,6 +99,12 @@
         PeeringHearsay => "peering-hearsay",
         /// A host keeps an aggregator that sends no digests.
         PeeringKeepsSilentAggregator => "peering-keeps-silent-aggregator",
+        /// A host that is behind asks no second source beside one that does not answer.
+        CatchUpAsksOneSource => "catch-up-asks-one-source",
+        /// A source from which a fetch failed is asked again at once.
+        CatchUpForgetsFailures => "catch-up-forgets-failures",
+        /// A host sends large answers to all that ask at the same time.
+        CatchUpServesAllAtOnce => "catch-up-serves-all-at-once",
         /// A host that was heard stopping is not taken back as an aggregator after its restart.
         PeeringKeepsStopping => "peering-keeps-stopping",
         /// An older change of an item replaces a newer one.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -170,6 +170,8 @@
     AggregatorEnded = 2506, Info, "aggregator ended";
     /// An aggregator has sent no digest in time; another one is used.
     AggregatorAvoided = 2507, Info, "aggregator avoided";
+    /// A host that is busy sending changes names another one that has them.
+    ChangesReferred = 2511, Info, "changes referred";
     /// A message of another host cannot be read: it is of a release that this one does not understand.
     MessageUnreadable = 2510, Warn, "message unreadable";
     /// Another failure domain was heard of, for the first time or again.
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -6,6 +6,7 @@
 mod known;
 mod receive;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -216,14 +217,34 @@
         in_domain || heard || elsewhere
     }
 
-    /// Returns the live host with the newest revision beyond `revision`; among equals, one of this
-    /// host's own domain.
-    pub fn newer_source(&self, now: Millis, revision: u64) -> Option<Source> {
-        self.peers
-            .values()
-            .filter(|k| k.is_heard(now) && k.revision > revision)
-            .max_by_key(|k| (k.revision, k.peer.domain == self.own.domain, k.peer.gossip))
+    /// Returns the live hosts with revisions beyond `revision`, the newest one first; among equals,
+    /// those of this host's own domain.
+    pub fn newer_sources(&self, now: Millis, revision: u64) -> Vec<Source> {
+        let is_newer = |k: &&KnownPeer| k.is_heard(now) && k.revision > revision;
+        let mut newer: Vec<&KnownPeer> = self.peers.values().filter(is_newer).collect();
+        newer.sort_unstable_by_key(|k| {
+            Reverse((k.revision, k.peer.domain == self.own.domain, k.peer.gossip))
+        });
+        newer
+            .into_iter()
             .map(|k| Source { control: k.peer.control, revision: k.revision })
+            .collect()
+    }
+
+    /// Returns the control addresses of the live hosts of this host's domain that have applied the
+    /// changes up to `revision`, in an order that differs between hosts.
+    pub fn holders(&self, now: Millis, revision: u64) -> Vec<SocketAddrV4> {
+        let is_holder = |k: &&KnownPeer| {
+            k.peer.domain == self.own.domain
+                && k.is_heard(now)
+                && !k.is_stopping
+                && k.revision >= revision
+        };
+        let mut holders: Vec<&Peer> =
+            self.peers.values().filter(is_holder).map(|k| &k.peer).collect();
+        let own = short_hash(self.own.host.as_str());
+        holders.sort_unstable_by_key(|p| (short_hash(p.host.as_str()) ^ own, p.gossip));
+        holders.into_iter().map(|p| p.control).collect()
     }
 
     /// Returns the observations of other hosts if there are new ones since the last call.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -50,6 +50,7 @@
     pauses: HashMap<PauseKind, Counter>,
     changes_served: Counter,
     changes_served_bytes: Counter,
+    changes_referred: Counter,
     first_event: Histogram,
     longest_gap: Histogram,
 }
@@ -101,6 +102,7 @@
                 .collect(),
             changes_served: counter(&recorder, "yuccanotch_changes_served_total", None),
             changes_served_bytes: counter(&recorder, "yuccanotch_changes_served_bytes_total", None),
+            changes_referred: counter(&recorder, "yuccanotch_changes_referred_total", None),
             first_event: histogram("yuccanotch_first_event_ms"),
             longest_gap: histogram("yuccanotch_longest_gap_ms"),
             gauges: PrometheusBuilder::new().build_recorder(),
@@ -177,6 +179,11 @@
         self.changes_served_bytes.increment(bytes as u64);
     }
 
+    /// Counts a host that was told which other one has the changes that it asked for.
+    pub fn changes_referred(&self) {
+        self.changes_referred.increment(1);
+    }
+
     /// Records the time to the first event of a stream and its longest gap between events.
     pub fn stream_ended(&self, first_event: Millis, longest_gap: Millis) {
         self.first_event.record(first_event.0 as f64);
@@ -211,6 +218,7 @@
         self.gauge("yuccanotch_fingerprints_quarantined", quarantined as f64);
         let cut = gateway.links.state().cut_servers().len();
         self.gauge("yuccanotch_links_cut", cut as f64);
+        self.gauge("yuccanotch_changes_sending", gateway.sync.transfers() as f64);
         let paused = gateway.routing.pauses.borrow().count(now);
         self.gauge("yuccanotch_servers_paused", paused as f64);
         let limited = gateway.routing.limits.borrow().count();
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -17,6 +17,7 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 use tokio::time;
+use yuccanotch_core::catch_up::Waits;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
@@ -55,6 +56,7 @@
 use crate::shutdown::Shutdown;
 use crate::store::StoreClient;
 use crate::sync;
+use crate::sync::SyncState;
 use crate::views::Views;
 use crate::watch;
 
@@ -98,6 +100,8 @@
     pub links: Rc<Links>,
     /// The other hosts, and what they observe.
     pub peers: Peers,
+    /// The fetches of changes from other hosts, and the answers to them.
+    pub sync: SyncState,
     /// Whether this host follows changes in the store itself.
     pub follows_store: Cell<bool>,
     /// The state of the shutdown.
@@ -156,6 +160,7 @@
         let crashes = CrashTracker::new(clock.clone(), event_log.clone());
         let peers = Peers::new(settings.own_peer(), &settings.changeable.seeds);
         let changeable = RefCell::new(Rc::new(settings.changeable.clone()));
+        let sync = SyncState::new(Waits::new(settings.change_limit));
         Ok(Rc::new(Self {
             settings,
             clock,
@@ -170,6 +175,7 @@
             crashes,
             links,
             peers,
+            sync,
             follows_store: Cell::new(false),
             shutdown: Shutdown::new(),
             is_issuer: Cell::new(false),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -35,6 +35,8 @@
     pub store: SocketAddrV4,
     /// The bandwidth of the host's link, in Mbit/s.
     pub link_mbps: u32,
+    /// The time from the acknowledgement of a change in the store until it has to be in force.
+    pub change_limit: Millis,
     /// The largest number of open sockets.
     pub sockets: usize,
     /// The settings that may change while the process runs.
--- /dev/null
+++ b/crates/gateway/src/sync/mod.rs
@@ -0,0 +1,173 @@
+//! The changes of the configuration and the list of servers that hosts fetch from each other over
+//! HTTP/2: hosts that do not follow the store, and hosts that the store does not answer. The decisions
+//! are those of `core::catch_up`.
+
+mod client;
+mod server;
+mod wire;
+#[cfg(test)]
+mod wire_tests;
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::rt::Executor;
+use tokio::sync::Notify;
+use tokio::time;
+use yuccanotch_core::catch_up::FetchEnd;
+use yuccanotch_core::catch_up::Fetches;
+use yuccanotch_core::catch_up::Transfers;
+use yuccanotch_core::catch_up::Waits;
+use yuccanotch_core::event::Event;
+
+use crate::host::Gateway;
+use crate::sync::client::Fetched;
+use crate::sync::client::Reading;
+use crate::sync::wire::PackedValues;
+
+pub use self::server::serve;
+
+/// The time between checks whether another host knows of newer changes, and whether a fetch in
+/// progress is still worth its while.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The path of the resource that holds the changes; the last part is the revision that the asking
+/// host has.
+const CHANGES_PATH: &str = "/changes/";
+
+/// The fetches of changes from other hosts, and the answers to them.
+pub struct SyncState {
+    fetches: RefCell<Fetches>,
+    transfers: RefCell<Transfers>,
+    packed: PackedValues,
+    /// Notified when a fetch of this host has ended.
+    fetch_ended: Notify,
+    /// Notified when a large answer has been sent.
+    transfer_ended: Notify,
+}
+
+impl SyncState {
+    /// Creates the state of a host that has exchanged nothing.
+    pub fn new(waits: Waits) -> Self {
+        Self {
+            fetches: RefCell::new(Fetches::new(waits)),
+            transfers: RefCell::default(),
+            packed: PackedValues::default(),
+            fetch_ended: Notify::new(),
+            transfer_ended: Notify::new(),
+        }
+    }
+
+    /// Returns the number of large answers that this host is sending.
+    pub fn transfers(&self) -> usize {
+        self.transfers.borrow().active()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LocalExecutor;
+
+impl<F> Executor<F> for LocalExecutor
+where
+    F: Future + 'static,
+    F::Output: 'static,
+{
+    fn execute(&self, future: F) {
+        tokio::task::spawn_local(future);
+    }
+}
+
+/// Fetches changes for the life of the process whenever another host has newer ones, unless this
+/// host follows the store and the store answers it.
+pub async fn run(gateway: Rc<Gateway>) {
+    loop {
+        tokio::select! {
+            () = time::sleep(CHECK_INTERVAL) => {}
+            () = gateway.sync.fetch_ended.notified() => {}
+        }
+        let reads_store = gateway.follows_store.get() && gateway.store.lost_since().is_none();
+        let has_state = gateway.views.configuration().is_some() && gateway.views.servers_read();
+        if reads_store && has_state {
+            continue;
+        }
+        let now = gateway.clock.now();
+        let sources = gateway.peers.node().newer_sources(now, gateway.views.revision());
+        let newest = sources.first().map_or(0, |source| source.revision);
+        let addresses: Vec<SocketAddrV4> = sources.iter().map(|source| source.control).collect();
+        let next = gateway.sync.fetches.borrow_mut().next(now, &addresses);
+        if let Some(source) = next {
+            tokio::task::spawn_local(fetch(gateway.clone(), source, newest));
+        }
+    }
+}
+
+/// Fetches the changes of the host at `source` that this host does not have, and applies them.
+/// `newest` is the revision up to which other hosts have applied changes.
+async fn fetch(gateway: Rc<Gateway>, source: SocketAddrV4, newest: u64) {
+    let after = gateway.views.revision();
+    let began = gateway.clock.now();
+    let mut reading = Reading::default();
+    let result = tokio::select! {
+        result = client::fetch(&gateway, source, after, &mut reading) => result,
+        result = wait_until_needless(&gateway, source, newest) => result,
+    };
+    let took = gateway.clock.now().since(began);
+    let end = match result {
+        Ok(Fetched::Changes(shared)) => {
+            gateway.event_log.line(
+                Event::ChangesFetched,
+                &[
+                    ("from", &source),
+                    ("items", &shared.changes.items.len()),
+                    ("after", &after),
+                    ("revision", &shared.changes.revision),
+                    ("bytes", &reading.bytes.get()),
+                    ("took_ms", &took.0),
+                ],
+            );
+            gateway.views.delay_removals(shared.removal_delay);
+            gateway.views.merge(shared.changes, "host");
+            FetchEnd::Applied
+        }
+        Ok(Fetched::Referral(to)) => {
+            gateway.event_log.line(Event::ChangesReferred, &[("from", &source), ("to", &to)]);
+            FetchEnd::Referred(to)
+        }
+        Ok(Fetched::Needless) => FetchEnd::Applied,
+        Err(why) => {
+            gateway.event_log.line(
+                Event::ChangesUnavailable,
+                &[
+                    ("from", &source),
+                    ("why", &why),
+                    ("bytes", &reading.bytes.get()),
+                    ("took_ms", &took.0),
+                ],
+            );
+            FetchEnd::Failed
+        }
+    };
+    let now = gateway.clock.now();
+    gateway.sync.fetches.borrow_mut().on_end(now, source, end);
+    gateway.sync.fetch_ended.notify_one();
+}
+
+/// Resolves when the fetch from `source` has taken too long, or another one has brought this host to
+/// the revision `newest`.
+async fn wait_until_needless(
+    gateway: &Gateway,
+    source: SocketAddrV4,
+    newest: u64,
+) -> Result<Fetched, client::FetchError> {
+    loop {
+        time::sleep(CHECK_INTERVAL).await;
+        if gateway.views.revision() >= newest {
+            return Ok(Fetched::Needless);
+        }
+        if gateway.sync.fetches.borrow().overdue(gateway.clock.now()).contains(&source) {
+            return Err(client::FetchError::Timeout);
+        }
+    }
+}
