Let a request wait for the version that adds its route, and do not deny what a newer one may allow

Callers saw: 404 or 401 from a host that had heard from another one of newer changes, but not yet fetched them.

Change: such a request waits for these changes, at most a quarter of the time limit and half of the caller's deadline, and is then decided on again. A route or key that no newer changes could bring is denied at once, as before.

--- a/crates/core/src/catch_up/waits.rs
+++ b/crates/core/src/catch_up/waits.rs
@@ -38,6 +38,11 @@
         Millis(self.limit.0 / 4)
     }
 
+    /// Returns how long a request may wait for changes that would allow it.
+    pub fn request(&self) -> Millis {
+        Millis(self.limit.0 / 4)
+    }
+
     /// Returns how long a source is asked only if there is no other one after a fetch from it failed.
     pub fn aside(&self) -> Millis {
         Millis(self.limit.0 / 4)
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -109,6 +109,8 @@
         NoConfiguration = "no_configuration",
         /// Another host has passed the request on, which serves by a newer configuration.
         OlderConfiguration = "older_configuration",
+        /// This configuration has no such route or key, and another host knows of newer changes.
+        Behind = "behind",
         /// Too many requests that other hosts have passed on are in progress.
         TooManyRelayed = "too_many_relayed",
         /// No route matches the request.
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -217,6 +217,12 @@
         in_domain || heard || elsewhere
     }
 
+    /// Returns the newest revision that a live host has applied, if it is beyond `revision`.
+    pub fn newer_revision(&self, now: Millis, revision: u64) -> Option<u64> {
+        let heard = self.peers.values().filter(|k| k.is_heard(now)).map(|k| k.revision);
+        heard.max().filter(|newest| *newest > revision)
+    }
+
     /// Returns the live hosts with revisions beyond `revision`, the newest one first; among equals,
     /// those of this host's own domain.
     pub fn newer_sources(&self, now: Millis, revision: u64) -> Vec<Source> {
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -3,6 +3,8 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header;
@@ -23,9 +25,13 @@
 use tokio::sync::oneshot;
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::reason::Rejection;
+use yuccanotch_core::forward::routes::Configuration;
 use yuccanotch_core::forward::routes::Limits;
+use yuccanotch_core::forward::routes::Route;
+use yuccanotch_core::forward::routes::Team;
 
 use crate::adapter::CallerRequest;
 use crate::answer;
@@ -44,6 +50,9 @@
 /// The most bytes that a host adds to the head of a request that it passes on.
 const MAX_RELAY_HEAD_BYTES: usize = 4 << 10;
 
+/// The time between checks whether this host has caught up.
+const CATCH_UP_POLL: Duration = Duration::from_millis(20);
+
 /// Who sends the requests on a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RequestSource {
@@ -56,9 +65,10 @@
 fn rejection_status(rejection: Rejection) -> StatusCode {
     match rejection {
         Rejection::Malformed | Rejection::BodyBroken => StatusCode::BAD_REQUEST,
-        Rejection::NoConfiguration | Rejection::OlderConfiguration | Rejection::TooManyRelayed => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Rejection::NoConfiguration
+        | Rejection::OlderConfiguration
+        | Rejection::Behind
+        | Rejection::TooManyRelayed => StatusCode::SERVICE_UNAVAILABLE,
         Rejection::NoRoute => StatusCode::NOT_FOUND,
         Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
         Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -177,16 +187,7 @@
     body: Incoming,
     caller: &CallerRequest,
 ) -> Result<Admitted, Rejection> {
-    let configuration = gateway.views.configuration().ok_or(Rejection::NoConfiguration)?;
-    let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
-    let host = host.split(':').next().unwrap_or(host);
-    let route = configuration.route(host, head.uri.path()).ok_or(Rejection::NoRoute)?.clone();
-    let team = if route.public {
-        None
-    } else {
-        let key = caller.key.as_deref().ok_or(Rejection::UnknownKey)?;
-        Some(configuration.team(key).ok_or(Rejection::UnknownKey)?.clone())
-    };
+    let Allowed { configuration, route, team } = allow(gateway, &head, caller).await?;
     let hash = xxh3_64(caller.id.as_deref().unwrap_or("").as_bytes());
     let service = route
         .service(hash)
@@ -199,6 +200,61 @@
     Ok(Admitted { head, body, caller, route, service, team, started, relayed: None })
 }
 
+/// What the configuration says about a request that it allows.
+struct Allowed {
+    configuration: Rc<Configuration>,
+    route: Arc<Route>,
+    team: Option<Arc<Team>>,
+}
+
+/// Finds the route and the team of a request. One that this host's configuration does not allow waits
+/// if another host knows of newer changes, which may allow it.
+async fn allow(
+    gateway: &Gateway,
+    head: &http::request::Parts,
+    caller: &CallerRequest,
+) -> Result<Allowed, Rejection> {
+    let found = find(gateway, head, caller);
+    let Err(Rejection::NoRoute | Rejection::UnknownKey) = found else {
+        return found;
+    };
+    let now = gateway.clock.now();
+    let own_revision = gateway.views.revision();
+    let Some(newest) = gateway.peers.node().newer_revision(now, own_revision) else {
+        return found;
+    };
+    let longest = gateway.sync.waits().request();
+    let wait = caller.deadline.map_or(longest, |left| longest.min(Millis(left.0 / 2)));
+    let end = now + wait;
+    while gateway.views.revision() < newest && gateway.clock.now() < end {
+        time::sleep(CATCH_UP_POLL).await;
+    }
+    match find(gateway, head, caller) {
+        Err(Rejection::NoRoute | Rejection::UnknownKey) if gateway.views.revision() < newest => {
+            Err(Rejection::Behind)
+        }
+        found => found,
+    }
+}
+
+fn find(
+    gateway: &Gateway,
+    head: &http::request::Parts,
+    caller: &CallerRequest,
+) -> Result<Allowed, Rejection> {
+    let configuration = gateway.views.configuration().ok_or(Rejection::NoConfiguration)?;
+    let host = head.headers.get(header::HOST).and_then(|h| h.to_str().ok()).unwrap_or("");
+    let host = host.split(':').next().unwrap_or(host);
+    let route = configuration.route(host, head.uri.path()).ok_or(Rejection::NoRoute)?.clone();
+    let team = if route.public {
+        None
+    } else {
+        let key = caller.key.as_deref().ok_or(Rejection::UnknownKey)?;
+        Some(configuration.team(key).ok_or(Rejection::UnknownKey)?.clone())
+    };
+    Ok(Allowed { configuration, route, team })
+}
+
 async fn read_body(
     body: Incoming,
     limits: &Limits,
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -39,6 +39,7 @@
 
 /// The fetches of changes from other hosts, and the answers to them.
 pub struct SyncState {
+    waits: Waits,
     fetches: RefCell<Fetches>,
     transfers: RefCell<Transfers>,
     packed: PackedValues,
@@ -52,6 +53,7 @@
     /// Creates the state of a host that has exchanged nothing.
     pub fn new(waits: Waits) -> Self {
         Self {
+            waits,
             fetches: RefCell::new(Fetches::new(waits)),
             transfers: RefCell::default(),
             packed: PackedValues::default(),
@@ -60,6 +62,11 @@
         }
     }
 
+    /// Returns the waits of a host that is behind.
+    pub fn waits(&self) -> Waits {
+        self.waits
+    }
+
     /// Returns the number of large answers that this host is sending.
     pub fn transfers(&self) -> usize {
         self.transfers.borrow().active()
