Fetch from another host what the store should have told long before

A host that reads the store for its failure domain, and whose connection to it hung, cancelled its watch whenever another host named newer changes, asked the store again, and never fetched from that host: the cancelled calls did not count as failed. It and its members stayed at their version for as long as the connection hung.

Change: a host that is behind what it has heard of for a sixth of the time limit fetches from other hosts, whether it reads the store or not.

--- a/crates/core/src/catch_up/mod.rs
+++ b/crates/core/src/catch_up/mod.rs
@@ -6,6 +6,7 @@
 //! limit; [`Waits`] states them and their sum.
 
 mod fetches;
+mod lag;
 #[cfg(test)]
 mod tests;
 mod transfers;
@@ -13,6 +14,7 @@
 
 pub use self::fetches::FetchEnd;
 pub use self::fetches::Fetches;
+pub use self::lag::Lag;
 pub use self::transfers::Reply;
 pub use self::transfers::Transfers;
 pub use self::waits::Waits;
--- a/crates/core/src/catch_up/tests.rs
+++ b/crates/core/src/catch_up/tests.rs
@@ -5,6 +5,7 @@
 
 use crate::catch_up::FetchEnd;
 use crate::catch_up::Fetches;
+use crate::catch_up::Lag;
 use crate::catch_up::Reply;
 use crate::catch_up::Transfers;
 use crate::catch_up::Waits;
@@ -70,6 +71,28 @@
     assert_eq!(fetches.next(Millis(10), &[host(1)]), Some(host(1)));
 }
 
+#[test]
+fn the_time_behind_begins_anew_when_the_revision_that_was_heard_of_is_reached() {
+    let mut lag = Lag::default();
+    lag.on_revisions(Millis(0), 5, None);
+    assert_eq!(lag.span(Millis(10)), Millis(0));
+    lag.on_revisions(Millis(10), 5, Some(7));
+    lag.on_revisions(Millis(20), 6, Some(9));
+    assert_eq!(lag.span(Millis(30)), Millis(20), "7 is not reached");
+    lag.on_revisions(Millis(40), 7, Some(9));
+    assert_eq!(lag.span(Millis(50)), Millis(10));
+    lag.on_revisions(Millis(60), 9, None);
+    assert_eq!(lag.span(Millis(70)), Millis(0));
+}
+
+#[test]
+fn a_host_is_not_behind_a_host_that_is_not_heard_any_more() {
+    let mut lag = Lag::default();
+    lag.on_revisions(Millis(10), 5, Some(7));
+    lag.on_revisions(Millis(20), 5, None);
+    assert_eq!(lag.span(Millis(30)), Millis(0));
+}
+
 #[test]
 fn few_large_answers_are_sent_at_a_time_and_small_ones_always() {
     let mut transfers = Transfers::default();
--- a/crates/core/src/catch_up/waits.rs
+++ b/crates/core/src/catch_up/waits.rs
@@ -28,6 +28,12 @@
         Millis(self.limit.0 / 6)
     }
 
+    /// Returns how long a host that reads the store waits for changes that another host has, before it
+    /// fetches them from there.
+    pub fn store_silence(&self) -> Millis {
+        Millis(self.limit.0 / 6)
+    }
+
     /// Returns how long a request may wait for its turn before it is given up.
     pub fn turn(&self) -> Millis {
         Millis(self.limit.0 / 2)
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -19,8 +19,10 @@
 use tokio::time;
 use yuccanotch_core::catch_up::FetchEnd;
 use yuccanotch_core::catch_up::Fetches;
+use yuccanotch_core::catch_up::Lag;
 use yuccanotch_core::catch_up::Transfers;
 use yuccanotch_core::catch_up::Waits;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 
 use crate::host::Gateway;
@@ -40,6 +42,7 @@
 /// The fetches of changes from other hosts, and the answers to them.
 pub struct SyncState {
     waits: Waits,
+    lag: RefCell<Lag>,
     fetches: RefCell<Fetches>,
     transfers: RefCell<Transfers>,
     packed: PackedValues,
@@ -54,6 +57,7 @@
     pub fn new(waits: Waits) -> Self {
         Self {
             waits,
+            lag: RefCell::default(),
             fetches: RefCell::new(Fetches::new(waits)),
             transfers: RefCell::default(),
             packed: PackedValues::default(),
@@ -73,6 +77,17 @@
     }
 }
 
+impl Gateway {
+    /// Returns whether this host follows the store, and is not behind what the store should have
+    /// told it.
+    fn expects_changes_from_store(&self, now: Millis) -> bool {
+        let reads_store = self.follows_store.get() && self.store.lost_since().is_none();
+        let has_state = self.views.configuration().is_some() && self.views.servers_read();
+        let is_late = self.sync.lag.borrow().span(now) >= self.sync.waits.store_silence();
+        reads_store && has_state && !is_late
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LocalExecutor;
 
@@ -87,21 +102,22 @@
 }
 
 /// Fetches changes for the life of the process whenever another host has newer ones, unless this
-/// host follows the store and the store answers it.
+/// host is about to get them from the store.
 pub async fn run(gateway: Rc<Gateway>) {
     loop {
         tokio::select! {
             () = time::sleep(CHECK_INTERVAL) => {}
             () = gateway.sync.fetch_ended.notified() => {}
         }
-        let reads_store = gateway.follows_store.get() && gateway.store.lost_since().is_none();
-        let has_state = gateway.views.configuration().is_some() && gateway.views.servers_read();
-        if reads_store && has_state {
+        let now = gateway.clock.now();
+        let revision = gateway.views.revision();
+        let newest = gateway.peers.node().newer_revision(now, revision);
+        gateway.sync.lag.borrow_mut().on_revisions(now, revision, newest);
+        if gateway.expects_changes_from_store(now) {
             continue;
         }
-        let now = gateway.clock.now();
-        let sources = gateway.peers.node().newer_sources(now, gateway.views.revision());
-        let newest = sources.first().map_or(0, |source| source.revision);
+        let sources = gateway.peers.node().newer_sources(now, revision);
+        let newest = newest.unwrap_or(revision);
         let addresses: Vec<SocketAddrV4> = sources.iter().map(|source| source.control).collect();
         let next = gateway.sync.fetches.borrow_mut().next(now, &addresses);
         if let Some(source) = next {
