Read the store in time when no aggregator does, whatever the time limit is

A member read the store itself 1.5 to 4.5 s after it last heard an aggregator that did, with limits of 2 and 3 s for a change to be in force.

Change: the waits derive from the limit of the settings (core::catch_up::Waits states them and their sum): a quarter to a half of it without an aggregator that says that it reads the store, or half of it behind a revision that was heard of.

--- a/crates/core/src/catch_up/tests.rs
+++ b/crates/core/src/catch_up/tests.rs
@@ -93,6 +93,16 @@
     assert_eq!(lag.span(Millis(30)), Millis(0));
 }
 
+#[test]
+fn a_host_reads_the_store_itself_well_within_the_limit() {
+    for limit in [1_000, 2_000, 3_000, 10_000].map(Millis) {
+        let waits = Waits::new(limit);
+        let left = limit.since(waits.worst_case());
+        assert!(left >= Millis(limit.0 / 2), "{left} are left of {limit}");
+        assert!(waits.first_byte() + waits.turn() <= waits.limit());
+    }
+}
+
 #[test]
 fn few_large_answers_are_sent_at_a_time_and_small_ones_always() {
     let mut transfers = Transfers::default();
--- a/crates/core/src/catch_up/waits.rs
+++ b/crates/core/src/catch_up/waits.rs
@@ -34,6 +34,28 @@
         Millis(self.limit.0 / 6)
     }
 
+    /// Returns the shortest time without a host of the own failure domain that reads the store after
+    /// which any other host reads it itself; hosts add up to [`Self::reader_spread`].
+    pub fn reader_silence(&self) -> Millis {
+        Millis(self.limit.0 / 4)
+    }
+
+    /// Returns the span over which the hosts of a domain spread that step.
+    pub fn reader_spread(&self) -> Millis {
+        Millis(self.limit.0 / 4)
+    }
+
+    /// Returns how long a host may be behind what it has heard of before it reads the store itself.
+    pub fn store_instead(&self) -> Millis {
+        Millis(self.limit.0 / 2)
+    }
+
+    /// Returns the longest time from the moment at which no host of a domain reads the store any more,
+    /// or at which a host hears of changes that it does not get, until it reads the store itself.
+    pub fn worst_case(&self) -> Millis {
+        (self.reader_silence() + self.reader_spread()).max(self.store_instead())
+    }
+
     /// Returns how long a request may wait for its turn before it is given up.
     pub fn turn(&self) -> Millis {
         Millis(self.limit.0 / 2)
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 
+use crate::catch_up::Waits;
 use crate::clock::Millis;
 use crate::defect::planted;
 use crate::name::DomainName;
@@ -33,8 +34,7 @@
 use crate::peering::timing::LISTING_WAIT;
 use crate::peering::timing::LONE_WAIT;
 use crate::peering::timing::PEER_TIMEOUT;
-use crate::peering::timing::READER_SPREAD;
-use crate::peering::timing::READER_TIMEOUT;
+use crate::peering::timing::READER_TTL;
 use crate::peering::timing::ROUNDS_PER_FULL_EXCHANGE;
 use crate::peering::timing::SEED_INTERVAL;
 use crate::peering::timing::SUMMARY_TTL;
@@ -175,19 +175,20 @@
 
     /// Returns whether this host should follow the store itself: as an aggregator, or when it has
     /// heard no aggregator that reads the store for some time, which differs between hosts.
-    pub fn should_read_store(&self, now: Millis) -> bool {
-        let spread = Millis(u64::from(short_hash(self.own.host.as_str())) % READER_SPREAD.0);
-        let waits_in_vain =
-            |since: Millis| now.since(since) >= READER_TIMEOUT + spread && !self.hears_reader(now);
+    pub fn should_read_store(&self, now: Millis, waits: Waits) -> bool {
+        let spread = u64::from(short_hash(self.own.host.as_str())) % waits.reader_spread().0;
+        let wait = waits.reader_silence() + Millis(spread);
+        let waits_in_vain = |since: Millis| now.since(since) >= wait && !self.hears_reader(now);
         self.is_aggregator || self.without_reader_since.is_some_and(waits_in_vain)
     }
 
     /// Returns whether one of the aggregators of this host's domain that send digests reads the
-    /// store.
+    /// store, as it said lately.
     fn hears_reader(&self, now: Millis) -> bool {
-        self.peers
-            .values()
-            .any(|k| k.peer.domain == self.own.domain && k.sends_digests(now) && k.reads_store)
+        self.peers.values().any(|k| {
+            let is_fresh = k.digest_at.is_some_and(|at| now.since(at) < READER_TTL);
+            k.peer.domain == self.own.domain && is_fresh && k.reads_store
+        })
     }
 
     /// Returns whether this host should try to become the order issuer: as an aggregator when it
--- a/crates/core/src/peering/tests.rs
+++ b/crates/core/src/peering/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of the exchange between hosts, on a simulated cluster.
 
+use crate::catch_up::Waits;
 use crate::clock::Millis;
 use crate::peering::sim::Sim;
 use crate::peering::timing::FORGET_AFTER;
 use crate::peering::timing::PEER_TIMEOUT;
+use crate::peering::timing::ROUNDS_PER_FULL_EXCHANGE;
 use crate::peering::timing::ROUND_INTERVAL;
 
 /// The time within which a starting cluster has settled.
@@ -209,9 +211,10 @@
     let mut sim = Sim::new(1, 6);
     sim.run(START);
     let chosen = aggregators(&sim, 0, 6);
+    let waits = Waits::new(Millis(4_000));
     let reads = |sim: &Sim| {
         let should = |h: &&crate::peering::sim::SimHost| {
-            h.node.as_ref().is_some_and(|n| n.should_read_store(sim.now))
+            h.node.as_ref().is_some_and(|n| n.should_read_store(sim.now, waits))
         };
         sim.hosts.iter().filter(should).count()
     };
@@ -219,9 +222,11 @@
     sim.run(PEER_TIMEOUT);
     assert_eq!(reads(&sim), 2);
     chosen.iter().for_each(|&i| sim.hosts[i].status.reads_store = false);
-    sim.run(Millis(1_000));
+    sim.run(waits.reader_silence());
     assert_eq!(reads(&sim), 2, "members wait before they read the store");
-    sim.run(Millis(6_000));
+    // The second aggregator's word is as old as the last full exchange.
+    let full_exchange = Millis(ROUND_INTERVAL.0 * u64::from(ROUNDS_PER_FULL_EXCHANGE));
+    sim.run(waits.reader_spread() + full_exchange + ROUND_INTERVAL);
     assert_eq!(reads(&sim), 6);
 }
 
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -71,6 +71,12 @@
         self.waits
     }
 
+    /// Returns whether no host has brought this one the changes that it has heard of for so long that
+    /// it reads the store itself.
+    pub fn is_stuck(&self, now: Millis) -> bool {
+        self.lag.borrow().span(now) >= self.waits.store_instead()
+    }
+
     /// Returns the number of large answers that this host is sending.
     pub fn transfers(&self) -> usize {
         self.transfers.borrow().active()
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -68,7 +68,9 @@
 }
 
 fn should_follow(gateway: &Gateway) -> bool {
-    gateway.peers.node().should_read_store(gateway.clock.now())
+    let now = gateway.clock.now();
+    let waits = gateway.sync.waits();
+    gateway.peers.node().should_read_store(now, waits) || gateway.sync.is_stuck(now)
 }
 
 /// Reads the servers and the configuration; returns the revision to watch from.
