Book what a server says of itself on the incarnation that was asked

Servers that had asked a host for rest still got requests from it. An answer was booked on whichever servers the list named at its address when it came. While the entry had lapsed (a store that was away, a slow writer) that was none: the pause, the announcement that the server leaves and its rate were lost, and the server got requests as soon as its entry was back. An address listed twice had the wrong one booked too.

Change: an answer to a caller's request counts for the incarnation to which it was sent, which every request names; a server that is not that one refuses with 421, and what it says counts for the address, as do answers to the host's own questions.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -2,50 +2,69 @@
 
 use std::net::SocketAddrV4;
 
+use smallvec::smallvec;
+use smallvec::SmallVec;
 use yuccanotch_core::forward::reason::LeavingSource;
 use yuccanotch_core::name::ServerName;
 
 use crate::adapter::ServerReply;
 use crate::host::Gateway;
 
-/// What a server answers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Question {
-    /// The request of a caller.
-    Request,
-    /// A question of the host itself: for a report, with an order or about the server's health.
-    Own,
+/// Which server an answer comes from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Announcer<'a> {
+    /// The incarnation to which a caller's request was sent; any other one would have refused it.
+    Asked(&'a Incarnation),
+    /// Whichever server is listed at the address to which a question of this host itself went: for a
+    /// report, with an order or about the server's health.
+    At(SocketAddrV4),
+}
+
+/// A start of a server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Incarnation {
+    pub(crate) server: ServerName,
+    /// When it started, if its entry says so.
+    pub(crate) born: Option<u64>,
 }
 
 impl Gateway {
-    /// Records what the server at `address` announces about itself in an answer to `question`.
-    pub(crate) fn record_announcements(
-        &self,
-        address: SocketAddrV4,
-        reply: &ServerReply,
-        question: Question,
-    ) {
-        self.record_limit(address, reply.limit, question);
-        if reply.is_leaving {
-            self.record_leaving_at(address);
+    /// Returns the incarnation of `server` that is listed now.
+    pub(crate) fn incarnation(&self, server: &ServerName) -> Incarnation {
+        let born = self.views.servers().get(server).and_then(|entry| entry.born);
+        Incarnation { server: server.clone(), born }
+    }
+
+    /// Records what a server announces about itself in an answer.
+    pub(crate) fn record_announcements(&self, announcer: Announcer<'_>, reply: &ServerReply) {
+        let is_to_request = matches!(announcer, Announcer::Asked(_));
+        let has_news = reply.limit.is_some() || reply.is_leaving || reply.pause.is_some();
+        if !has_news && !(is_to_request && self.knows_limits()) {
+            return;
         }
-        if let Some(pause) = reply.pause {
-            self.counters.pause_asked(pause.kind);
-            self.routing.record_pause(address, pause);
+        for incarnation in self.incarnations(announcer) {
+            self.record_limit(&incarnation, reply.limit, is_to_request);
+            if reply.is_leaving {
+                let Incarnation { server, born } = &incarnation;
+                self.record_leaving(server, *born, LeavingSource::Answer);
+            }
+            if let Some(pause) = reply.pause {
+                self.counters.pause_asked(pause.kind);
+                self.routing.record_pause(&incarnation.server, pause);
+            }
         }
     }
 
-    /// Records that the server at `address` is leaving. An address that was given to another server
-    /// may be listed twice; the answer is then of one that has ended or of one that is leaving.
-    fn record_leaving_at(&self, address: SocketAddrV4) {
-        let listed: Vec<(ServerName, Option<u64>)> = {
-            let servers = self.views.servers();
-            let at_address = servers.iter().filter(|e| e.address == address);
-            at_address.map(|e| (e.id.clone(), e.born)).collect()
+    /// Returns the incarnations that may have sent an answer. An address that was given to another
+    /// server may be listed twice; the answer is then of one that has ended or of one that is leaving.
+    fn incarnations(&self, announcer: Announcer<'_>) -> SmallVec<[Incarnation; 1]> {
+        let address = match announcer {
+            Announcer::Asked(incarnation) => return smallvec![incarnation.clone()],
+            Announcer::At(address) => address,
         };
-        for (server, born) in listed {
-            self.record_leaving(&server, born, LeavingSource::Answer);
-        }
+        let servers = self.views.servers();
+        let at_address = servers.iter().filter(|e| e.address == address);
+        at_address.map(|e| Incarnation { server: e.id.clone(), born: e.born }).collect()
     }
 
     /// Records that the incarnation of `server` that started at `born` is leaving.
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -23,7 +23,7 @@
 
 use crate::adapter::Forward;
 use crate::adapter::ServerReply;
-use crate::announcements::Question;
+use crate::announcements::Announcer;
 use crate::answer;
 use crate::exchange::silence::EVENT_TIMEOUT;
 use crate::exchange::silence::FIRST_EVENT_TIMEOUT;
@@ -50,6 +50,7 @@
         let gateway = self.gateway.clone();
         self.set_current(target.clone());
         gateway.routing.on_send(target.server());
+        let asked = gateway.incarnation(target.server());
         let known = self.tried.contains(target.server());
         let receiver = if known { AttemptTarget::Tried } else { AttemptTarget::Untried };
         let mut conn = match gateway.pool.acquire(target.address(), Reuse::Allowed).await {
@@ -78,7 +79,12 @@
         let (head, body) = response.into_parts();
         gateway.links.on_heard(target.server(), conn.is_new());
         let reply = gateway.adapter.decode_reply(&head);
-        gateway.record_announcements(target.address(), &reply, Question::Request);
+        let announcer = match head.status {
+            // Whoever has the address now is not the one that was asked.
+            StatusCode::MISDIRECTED_REQUEST => Announcer::At(target.address()),
+            _ => Announcer::Asked(&asked),
+        };
+        gateway.record_announcements(announcer, &reply);
         if let Some(ended) = self.check_reply(&head, &reply, target) {
             if let Some(address) = reply.at_fault {
                 self.check_declining_stage(address).await;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -28,7 +28,7 @@
 use crate::adapter::OrderReply;
 use crate::adapter::ProtocolAdapter;
 use crate::adapter::WholeRequest;
-use crate::announcements::Question;
+use crate::announcements::Announcer;
 use crate::answer::AnswerBody;
 use crate::callers;
 use crate::callers::RequestSource;
@@ -302,7 +302,7 @@
         let response = conn.send(req).await.ok()?;
         let (head, body) = response.into_parts();
         let reply = self.adapter.decode_reply(&head);
-        self.record_announcements(address, &reply, Question::Own);
+        self.record_announcements(Announcer::At(address), &reply);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
         if !reply.closes {
             self.pool.release(conn, reply.keep_alive);
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -2,7 +2,6 @@
 //! `core::limits`.
 
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
@@ -16,7 +15,7 @@
 use yuccanotch_core::name::ServerName;
 use yuccanotch_core::peering::observations::short_hash;
 
-use crate::announcements::Question;
+use crate::announcements::Incarnation;
 use crate::host::Gateway;
 
 /// How long a host that is not heard any more keeps its share, which no other one uses: it may be cut
@@ -28,38 +27,33 @@
 }
 
 impl Gateway {
-    /// Records the rate that the server at `address` names in its answer to `question`.
+    /// Returns whether some server names a rate, as far as this host knows.
+    pub(crate) fn knows_limits(&self) -> bool {
+        self.routing.limits.borrow().count() > 0
+    }
+
+    /// Records the rate that a server names, or that it names none, in an answer; `is_to_request` tells
+    /// whether it answers a caller's request.
     pub(crate) fn record_limit(
         &self,
-        address: SocketAddrV4,
+        incarnation: &Incarnation,
         limit: Option<RequestedLimit>,
-        question: Question,
+        is_to_request: bool,
     ) {
-        let is_any_known = self.routing.limits.borrow().count() > 0;
-        if limit.is_none() && (question == Question::Own || !is_any_known) {
-            return;
+        let Incarnation { server, born } = incarnation;
+        if limit == Some(RequestedLimit::Unusable) {
+            self.event_log.line(Event::LimitNotFollowed, &[("server", server)]);
         }
-        let now = self.clock.now();
-        let listed: Vec<(ServerName, u64)> = {
-            let servers = self.views.servers();
-            let at_address = servers.iter().filter(|e| e.address == address);
-            at_address.map(|e| (e.id.clone(), boot_of(e))).collect()
-        };
-        for (server, boot) in listed {
-            if limit == Some(RequestedLimit::Unusable) {
-                self.event_log.line(Event::LimitNotFollowed, &[("server", &server)]);
-            }
-            let change = self.routing.limits.borrow_mut().on_answer(
-                now,
-                short_hash(server.as_str()),
-                boot,
-                limit,
-                question == Question::Request,
-            );
-            if let Some(change) = change {
-                self.log_limit_change(&server, change, "answer");
-                self.update_limit_shares();
-            }
+        let change = self.routing.limits.borrow_mut().on_answer(
+            self.clock.now(),
+            short_hash(server.as_str()),
+            born.unwrap_or_default(),
+            limit,
+            is_to_request,
+        );
+        if let Some(change) = change {
+            self.log_limit_change(server, change, "answer");
+            self.update_limit_shares();
         }
     }
 
--- a/crates/gateway/src/routing/records.rs
+++ b/crates/gateway/src/routing/records.rs
@@ -43,22 +43,16 @@
         }
     }
 
-    /// Records that the server at `address` asked for a pause.
-    pub fn record_pause(&self, address: SocketAddrV4, pause: RequestedPause) {
-        let now = self.clock.now();
-        let servers = self.views.servers();
-        for entry in servers.iter().filter(|e| e.address == address) {
-            let is_first = self.pauses.borrow_mut().begin(now, &entry.id, pause.span);
-            let event = match pause.kind {
-                PauseKind::AsAsked if !is_first => continue,
-                PauseKind::AsAsked => Event::ServerPaused,
-                PauseKind::Shortened | PauseKind::Unusable => Event::PauseNotFollowed,
-            };
-            self.event_log.line(
-                event,
-                &[("server", &entry.id), ("for_ms", &pause.span.0), ("kind", &pause.kind)],
-            );
-        }
+    /// Records that `server` asked for a pause.
+    pub fn record_pause(&self, server: &ServerName, pause: RequestedPause) {
+        let is_first = self.pauses.borrow_mut().begin(self.clock.now(), server, pause.span);
+        let event = match pause.kind {
+            PauseKind::AsAsked if !is_first => return,
+            PauseKind::AsAsked => Event::ServerPaused,
+            PauseKind::Shortened | PauseKind::Unusable => Event::PauseNotFollowed,
+        };
+        self.event_log
+            .line(event, &[("server", server), ("for_ms", &pause.span.0), ("kind", &pause.kind)]);
     }
 
     /// Records that this host sends a request to `server`, which counts against the rate that it
