Count a pause from the end of the clock's millisecond in which it was asked for

In 3 of 11 runs of the soak of servers that ask for pauses, one request of some 65 pauses reached a server 0.1 ms before the end of its pause: the clock reads whole milliseconds, and the answer may have come up to one later than it says.

Change: the pause counts from the next reading on.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -38,8 +38,9 @@
     /// Records what a server announces about itself in an answer.
     pub(crate) fn record_announcements(&self, announcer: Announcer<'_>, reply: &ServerReply) {
         let is_to_request = matches!(announcer, Announcer::Asked(_));
-        let has_news = reply.limit.is_some() || reply.is_leaving || reply.pause.is_some();
-        if !has_news && !(is_to_request && self.knows_limits()) {
+        let may_end_limit = is_to_request && self.knows_limits();
+        let says_something = reply.limit.is_some() || reply.is_leaving || reply.pause.is_some();
+        if !says_something && !may_end_limit {
             return;
         }
         for incarnation in self.incarnations(announcer) {
--- a/crates/gateway/src/routing/records.rs
+++ b/crates/gateway/src/routing/records.rs
@@ -17,6 +17,9 @@
 use crate::routing::RoutingState;
 use crate::routing::Target;
 
+/// The step in which the clock advances.
+const CLOCK_STEP: Millis = Millis(1);
+
 impl RoutingState {
     /// Records a failure of a server, which is then avoided for some time.
     pub fn suspect(&self, server: &ServerName, why: &str) {
@@ -45,7 +48,9 @@
 
     /// Records that `server` asked for a pause.
     pub fn record_pause(&self, server: &ServerName, pause: RequestedPause) {
-        let is_first = self.pauses.borrow_mut().begin(self.clock.now(), server, pause.span);
+        // The clock reads whole milliseconds, so the answer may have come up to one later.
+        let now = self.clock.now() + CLOCK_STEP;
+        let is_first = self.pauses.borrow_mut().begin(now, server, pause.span);
         let event = match pause.kind {
             PauseKind::AsAsked if !is_first => return,
             PauseKind::AsAsked => Event::ServerPaused,
