--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -185,6 +185,23 @@
         .sum()
 }
 
+// A request that crashes the first servers of chains, one after the other, took nearly all places at
+// which requests begin.
+#[test]
+fn the_loss_of_any_three_servers_leaves_half_of_the_room_of_the_first_layer() {
+    let servers = fleet();
+    let plan = plan(&profile(), &servers);
+    let room = |left: &[ModelServer]| capacity_of_layer(left, &plan, 0);
+    let mut left = servers.clone();
+    left.sort_by(|a, b| {
+        let of = |server: &ModelServer| room(std::slice::from_ref(server));
+        of(b).total_cmp(&of(a))
+    });
+    left.drain(..3);
+    let share = room(&left) / room(&servers);
+    assert!(share >= 0.5, "{share:.2} of the room is left");
+}
+
 #[test]
 fn after_permanent_losses_of_the_same_layers_other_servers_take_them_over() {
     let servers = fleet();
