Decide on an answer with changes before it is encoded, and name things once

A request that waits for its turn kept an encoded answer and encoded it anew every 50 ms; with 188 members in a failure domain that is what a small host has not. Its size is now worked out once, and the answer is encoded when it is sent.

--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -46,14 +46,6 @@
 const KEPT_REPORTS: usize = 32;
 /// The most hosts, known but not heard, that a host without an aggregator asks in a round.
 const MAX_SILENT_CALLS: usize = 3;
-/// A host from which newer changes can be fetched.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Source {
-    /// Its control address.
-    pub control: SocketAddrV4,
-    /// The store revision that it has applied.
-    pub revision: u64,
-}
 
 /// A change of what a host believes about others.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -224,18 +216,15 @@
         heard.max().filter(|newest| *newest > revision)
     }
 
-    /// Returns the live hosts with revisions beyond `revision`, the newest one first; among equals,
-    /// those of this host's own domain.
-    pub fn newer_sources(&self, now: Millis, revision: u64) -> Vec<Source> {
+    /// Returns the control addresses of the live hosts with revisions beyond `revision`, the newest one
+    /// first; among equals, those of this host's own domain.
+    pub fn newer_sources(&self, now: Millis, revision: u64) -> Vec<SocketAddrV4> {
         let is_newer = |k: &&KnownPeer| k.is_heard(now) && k.revision > revision;
         let mut newer: Vec<&KnownPeer> = self.peers.values().filter(is_newer).collect();
         newer.sort_unstable_by_key(|k| {
             Reverse((k.revision, k.peer.domain == self.own.domain, k.peer.gossip))
         });
-        newer
-            .into_iter()
-            .map(|k| Source { control: k.peer.control, revision: k.revision })
-            .collect()
+        newer.into_iter().map(|k| k.peer.control).collect()
     }
 
     /// Returns the control addresses of the live hosts of this host's domain that have applied the
--- a/crates/gateway/src/sync/client.rs
+++ b/crates/gateway/src/sync/client.rs
@@ -63,12 +63,6 @@
     Needless,
 }
 
-/// How far an answer has been read.
-#[derive(Debug, Default)]
-pub(super) struct Reading {
-    pub(super) bytes: Cell<usize>,
-}
-
 /// Ends the task of a connection when the fetch ends, however it does.
 struct ConnectionTask(AbortHandle);
 
@@ -78,12 +72,13 @@
     }
 }
 
-/// Fetches the changes after the revision `after` from the host at `source`.
+/// Fetches the changes after the revision `after` from the host at `source`. `bytes` counts what has
+/// been read of the answer, also if it does not become complete.
 pub(super) async fn fetch(
     gateway: &Gateway,
     source: SocketAddrV4,
     after: u64,
-    reading: &mut Reading,
+    bytes: &Cell<usize>,
 ) -> Result<Fetched, FetchError> {
     let stream = net::connect(gateway.settings.source, source, CONNECT_TIMEOUT)
         .await
@@ -104,7 +99,7 @@
     if head.status == StatusCode::TEMPORARY_REDIRECT {
         return referral(&head.headers).map(Fetched::Referral).ok_or(FetchError::Unreadable);
     }
-    let buf = read_body(gateway, source, body, reading).await?;
+    let buf = read_body(gateway, source, body, bytes).await?;
     let is_packed = head.headers.get(header::CONTENT_TYPE).is_some_and(|v| v == PACKED_MEDIA_TYPE);
     let shared = if is_packed {
         SharedChanges::decode_packed(&buf, &gateway.sync.packed)
@@ -136,7 +131,7 @@
     gateway: &Gateway,
     source: SocketAddrV4,
     mut body: Incoming,
-    reading: &mut Reading,
+    bytes: &Cell<usize>,
 ) -> Result<Vec<u8>, FetchError> {
     let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -144,7 +139,7 @@
         if let Ok(data) = frame.into_data() {
             buf.extend_from_slice(&data);
         }
-        reading.bytes.set(buf.len());
+        bytes.set(buf.len());
         gateway.sync.fetches.borrow_mut().on_bytes(gateway.clock.now(), source);
         if buf.len() > MAX_CHANGES_BYTES {
             return Err(FetchError::Unreadable);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -8,6 +8,7 @@
 #[cfg(test)]
 mod wire_tests;
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -27,7 +28,6 @@
 
 use crate::host::Gateway;
 use crate::sync::client::Fetched;
-use crate::sync::client::Reading;
 use crate::sync::wire::PackedValues;
 
 pub use self::server::serve;
@@ -124,8 +124,7 @@
         }
         let sources = gateway.peers.node().newer_sources(now, revision);
         let newest = newest.unwrap_or(revision);
-        let addresses: Vec<SocketAddrV4> = sources.iter().map(|source| source.control).collect();
-        let next = gateway.sync.fetches.borrow_mut().next(now, &addresses);
+        let next = gateway.sync.fetches.borrow_mut().next(now, &sources);
         if let Some(source) = next {
             tokio::task::spawn_local(fetch(gateway.clone(), source, newest));
         }
@@ -137,9 +136,9 @@
 async fn fetch(gateway: Rc<Gateway>, source: SocketAddrV4, newest: u64) {
     let after = gateway.views.revision();
     let began = gateway.clock.now();
-    let mut reading = Reading::default();
+    let bytes = Cell::new(0);
     let result = tokio::select! {
-        result = client::fetch(&gateway, source, after, &mut reading) => result,
+        result = client::fetch(&gateway, source, after, &bytes) => result,
         result = wait_until_needless(&gateway, source, newest) => result,
     };
     let took = gateway.clock.now().since(began);
@@ -152,7 +151,7 @@
                     ("items", &shared.changes.items.len()),
                     ("after", &after),
                     ("revision", &shared.changes.revision),
-                    ("bytes", &reading.bytes.get()),
+                    ("bytes", &bytes.get()),
                     ("took_ms", &took.0),
                 ],
             );
@@ -168,12 +167,7 @@
         Err(why) => {
             gateway.event_log.line(
                 Event::ChangesUnavailable,
-                &[
-                    ("from", &source),
-                    ("why", &why),
-                    ("bytes", &reading.bytes.get()),
-                    ("took_ms", &took.0),
-                ],
+                &[("from", &source), ("why", &why), ("bytes", &bytes.get()), ("took_ms", &took.0)],
             );
             FetchEnd::Failed
         }
--- a/crates/gateway/src/sync/server.rs
+++ b/crates/gateway/src/sync/server.rs
@@ -103,22 +103,19 @@
 
 async fn answer(transfers: &ConnectionTransfers, asked: Asked) -> Response<Full<Bytes>> {
     let gateway = &transfers.gateway;
-    loop {
+    let (bytes, needed) = {
         let changes = gateway.views.changes_after(asked.revision);
-        let needed = newest_large_revision(&changes);
-        let shared = SharedChanges { changes, removal_delay: gateway.views.removal_delay() };
-        let body = if asked.accepts_packed {
-            shared.encode_packed(&gateway.sync.packed)
-        } else {
-            shared.encode_plain()
-        };
+        (answer_bytes(gateway, &changes, asked), newest_large_revision(&changes))
+    };
+    loop {
         let now = gateway.clock.now();
         let holders =
             if asked.may_refer { gateway.peers.node().holders(now, needed) } else { Vec::new() };
-        let reply = gateway.sync.transfers.borrow_mut().decide(now, body.len(), &holders);
+        let reply = gateway.sync.transfers.borrow_mut().decide(now, bytes, &holders);
         match reply {
             Reply::Send => {
-                transfers.sizes.borrow_mut().push(body.len());
+                transfers.sizes.borrow_mut().push(bytes);
+                let body = encode(gateway, asked);
                 gateway.counters.changes_served(body.len());
                 return whole(body, asked.accepts_packed);
             }
@@ -135,6 +132,28 @@
     }
 }
 
+/// Returns about how many bytes an answer with `changes` has.
+fn answer_bytes(gateway: &Gateway, changes: &Changes, asked: Asked) -> usize {
+    let packed = &gateway.sync.packed;
+    let sizes = changes.items.iter().map(|change| match asked.accepts_packed {
+        true => packed.packed_len(change),
+        false => change.value.as_ref().map_or(0, Bytes::len),
+    });
+    sizes.sum()
+}
+
+fn encode(gateway: &Gateway, asked: Asked) -> Bytes {
+    let shared = SharedChanges {
+        changes: gateway.views.changes_after(asked.revision),
+        removal_delay: gateway.views.removal_delay(),
+    };
+    if asked.accepts_packed {
+        shared.encode_packed(&gateway.sync.packed)
+    } else {
+        shared.encode_plain()
+    }
+}
+
 /// Returns the revision that a host must have applied to serve the large values of `changes`.
 fn newest_large_revision(changes: &Changes) -> u64 {
     let is_large = |value: &Bytes| value.len() >= LARGE_VALUE_BYTES;
--- a/crates/gateway/src/sync/wire.rs
+++ b/crates/gateway/src/sync/wire.rs
@@ -127,6 +127,16 @@
 }
 
 impl PackedValues {
+    /// Returns the length of a change's value as it is sent.
+    pub(super) fn packed_len(&self, change: &ItemChange) -> usize {
+        let value =
+            change.value.clone().map(|value| self.pack(&change.key, change.revision, value));
+        match value {
+            Some(PackedValue::Plain(bytes) | PackedValue::Deflated(bytes)) => bytes.len(),
+            None => 0,
+        }
+    }
+
     fn pack(&self, key: &str, revision: u64, value: Bytes) -> PackedValue {
         if value.len() < MIN_PACKED_BYTES {
             return PackedValue::Plain(value);
