Ask a source that fails at once no more than at each check

Found by reading the change: a fetch that ended woke the next one, so a source that closes or refuses connections was asked 33,385 times in two seconds. Only a referral begins a fetch before the next check now.

Measured: a_source_that_closes_connections_is_not_asked_again_and_again failed before (25 connections are allowed in two seconds).

--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -46,8 +46,8 @@
     fetches: RefCell<Fetches>,
     transfers: RefCell<Transfers>,
     packed: PackedValues,
-    /// Notified when a fetch of this host has ended.
-    fetch_ended: Notify,
+    /// Notified when a source has named another host that has the changes.
+    referred: Notify,
     /// Notified when a large answer has been sent.
     transfer_ended: Notify,
 }
@@ -61,7 +61,7 @@
             fetches: RefCell::new(Fetches::new(waits)),
             transfers: RefCell::default(),
             packed: PackedValues::default(),
-            fetch_ended: Notify::new(),
+            referred: Notify::new(),
             transfer_ended: Notify::new(),
         }
     }
@@ -113,7 +113,7 @@
     loop {
         tokio::select! {
             () = time::sleep(CHECK_INTERVAL) => {}
-            () = gateway.sync.fetch_ended.notified() => {}
+            () = gateway.sync.referred.notified() => {}
         }
         let now = gateway.clock.now();
         let revision = gateway.views.revision();
@@ -174,7 +174,10 @@
     };
     let now = gateway.clock.now();
     gateway.sync.fetches.borrow_mut().on_end(now, source, end);
-    gateway.sync.fetch_ended.notify_one();
+    // Whatever else follows has time until the next check; a source may fail many times in that time.
+    if matches!(end, FetchEnd::Referred(_)) {
+        gateway.sync.referred.notify_one();
+    }
 }
 
 /// Resolves when the fetch from `source` has taken too long, or another one has brought this host to
