--- a/crates/gateway/src/sync/wire_tests.rs
+++ b/crates/gateway/src/sync/wire_tests.rs
@@ -9,6 +9,10 @@
 use crate::sync::wire::SharedChanges;
 use crate::sync::wire::MAX_CHANGES_BYTES;
 
+/// An answer in the plain format, as 21ea23e sends and reads it.
+const PLAIN_ANSWER: &[u8] =
+    b"\x00\x09\x03\x0dconfiguration\x07\x01\x03abc\x05small\x08\x01\x05value\x07removed\x09\x00\xfa";
+
 fn changes(value: Vec<u8>) -> SharedChanges {
     let item = |key: &str, revision, value: Option<Bytes>| ItemChange {
         key: key.to_owned(),
@@ -65,3 +69,10 @@
         assert_eq!(SharedChanges::decode_packed(&packed[..len], &kept), None, "{len} bytes");
     }
 }
+
+// The landed releases read this format and no other.
+#[test]
+fn the_plain_format_does_not_change() {
+    let encoded = changes(b"abc".to_vec()).encode_plain();
+    assert_eq!(encoded.as_ref(), PLAIN_ANSWER);
+}
