--- a/crates/core/src/catch_up/fetches.rs
+++ b/crates/core/src/catch_up/fetches.rs
@@ -106,7 +106,7 @@
         match end {
             FetchEnd::Applied => {}
             FetchEnd::Referred(to) => self.referral = Some(to),
-            FetchEnd::Failed => self.aside.push((source, now + self.waits.aside())),
+            FetchEnd::Failed => self.aside.push((source, now + self.waits.source_backoff())),
         }
     }
 
@@ -114,7 +114,8 @@
     pub fn overdue(&self, now: Millis) -> SmallVec<[SocketAddrV4; MAX_RUNNING]> {
         let is_overdue = |fetch: &&Fetch| {
             // A request may wait for its turn while the source serves others.
-            let limit = if fetch.has_bytes { self.waits.silence() } else { self.waits.turn() };
+            let limit =
+                if fetch.has_bytes { self.waits.silence() } else { self.waits.queue_wait() };
             now.since(fetch.heard_at) >= limit
         };
         self.running.iter().filter(is_overdue).map(|fetch| fetch.source).collect()
--- a/crates/core/src/catch_up/tests.rs
+++ b/crates/core/src/catch_up/tests.rs
@@ -55,7 +55,7 @@
     fetches.on_end(Millis(7), host(2), FetchEnd::Failed);
     assert_eq!(fetches.next(Millis(8), &[host(1), host(2)]), Some(host(1)));
     fetches.on_end(Millis(9), host(1), FetchEnd::Applied);
-    let later = Millis(9) + waits.aside();
+    let later = Millis(9) + waits.source_backoff();
     assert_eq!(fetches.next(later, &[host(1), host(2)]), Some(host(1)));
 }
 
@@ -99,7 +99,7 @@
         let waits = Waits::new(limit);
         let left = limit.since(waits.worst_case());
         assert!(left >= Millis(limit.0 / 2), "{left} are left of {limit}");
-        assert!(waits.first_byte() + waits.turn() <= waits.limit());
+        assert!(waits.first_byte() + waits.queue_wait() <= waits.limit());
     }
 }
 
--- a/crates/core/src/catch_up/waits.rs
+++ b/crates/core/src/catch_up/waits.rs
@@ -46,18 +46,18 @@
     }
 
     /// Returns how long a host may be behind what it has heard of before it reads the store itself.
-    pub fn store_instead(&self) -> Millis {
+    pub fn store_fallback(&self) -> Millis {
         Millis(self.limit.0 / 2)
     }
 
-    /// Returns the longest time from the moment at which no host of a domain reads the store any more,
-    /// or at which a host hears of changes that it does not get, until it reads the store itself.
+    /// Returns the longest time from the moment at which a host hears no host of its domain that reads
+    /// the store, or hears of changes that it does not get, until it reads the store itself.
     pub fn worst_case(&self) -> Millis {
-        (self.reader_silence() + self.reader_spread()).max(self.store_instead())
+        (self.reader_silence() + self.reader_spread()).max(self.store_fallback())
     }
 
     /// Returns how long a request may wait for its turn before it is given up.
-    pub fn turn(&self) -> Millis {
+    pub fn queue_wait(&self) -> Millis {
         Millis(self.limit.0 / 2)
     }
 
@@ -67,12 +67,12 @@
     }
 
     /// Returns how long a request may wait for changes that would allow it.
-    pub fn request(&self) -> Millis {
+    pub fn request_wait(&self) -> Millis {
         Millis(self.limit.0 / 4)
     }
 
     /// Returns how long a source is asked only if there is no other one after a fetch from it failed.
-    pub fn aside(&self) -> Millis {
+    pub fn source_backoff(&self) -> Millis {
         Millis(self.limit.0 / 4)
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -223,7 +223,7 @@
     let Some(newest) = gateway.peers.node().newer_revision(now, own_revision) else {
         return found;
     };
-    let longest = gateway.sync.waits().request();
+    let longest = gateway.sync.waits().request_wait();
     let wait = caller.deadline.map_or(longest, |left| longest.min(Millis(left.0 / 2)));
     let end = now + wait;
     while gateway.views.revision() < newest && gateway.clock.now() < end {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -74,7 +74,7 @@
     /// Returns whether no host has brought this one the changes that it has heard of for so long that
     /// it reads the store itself.
     pub fn is_stuck(&self, now: Millis) -> bool {
-        self.lag.borrow().span(now) >= self.waits.store_instead()
+        self.lag.borrow().span(now) >= self.waits.store_fallback()
     }
 
     /// Returns the number of large answers that this host is sending.
