Give each entry host of the process tests an address of its own

The test took three free ports of 127.0.0.1 and gave them back before the host bound them; any connection of the machine may take one meanwhile. An entry host whose port is taken ends at once (shown with a held port), which the test did not look at, so it waited in vain.

Change: each host listens on a loopback address that nothing else uses, and a host that ends is reported as such. What the tests assert is the same.

--- a/crates/entry/tests/entry_process/mod.rs
+++ b/crates/entry/tests/entry_process/mod.rs
@@ -4,13 +4,15 @@
 use std::fs;
 use std::io::BufRead as _;
 use std::io::BufReader;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -71,10 +73,12 @@
 
     /// Starts an entry host and waits until it answers a chat request.
     pub fn start_entry(&self, name: &str, limits: Value) -> EntryProcess {
-        let callers = free_address();
+        let ip = unused_loopback_ip();
+        let callers = SocketAddr::from((ip, 4_000));
+        let (admin, peer) = (SocketAddr::from((ip, 4_001)), SocketAddr::from((ip, 4_002)));
         let settings = json!({
             "host": name, "domain": "sahab",
-            "callers": callers, "admin": free_address(), "peer": free_address(),
+            "callers": callers, "admin": admin, "peer": peer,
             "store": self.standin.store_address(),
             "peer_keys": ["000102030405060708090a0b0c0d0e0f"],
             "limits": limits,
@@ -86,7 +90,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the entry host starts");
-        let entry = EntryProcess { child, callers };
+        let mut entry = EntryProcess { child, callers };
         entry.wait_until_serving();
         entry
     }
@@ -106,7 +110,7 @@
 }
 
 impl EntryProcess {
-    fn wait_until_serving(&self) {
+    fn wait_until_serving(&mut self) {
         let start = Instant::now();
         let body = chat_body("ready?", 1, false);
         loop {
@@ -116,6 +120,8 @@
             if sent.is_ok() {
                 return;
             }
+            let ended = self.child.try_wait().expect("the process can be asked");
+            assert!(ended.is_none(), "the entry host ended: {ended:?}");
             assert!(
                 start.elapsed() < READY_TIMEOUT,
                 "the entry host does not become ready: {sent:?}"
@@ -173,9 +179,12 @@
     .to_string()
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the port has an address")
+/// Returns a loopback address of which nothing else takes ports: a free port of a shared address may be
+/// taken by any connection before the host listens on it.
+fn unused_loopback_ip() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    Ipv4Addr::new(127, high | 0x80, low, NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
 fn declaration(standin: &Standin) -> Declaration {
