Show orders that a stopped host leaves without an answer

Cause: the host waits for its requests until shortly before the end of the grace period and then exits with those that it still holds; none of them gets a final answer. No code of the project is changed.

--- a/review/standin/hosts.rs
+++ b/review/standin/hosts.rs
@@ -15,6 +15,12 @@
 
 use crate::http::Connection;
 
+const SIGTERM: i32 = 15;
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// The words of `run` in the deploy file, from the root of the repository.
 const PROGRAM: &str = "target/release/yuccanotch-platform";
 const FRONT_PORT: u16 = 8_227;
@@ -93,6 +99,14 @@
         writeln!(file, "{pid}").expect("a file of process ids");
     }
 
+    /// Tells the process of a host to stop, as the platform does before planned work.
+    pub fn terminate(&self, index: usize) {
+        if let Some(pid) = self.pid(index) {
+            // SAFETY: the call takes two numbers, and the process is this program's child.
+            unsafe { kill(pid as i32, SIGTERM) };
+        }
+    }
+
     /// Kills the process of a host and waits for its end.
     pub fn kill(&self, index: usize) {
         if let Some(mut child) = self.hosts.lock().unwrap()[index].process.take() {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,14 +3,15 @@
 
 mod base64;
 mod client;
+mod deadly;
 mod hosts;
 mod http;
 mod json;
-mod keyless;
 mod memory;
 mod readers;
 mod record;
 mod server;
+mod stop;
 mod store;
 
 use std::path::PathBuf;
@@ -49,12 +50,12 @@
         has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let verdict = match case.as_str() {
-        "keyless" => keyless::run(&setting),
+        "deadly" => deadly::run(&setting),
         "memory" => memory::run(&setting),
         "readers" => readers::run(&setting),
+        "stop" => stop::run(&setting),
         _ => Verdict::NotRun,
     };
-    println!("{case}: {verdict:?}");
     match verdict {
         Verdict::Held => ExitCode::SUCCESS,
         Verdict::Broken => ExitCode::from(1),
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -1,6 +1,7 @@
 //! The record of what was sent, answered and run.
 
 use std::fs::File;
+use std::io;
 use std::io::Write;
 use std::path::Path;
 use std::sync::Mutex;
@@ -19,6 +20,13 @@
         Self { file: Mutex::new(file), began: Instant::now() }
     }
 
+    /// Writes the last line, also to standard output.
+    pub fn summary(&self, text: &str) {
+        self.line(text);
+        // Whether anybody reads it does not change what the case finds.
+        let _ = writeln!(io::stdout(), "{text}");
+    }
+
     /// Writes a line.
     pub fn line(&self, text: &str) {
         let ms = self.began.elapsed().as_millis();
