--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2021 -O -o target/review/standin review/main.rs
--- a/review/standin/run-case.sh
+++ b/review/run-case.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the case $1 with its record in the folder $2. Exits with 1 if the rule was broken, 0 if it held
 # and 2 if the case could not run.
-cd "$(dirname "$0")/../.." || exit 2
+cd "$(dirname "$0")/.." || exit 2
 program=target/release/yuccanotch-platform
 if [[ ! -x $program || ! -x target/review/standin ]]; then
     echo "build first: the build line of deploy/system.toml, then review/build.sh"
