Log requests that a host abandons when its process exits

Cause: at the end of the grace period no line said what became of a request that the host still held, so an exit without an answer could not be told from one that the caller or the server ended.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -94,6 +94,8 @@
     target_text: String,
     current: Option<CurrentTarget>,
     end_reason: EndReason,
+    // Whether the end of the request is in the log.
+    has_ended: bool,
     // The id of the request on this host, for the quarantine.
     run: RequestId,
     fingerprints: Fingerprints,
@@ -207,6 +209,7 @@
             target_text: String::new(),
             current: None,
             end_reason: EndReason::Deadline,
+            has_ended: false,
         }
     }
 
--- a/crates/gateway/src/exchange/request_log.rs
+++ b/crates/gateway/src/exchange/request_log.rs
@@ -64,7 +64,8 @@
     }
 
     /// Logs and counts the final answer.
-    pub(super) fn log_done(&self, status: StatusCode) {
+    pub(super) fn log_done(&mut self, status: StatusCode) {
+        self.has_ended = true;
         let ms = self.gateway.clock.now().since(self.started);
         self.gateway.counters.request_ended(self.end_reason);
         self.gateway.event_log.line(
@@ -82,7 +83,8 @@
     }
 
     /// Logs the end of a request that got no final answer.
-    pub(super) fn log_end(&self, event: Event) {
+    pub(super) fn log_end(&mut self, event: Event) {
+        self.has_ended = true;
         let ms = self.gateway.clock.now().since(self.started);
         self.gateway
             .event_log
@@ -90,6 +92,24 @@
     }
 }
 
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        let ms = self.gateway.clock.now().since(self.started);
+        self.gateway.event_log.line(
+            Event::RequestAbandoned,
+            &[
+                ("id", &self.id()),
+                ("may_have_run", &self.outcome.may_have_run()),
+                ("ms", &ms.0),
+                ("chain", &self.target_text),
+            ],
+        );
+    }
+}
+
 /// Formats the servers of a target, with their layer ranges, for the log.
 pub(super) fn describe_target(target: &Target) -> String {
     match target {
