Answer the requests that a stopping host still holds before it exits

Cause: the shutdown waited until 150 ms before the end of the grace period and returned; the process ended under the exchanges, and nothing told them. Evidence: line 2111 for each of 20 orders in the millisecond of 2003, and no 2102 or 2103 for them: no attempt had ended and no answer had been made. Change: core::shutdown divides the grace period into phases. In the last one, from 450 ms to 150 ms before the end, each exchange ends as at its deadline, by what is known of it: 503 if no server had it, else 502, and a begun stream is broken off; a request that is still being read gets 503. The final answer is made by the exchange, which alone knows what may be said, and the process waits for it to be written.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -93,6 +93,8 @@
     SettingsReloaded = 2004, Info, "settings reloaded";
     /// The changed settings cannot be read; the previous ones stay in use.
     SettingsRejected = 2005, Warn, "settings rejected";
+    /// The gateway process is about to exit; requests in progress get their final answer.
+    GatewayAnswering = 2006, Info, "gateway answers what is in progress";
     /// A request is sent to a server.
     RequestSent = 2101, Info, "request sent";
     /// An attempt ended without a usable answer.
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -73,6 +73,8 @@
         StreamPart = "stream_part",
         /// A part of the prompt, or the request itself, crashes servers.
         Quarantined = "quarantined",
+        /// The host was told to stop, and its grace period is about to end.
+        HostStopping = "host_stopping",
         /// The caller closed its connection.
         CallerGone = "caller_gone",
     }
@@ -123,5 +125,7 @@
         BodyLate = "body_late",
         /// The body of the request ended early.
         BodyBroken = "body_broken",
+        /// The host is about to exit, and the request was still being read or waiting to be admitted.
+        Stopping = "stopping",
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod shutdown;
 pub mod store;
 pub mod stream;
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -68,7 +68,8 @@
         Rejection::NoConfiguration
         | Rejection::OlderConfiguration
         | Rejection::Behind
-        | Rejection::TooManyRelayed => StatusCode::SERVICE_UNAVAILABLE,
+        | Rejection::TooManyRelayed
+        | Rejection::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         Rejection::NoRoute => StatusCode::NOT_FOUND,
         Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
         Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -153,7 +154,12 @@
         return Ok(reject(&gateway, &caller, Rejection::OlderConfiguration));
     }
     let _active = gateway.begin_request();
-    let admitted = match admit(&gateway, head, body, &caller).await {
+    let admission = tokio::select! {
+        biased;
+        () = gateway.shutdown.answering() => Err(Rejection::Stopping),
+        admission = admit(&gateway, head, body, &caller) => admission,
+    };
+    let admitted = match admission {
         Ok(mut admitted) => {
             admitted.started = started;
             admitted.relayed = relayed;
@@ -281,7 +287,11 @@
     );
     let mut fields: HeaderMap = gateway.adapter.own_headers(id);
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        fields.insert(header::RETRY_AFTER, exchange::retry_after());
+        let value = match rejection {
+            Rejection::Stopping => exchange::retry_elsewhere(),
+            _ => exchange::retry_after(),
+        };
+        fields.insert(header::RETRY_AFTER, value);
     }
     answer::respond(status, fields, AnswerBody::whole(Bytes::new()))
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -50,6 +50,9 @@
 /// The shortest and longest time that a refused caller is told to wait before it tries again, in
 /// ms.
 const RETRY_AFTER_MS: (u64, u64) = (400, 1_600);
+/// The longest time that a caller is told to wait that other hosts can serve at once, in ms; it spreads
+/// the returns of those that one host refuses in the same moment.
+const MAX_ELSEWHERE_MS: u64 = 100;
 /// The longest time that is added to the end of a pause for callers that are refused because of it,
 /// in ms.
 const MAX_PAUSE_SPREAD_MS: u64 = 100;
@@ -213,18 +216,20 @@
         }
     }
 
-    /// Sends the request to servers until it has a final answer, its deadline has passed or the
-    /// caller has disconnected.
+    /// Sends the request to servers until it has a final answer, its deadline has passed, the caller
+    /// has disconnected or the host is about to exit.
     pub async fn run(mut self, gone: CallerGone) {
         // The host that passed the request on has counted it.
         if !self.is_relayed {
             self.gateway.routing.on_request(&self.service.name);
         }
         let left = self.deadline.since(self.gateway.clock.now()).to_duration();
-        let ended = tokio::select! {
+        let gateway = self.gateway.clone();
+        let cut = tokio::select! {
             biased;
-            _ = gone => None,
-            ended = time::timeout(left, self.run_attempts()) => Some(ended),
+            _ = gone => Some(EndReason::CallerGone),
+            ended = time::timeout(left, self.run_attempts()) => ended.err().map(|_| EndReason::Deadline),
+            () = gateway.shutdown.answering() => Some(EndReason::HostStopping),
         };
         let is_complete = matches!(self.end_reason, EndReason::Answered | EndReason::Streamed);
         if is_complete {
@@ -233,18 +238,24 @@
             // Its server may still crash because of it.
             self.gateway.crashes.on_break(self.run);
         }
-        match ended {
-            None => {
-                self.end_reason = EndReason::CallerGone;
-                self.gateway.counters.request_ended(self.end_reason);
+        if let Some(reason) = cut {
+            self.end_early(reason).await;
+        }
+    }
+
+    /// Ends a request whose attempts were cut short for `reason`.
+    async fn end_early(&mut self, reason: EndReason) {
+        self.end_reason = reason;
+        let next = self.outcome.final_step();
+        match reason {
+            EndReason::CallerGone => {
+                self.gateway.counters.request_ended(reason);
                 self.log_end(Event::CallerLeft);
             }
-            Some(Ok(())) => {}
-            Some(Err(_)) => {
-                self.end_reason = EndReason::Deadline;
-                let next = self.outcome.final_step();
+            EndReason::Deadline => {
                 self.finish_unanswered(next, None, StatusCode::GATEWAY_TIMEOUT).await;
             }
+            _ => self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await,
         }
     }
 
@@ -427,6 +438,7 @@
         if status == StatusCode::SERVICE_UNAVAILABLE {
             let pause = || self.gateway.routing.time_all_paused(&self.service);
             let value = match self.retry_after {
+                _ if self.end_reason == EndReason::HostStopping => retry_elsewhere(),
                 Some(span) => retry_after_value(span),
                 None => pause().map_or_else(retry_after, retry_after_pause),
             };
@@ -448,6 +460,12 @@
     retry_after_value(Millis(rand::random_range(least..most)))
 }
 
+/// Returns the `Retry-After` value of a refusal because this host stops: any other one may take the
+/// request.
+pub fn retry_elsewhere() -> HeaderValue {
+    retry_after_value(Millis(rand::random_range(0..MAX_ELSEWHERE_MS)))
+}
+
 /// Returns the `Retry-After` value of a refusal because servers are in a pause for `left` more; a
 /// little longer, so that refused callers do not all return at once.
 fn retry_after_pause(left: Millis) -> HeaderValue {
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,30 +1,17 @@
-//! The shutdown of a host.
+//! The shutdown of a host. `core::shutdown` says when its phases begin.
 
 use std::time::Duration;
 
 use tokio::sync::watch as watch_channel;
 use tokio::time;
-use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::shutdown::ShutdownPhase;
+use yuccanotch_core::shutdown::ShutdownPlan;
 
 use crate::host::Gateway;
 
-/// How long a stopping host still accepts connections: the load balancer needs two readiness checks
-/// to stop sending new ones.
-const DRAIN_NOTICE: Millis = Millis(2_600);
-/// How long before the end of the grace period the process exits.
-const EXIT_MARGIN: Millis = Millis(150);
-
-/// The state of the shutdown.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, PartialOrd)]
-enum ShutdownPhase {
-    /// The host serves callers.
-    Running,
-    /// The host reports that it is not ready but still accepts connections.
-    Stopping,
-    /// The host accepts no connections and closes each after its current request.
-    Closing,
-}
+/// The time between checks which phase has come, and whether the host is idle.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Tells the tasks of the process how far its shutdown has come.
 pub struct Shutdown {
@@ -43,28 +30,61 @@
 
     /// Resolves when callers' connections must close once their current request has ended.
     pub async fn closing(&self) {
+        self.reached(ShutdownPhase::Closing).await;
+    }
+
+    /// Resolves when requests in progress must get their final answer, since the process is about to
+    /// exit.
+    pub async fn answering(&self) {
+        self.reached(ShutdownPhase::Answering).await;
+    }
+
+    async fn reached(&self, phase: ShutdownPhase) {
         let mut rx = self.tx.subscribe();
         // The sender lives as long as the process.
-        let _ = rx.wait_for(|&p| p >= ShutdownPhase::Closing).await;
+        let _ = rx.wait_for(|&p| p >= phase).await;
     }
 }
 
-/// Ends the host: it reports that it is not ready, then closes callers' connections and waits for
-/// their requests until the grace period ends.
+/// Ends the host: it reports that it is not ready, then closes callers' connections, gives the
+/// requests that are still in progress shortly before the end of the grace period a final answer, and
+/// returns when all have ended or the period is over.
 pub async fn run(gateway: &Gateway) {
     let began = gateway.clock.now();
-    gateway.shutdown.tx.send_replace(ShutdownPhase::Stopping);
-    gateway.event_log.line(Event::GatewayStopping, &[("active", &gateway.active_requests())]);
-    time::sleep(DRAIN_NOTICE.to_duration()).await;
-    gateway.shutdown.tx.send_replace(ShutdownPhase::Closing);
-    let end = began + gateway.changeable().grace.since(EXIT_MARGIN);
-    while gateway.clock.now() < end {
-        let idle = gateway.active_requests() == 0 && gateway.caller_connections.get() == 0;
-        if idle {
+    loop {
+        // The grace period may change meanwhile.
+        let plan = ShutdownPlan::new(gateway.changeable().grace);
+        enter(gateway, plan.phase(gateway.clock.now().since(began)));
+        let phase = *gateway.shutdown.tx.borrow();
+        let is_idle = gateway.active_requests() == 0 && gateway.caller_connections.get() == 0;
+        if phase == ShutdownPhase::Exiting || (phase > ShutdownPhase::Stopping && is_idle) {
             break;
         }
-        time::sleep(Duration::from_millis(20)).await;
+        time::sleep(CHECK_INTERVAL).await;
     }
-    gateway.event_log.line(Event::GatewayStopped, &[("active", &gateway.active_requests())]);
+    gateway.event_log.line(
+        Event::GatewayStopped,
+        &[
+            ("active", &gateway.active_requests()),
+            ("connections", &gateway.caller_connections.get()),
+        ],
+    );
     gateway.event_log.flush();
 }
+
+/// Enters `phase` unless the shutdown has come further.
+fn enter(gateway: &Gateway, phase: ShutdownPhase) {
+    let has_changed = gateway.shutdown.tx.send_if_modified(|present| {
+        let is_later = phase > *present;
+        *present = phase.max(*present);
+        is_later
+    });
+    let event = match phase {
+        ShutdownPhase::Stopping => Event::GatewayStopping,
+        ShutdownPhase::Answering => Event::GatewayAnswering,
+        _ => return,
+    };
+    if has_changed {
+        gateway.event_log.line(event, &[("active", &gateway.active_requests())]);
+    }
+}
