Answer the requests that outlast an entry host's drain timeout

Cause: drain() ended the runtime under the tasks of the callers' connections. Change: at the end of the timeout a channel tells each of them to send its final answer, 502 with the outcome unknown, or a refusal if it is still being read; drain() waits 0.3 s for the answers to leave. Result: requests_that_outlast_the_drain_timeout_are_answered_as_unknown failed before ('Peer disconnected') and passes; the other tests of the process pass.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -30,6 +30,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::emit;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::ids::RequestId;
@@ -155,10 +156,21 @@
     let write_timeout = host.settings.limits.write_timeout.to_duration();
     let (responder, answer) = Responder::new(id, Handle::current(), write_timeout);
     match read_request(&host, id, req).await {
-        Ok(req) => start_request(host, req, responder),
+        Ok(req) => start_request(host.clone(), req, responder),
         Err(refusal) => host.refuse(responder, &refusal),
     }
-    Ok(answer.await.unwrap_or_else(|_| internal_error()))
+    let answer = tokio::select! {
+        biased;
+        answer = answer => answer,
+        () = host.requests_cut() => {
+            let text = "this host stops before the request has ended";
+            let refusal = Refusal::unknown(RefusalReason::OutcomeUnknown, text);
+            let (responder, answer) = Responder::new(id, Handle::current(), write_timeout);
+            host.refuse(responder, &refusal);
+            answer.await
+        }
+    };
+    Ok(answer.unwrap_or_else(|_| internal_error()))
 }
 
 /// Returns the response to a request whose thread ended without an answer, as after a panic.
@@ -175,27 +187,31 @@
 ) -> Result<CallerRequest, Refusal> {
     let limits = &host.settings.limits;
     let (head, body) = req.into_parts();
-    let body =
-        timeout(limits.read_timeout.to_duration(), Limited::new(body, limits.body_bytes).collect())
-            .await
-            .map_err(|_| {
-                Refusal::not_run(RefusalReason::ReadTimeout, "the body did not arrive in time")
-            })
-            .and_then(|read| {
-                read.map_err(|e| {
-                    if e.is::<LengthLimitError>() {
-                        let text = format!("the body exceeds {} bytes", limits.body_bytes);
-                        Refusal::not_run(RefusalReason::BodyTooLarge, text)
-                    } else {
-                        Refusal::not_run(
-                            RefusalReason::Malformed,
-                            "the body is incomplete or malformed",
-                        )
-                    }
-                })
+    let reading =
+        timeout(limits.read_timeout.to_duration(), Limited::new(body, limits.body_bytes).collect());
+    let read = tokio::select! {
+        biased;
+        () = host.requests_cut() => Err(draining_refusal()),
+        read = reading => read.map_err(|_| {
+            Refusal::not_run(RefusalReason::ReadTimeout, "the body did not arrive in time")
+        }),
+    };
+    let body = read
+        .and_then(|read| {
+            read.map_err(|e| {
+                if e.is::<LengthLimitError>() {
+                    let text = format!("the body exceeds {} bytes", limits.body_bytes);
+                    Refusal::not_run(RefusalReason::BodyTooLarge, text)
+                } else {
+                    Refusal::not_run(
+                        RefusalReason::Malformed,
+                        "the body is incomplete or malformed",
+                    )
+                }
             })
-            .map_err(|refusal| refusal_before_claim(&head.headers, refusal))?
-            .to_bytes();
+        })
+        .map_err(|refusal| refusal_before_claim(&head.headers, refusal))?
+        .to_bytes();
     let target = head.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
     Ok(CallerRequest { id, method: head.method, target, headers: head.headers, body })
 }
@@ -213,6 +229,10 @@
     });
 }
 
+fn draining_refusal() -> Refusal {
+    Refusal::not_run(RefusalReason::Draining, "this host is stopping").retry_after(Millis(1))
+}
+
 /// Returns a refusal that was decided before the claim was read: its outcome is unknown when the
 /// request has an idempotency key.
 fn refusal_before_claim(headers: &HeaderMap, refusal: Refusal) -> Refusal {
@@ -249,9 +269,7 @@
         return;
     }
     if host.is_draining() {
-        let refusal = Refusal::not_run(RefusalReason::Draining, "this host is stopping")
-            .retry_after(yuccanotch_core::clock::Millis(1));
-        host.refuse(responder, &refusal_before_claim(&req.headers, refusal));
+        host.refuse(responder, &refusal_before_claim(&req.headers, draining_refusal()));
         return;
     }
     if path == "/v1/chat/completions" {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -17,6 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
+use tokio::sync::watch;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::config::ActiveConfig;
@@ -58,6 +59,9 @@
 use crate::telemetry::Telemetry;
 
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// How long a host waits, at the end of the drain timeout, for the final answers of requests in flight
+/// to leave.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
 const ASYNC_WORKER_THREADS: usize = 2;
 /// Time after which a caller should retry when the host was overloaded or had no configuration.
 const OVERLOAD_RETRY_AFTER: Millis = Millis(1_000);
@@ -100,6 +104,8 @@
     /// Number of callers' requests that are being served.
     pub in_flight: AtomicUsize,
     draining: AtomicBool,
+    // Whether requests in flight get their final answer now, since the process is about to exit.
+    cut: watch::Sender<bool>,
     stopped: AtomicBool,
     rng: Mutex<Pcg64Mcg>,
 }
@@ -150,6 +156,7 @@
             shares,
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
+            cut: watch::Sender::new(false),
             stopped: AtomicBool::new(false),
             rng: Mutex::new(rng),
             settings,
@@ -179,6 +186,13 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Resolves when requests in flight must get their final answer, since the process is about to
+    /// exit.
+    pub async fn requests_cut(&self) {
+        // The sender lives as long as the host.
+        let _ = self.cut.subscribe().wait_for(|&is_cut| is_cut).await;
+    }
+
     /// Returns the version of a model that new requests run on.
     pub fn serving_version(&self, name: &ModelName, model: &Model) -> ModelVersion {
         let view = self.fleet.view();
@@ -364,7 +378,8 @@
     }
 
     /// Stops gracefully: fails the health check, waits until load balancers have noticed it, and
-    /// lets the requests in flight end.
+    /// lets the requests in flight end. Those that outlast the drain timeout are answered as unknown,
+    /// except for begun streams, which break off.
     ///
     /// Returns whether all requests in flight ended within the drain timeout.
     pub fn drain(mut self) -> bool {
@@ -381,6 +396,10 @@
             thread::sleep(DRAIN_POLL_INTERVAL);
         }
         let all_ended = host.in_flight.load(Ordering::SeqCst) == 0;
+        if !all_ended {
+            host.cut.send_replace(true);
+            thread::sleep(FINAL_ANSWER_TIME);
+        }
         self.stop();
         emit(Event::HostStopped, format_args!("host={} whole={all_ended}", host.settings.host));
         all_ended
--- a/crates/entry/tests/entry_process/mod.rs
+++ b/crates/entry/tests/entry_process/mod.rs
@@ -161,6 +161,17 @@
         lines.filter(|line| !line.is_empty()).map(|line| (start.elapsed(), line)).collect()
     }
 
+    /// Sends a chat request that is not streamed and returns the status and the body of the answer.
+    pub fn complete(&self, content: &str, max_tokens: u32) -> Result<(u16, String), ureq::Error> {
+        let agent = ureq::Agent::config_builder().http_status_as_error(false).build();
+        let response = ureq::Agent::from(agent)
+            .post(format!("http://{}/v1/chat/completions", self.callers))
+            .header("authorization", format!("Bearer {TEAM_KEY}"))
+            .send(chat_body(content, max_tokens, false))?;
+        let status = response.status().as_u16();
+        Ok((status, response.into_body().read_to_string()?))
+    }
+
     /// Calls the service with an idempotency key and returns the body of the answer.
     pub fn call_service(&self, key: &str) -> Result<String, ureq::Error> {
         let response = ureq::post(format!("http://{}/svc/run", self.callers))
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -46,6 +46,27 @@
     assert!(entry.wait().success());
 }
 
+/// Guards against requests whose connections are closed without an answer at the end of the drain
+/// timeout.
+#[test]
+fn requests_that_outlast_the_drain_timeout_are_answered_as_unknown() {
+    let deployment = TestDeployment::start("cut", STEP_US * 10);
+    let limits = json!({"drain_grace_ms": 0, "drain_timeout_ms": 500});
+    let entry = deployment.start_entry("entry-1", limits);
+    let answers = thread::scope(|scope| {
+        let requests: Vec<_> = (0..3).map(|_| scope.spawn(|| entry.complete("cut", 200))).collect();
+        thread::sleep(Duration::from_millis(500));
+        entry.terminate();
+        requests.into_iter().map(|r| r.join().expect("the thread ends")).collect::<Vec<_>>()
+    });
+    for answer in answers {
+        let (status, body) = answer.expect("an answer");
+        assert_eq!(status, 502, "{body}");
+        assert!(body.contains(r#""outcome":"unknown""#), "{body}");
+    }
+    assert_eq!(entry.wait().code(), Some(1));
+}
+
 #[test]
 fn a_keyed_call_runs_once_across_a_kill_and_a_restart() {
     let deployment = TestDeployment::start("kill", 1_000);
