Count the silence of the store's readers from its last answer

Both hosts that read the store for a zone had lost it without a sign. Cause: members counted on their aggregators while these said that they read the store, which they said until a held watch timed out, after up to 2.4 s; then the members' own waits began. Waits::worst_case left the first part out. Change: beside a held watch an aggregator makes a light read in each sixth of the limit, and tells the age of the store's last answer behind its messages; members count from there, and the sum of all waits is within the limit with a fifth left for the read. This works since no wait begins at the word of a failure any more. The test of worst_case asked for half of the limit, of a sum without detection; it now asks for a fifth of the limit over the whole sum, for all limits, and for the order of the waits. The test of members without a reader no longer grants the age of the second aggregator's word on top.

--- a/crates/check/src/case.rs
+++ b/crates/check/src/case.rs
@@ -77,6 +77,8 @@
     Peering => ("peering", crate::peering_case::run),
     /// Catch-up: a large change reaches all hosts in time, over whatever links.
     CatchUp => ("catch-up", crate::catch_up_case::run),
+    /// Readers of the store: hosts whose readers lose it silently read it themselves in time.
+    Readers => ("readers", crate::readers_case::run),
     /// Item log: hosts that read from the store and from each other never go back and converge.
     ItemLog => ("item-log", crate::item_log_case::run),
     /// Streams: an answer over failing chains is complete, of one model version and final.
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -38,6 +38,7 @@
 mod prompt_part_case;
 mod quarantine_case;
 mod reachability_case;
+mod readers_case;
 mod rendezvous_case;
 mod retry_case;
 mod route_case;
--- a/crates/core/src/catch_up/tests.rs
+++ b/crates/core/src/catch_up/tests.rs
@@ -10,6 +10,7 @@
 use crate::catch_up::Transfers;
 use crate::catch_up::Waits;
 use crate::clock::Millis;
+use crate::peering::timing::ROUND_INTERVAL;
 
 const LIMIT: Millis = Millis(3_000);
 const LARGE: usize = 60_000;
@@ -93,12 +94,19 @@
     assert_eq!(lag.span(Millis(30)), Millis(0));
 }
 
+/// Guards against a sum of waits that leaves out the time in which the hosts that read the store do
+/// not know yet that they have lost it.
 #[test]
-fn a_host_reads_the_store_itself_well_within_the_limit() {
-    for limit in [1_000, 2_000, 3_000, 10_000].map(Millis) {
+fn a_host_reads_the_store_itself_within_the_limit_with_time_left_for_the_read() {
+    for limit in (500..10_000).map(Millis) {
         let waits = Waits::new(limit);
         let left = limit.since(waits.worst_case());
-        assert!(left >= Millis(limit.0 / 2), "{left} are left of {limit}");
+        assert!(left >= Millis(limit.0 / 5), "{left} are left of {limit}");
+        let silence_when_all_is_well =
+            waits.store_check_interval() + ROUND_INTERVAL + ROUND_INTERVAL;
+        assert!(silence_when_all_is_well < waits.reader_silence());
+        assert!(waits.store_check_interval() + waits.store_check_timeout() < waits.store_doubt());
+        assert!(waits.store_doubt() < waits.reader_silence());
         assert!(waits.first_byte() + waits.queue_wait() <= waits.limit());
     }
 }
--- a/crates/core/src/catch_up/waits.rs
+++ b/crates/core/src/catch_up/waits.rs
@@ -4,6 +4,8 @@
 
 /// The shortest time limit that the waits follow.
 const MIN_LIMIT: Millis = Millis(500);
+/// The longest time between a host's checks whether it has to read the store.
+const MAX_ROLE_CHECK_INTERVAL: Millis = Millis(100);
 
 /// The waits that follow from the time within which a change has to be in force on every host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,10 +36,27 @@
         Millis(self.limit.0 / 6)
     }
 
-    /// Returns the shortest time without a host of the own failure domain that reads the store after
-    /// which any other host reads it itself; hosts add up to [`Self::reader_spread`].
+    /// Returns how long a host that reads the store leaves it without a call that is answered at once,
+    /// while a call is held for the next change.
+    pub fn store_check_interval(&self) -> Millis {
+        Millis(self.limit.0 / 6)
+    }
+
+    /// Returns how long such a call may take.
+    pub fn store_check_timeout(&self) -> Millis {
+        Millis(self.limit.0 / 6)
+    }
+
+    /// Returns how long after the store's last answer a host still says that it reads the store. One
+    /// check without an answer is too few to doubt it.
+    pub fn store_doubt(&self) -> Millis {
+        Millis(self.limit.0 * 2 / 5)
+    }
+
+    /// Returns the shortest time after the store's last answer to a host that reads it for the failure
+    /// domain, after which any other host reads it itself; hosts add up to [`Self::reader_spread`].
     pub fn reader_silence(&self) -> Millis {
-        Millis(self.limit.0 / 4)
+        Millis(self.limit.0 / 2)
     }
 
     /// Returns the span over which the hosts of a domain spread that step.
@@ -45,15 +64,22 @@
         Millis(self.limit.0 / 4)
     }
 
+    /// Returns the time between a host's checks whether it has to read the store.
+    pub fn role_check_interval(&self) -> Millis {
+        Millis(self.limit.0 / 20).min(MAX_ROLE_CHECK_INTERVAL)
+    }
+
     /// Returns how long a host may be behind what it has heard of before it reads the store itself.
     pub fn store_fallback(&self) -> Millis {
         Millis(self.limit.0 / 2)
     }
 
-    /// Returns the longest time from the moment at which a host hears no host of its domain that reads
-    /// the store, or hears of changes that it does not get, until it reads the store itself.
+    /// Returns the longest time for which a change may be in the store before a host begins to read it
+    /// itself: from the store's last answer to the hosts that read it for the failure domain, or from
+    /// the moment at which this host hears of changes that it does not get.
     pub fn worst_case(&self) -> Millis {
-        (self.reader_silence() + self.reader_spread()).max(self.store_fallback())
+        let without_reader = self.reader_silence() + self.reader_spread();
+        without_reader.max(self.store_fallback()) + self.role_check_interval()
     }
 
     /// Returns how long a request may wait for its turn before it is given up.
--- a/crates/core/src/defect.rs
+++ b/crates/core/src/defect.rs
@@ -73,6 +73,9 @@
         CrashNoticeIgnored => "crash-notice-ignored",
         /// A call that may not be repeated is retried although a byte was sent.
         RetryAfterByteLeft => "retry-after-byte-left",
+        /// An aggregator counts as a reader of the store for as long as it says so, however long ago the
+        /// store last answered it.
+        PeeringTrustsReader => "peering-trusts-reader",
         /// Retries are allowed beyond the retry budget.
         RetryWithoutBudget => "retry-without-budget",
         /// A server that is leaving gets new work.
--- a/crates/core/src/peering/messages.rs
+++ b/crates/core/src/peering/messages.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::Millis;
 use crate::name::DomainName;
 use crate::name::HostName;
 use crate::peering::observations::Observations;
@@ -123,6 +124,27 @@
     pub notices: Vec<CrashNotice>,
 }
 
+/// When the store last answered the hosts that read it for a failure domain, as one of them says beside
+/// a message. Hosts of earlier releases say nothing.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreContact {
+    /// How long ago it answered the sender when the message was sent, in ms.
+    pub own_age_ms: Option<u32>,
+    /// How long ago it answered another aggregator of the domain, as that one said itself, in ms. It
+    /// goes no further: at each hop an age loses the time for which the message was on its way, so that
+    /// hosts that passed it back and forth would keep it young.
+    pub other_age_ms: Option<u32>,
+}
+
+impl StoreContact {
+    /// Creates what a host says at `now` of answers to itself at `own` and to another aggregator at
+    /// `other`.
+    pub fn new(now: Millis, own: Option<Millis>, other: Option<Millis>) -> Self {
+        let age = |at: Millis| u32::try_from(now.since(at).0).unwrap_or(u32::MAX);
+        Self { own_age_ms: own.map(age), other_age_ms: other.map(age) }
+    }
+}
+
 /// A message and the address to which it goes.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
--- a/crates/core/src/peering/node/known.rs
+++ b/crates/core/src/peering/node/known.rs
@@ -30,7 +30,6 @@
     pub(super) avoided_until: Millis,
     pub(super) is_stopping: bool,
     pub(super) is_issuer: bool,
-    pub(super) reads_store: bool,
     pub(super) revision: u64,
     pub(super) report: Option<ReceivedReport>,
 }
@@ -48,7 +47,6 @@
             avoided_until: Millis::ZERO,
             is_stopping: false,
             is_issuer: false,
-            reads_store: false,
             revision: 0,
             report: None,
         }
--- a/crates/core/src/peering/node/mod.rs
+++ b/crates/core/src/peering/node/mod.rs
@@ -17,9 +17,11 @@
 use crate::defect::planted;
 use crate::name::DomainName;
 use crate::peering::messages::Content;
+use crate::peering::messages::Message;
 use crate::peering::messages::Outgoing;
 use crate::peering::messages::Peer;
 use crate::peering::messages::Status;
+use crate::peering::messages::StoreContact;
 use crate::peering::node::known::KnownDomain;
 use crate::peering::node::known::KnownPeer;
 use crate::peering::observations::short_hash;
@@ -34,7 +36,6 @@
 use crate::peering::timing::LISTING_WAIT;
 use crate::peering::timing::LONE_WAIT;
 use crate::peering::timing::PEER_TIMEOUT;
-use crate::peering::timing::READER_TTL;
 use crate::peering::timing::ROUNDS_PER_FULL_EXCHANGE;
 use crate::peering::timing::SEED_INTERVAL;
 use crate::peering::timing::SUMMARY_TTL;
@@ -92,7 +93,10 @@
     last_summary: Millis,
     last_seed_call: Millis,
     next_seed: usize,
-    without_reader_since: Option<Millis>,
+    // The last answer of the store to an aggregator of the own domain, as these say of themselves, and
+    // as they say of each other too.
+    reader_answered_at: Option<Millis>,
+    store_answered_at: Option<Millis>,
     without_issuer_since: Option<Millis>,
     // The host counts of the last seconds.
     host_counts: VecDeque<(Millis, usize)>,
@@ -122,7 +126,8 @@
             last_summary: Millis::ZERO,
             last_seed_call: Millis::ZERO,
             next_seed: 0,
-            without_reader_since: None,
+            reader_answered_at: None,
+            store_answered_at: None,
             without_issuer_since: None,
             host_counts: VecDeque::new(),
             is_aggregator: false,
@@ -165,22 +170,41 @@
         self.peers.values().any(|k| k.peer.domain == self.own.domain && k.sends_digests(now))
     }
 
-    /// Returns whether this host should follow the store itself: as an aggregator, or when it has
-    /// heard no aggregator that reads the store for some time, which differs between hosts.
+    /// Returns whether this host should follow the store itself: as an aggregator, or when the store has
+    /// answered no aggregator of its domain for some time, which differs between hosts.
     pub fn should_read_store(&self, now: Millis, waits: Waits) -> bool {
         let spread = u64::from(short_hash(self.own.host.as_str())) % waits.reader_spread().0;
         let wait = waits.reader_silence() + Millis(spread);
-        let waits_in_vain = |since: Millis| now.since(since) >= wait && !self.hears_reader(now);
-        self.is_aggregator || self.without_reader_since.is_some_and(waits_in_vain)
+        let since = self.started_at.map(|at| at.max(self.store_answered_at.unwrap_or(at)));
+        self.is_aggregator || since.is_some_and(|since| now.since(since) >= wait)
     }
 
-    /// Returns whether one of the aggregators of this host's domain that send digests reads the
-    /// store, as it said lately.
-    fn hears_reader(&self, now: Millis) -> bool {
-        self.peers.values().any(|k| {
-            let is_fresh = k.digest_at.is_some_and(|at| now.since(at) < READER_TTL);
-            k.peer.domain == self.own.domain && is_fresh && k.reads_store
-        })
+    /// Records what the sender of `message` says of the store's answers. A host of an earlier release
+    /// says only that it reads the store.
+    pub fn on_store_contact(&mut self, now: Millis, message: &Message, contact: StoreContact) {
+        let is_digest = matches!(message.content, Content::Digest { .. });
+        if !is_digest || message.from.peer.domain != self.own.domain {
+            return;
+        }
+        // Before the start of this host's clock counts as its start.
+        let at = |age_ms: u32| Millis(now.0.saturating_sub(age_ms.into()));
+        let is_of_earlier_release = contact == StoreContact::default();
+        let is_believed = is_of_earlier_release || planted!(PeeringTrustsReader);
+        let own = match contact.own_age_ms.map(at) {
+            _ if is_believed => message.from.reads_store.then_some(now),
+            own => own,
+        };
+        let other = contact.other_age_ms.map(at);
+        self.reader_answered_at = self.reader_answered_at.max(own);
+        self.store_answered_at = self.store_answered_at.max(own).max(other);
+    }
+
+    /// Returns what this host says to others of the store's answers, of which the last one to itself
+    /// came at `own`. An aggregator also passes on what the other one says of itself, which its members
+    /// hear less often.
+    pub fn store_contact(&self, now: Millis, own: Option<Millis>) -> StoreContact {
+        let other = self.reader_answered_at.filter(|_| self.is_aggregator);
+        StoreContact::new(now, own, other)
     }
 
     /// Returns whether this host should try to become the order issuer: as an aggregator when it
@@ -274,8 +298,6 @@
             self.aggregate(now, own, &observations, &aggregators, &mut out);
         }
         self.record_host_count(now);
-        let since = self.without_reader_since.or(Some(now));
-        self.without_reader_since = since.filter(|_| !self.hears_reader(now));
         let since = self.without_issuer_since.or(Some(now));
         self.without_issuer_since = since.filter(|_| !own.is_issuer && !self.hears_issuer(now));
         out
--- a/crates/core/src/peering/node/receive.rs
+++ b/crates/core/src/peering/node/receive.rs
@@ -72,7 +72,6 @@
         }
         known.is_stopping = status.is_stopping;
         known.is_issuer = status.is_issuer;
-        known.reads_store = status.reads_store;
         known.revision = status.revision;
     }
 
--- a/crates/core/src/peering/sim.rs
+++ b/crates/core/src/peering/sim.rs
@@ -13,6 +13,7 @@
 use crate::peering::messages::Message;
 use crate::peering::messages::Peer;
 use crate::peering::messages::Status;
+use crate::peering::messages::StoreContact;
 use crate::peering::node::Node;
 use crate::peering::observations::short_hash;
 use crate::peering::observations::LoadRow;
@@ -41,6 +42,22 @@
 /// Of the hosts of a domain, one in so many has the wider link.
 const STRONG_HOST_PERIOD: usize = 13;
 
+/// How long after the store's last answer a host may still say that it reads the store: as long as a
+/// call that is held for the next change.
+const HELD_CALL_TIME: Millis = Millis(2_400);
+
+/// How a simulated host reads the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum SimStore {
+    /// It does not, or is of an earlier release and says only [`Status::reads_store`].
+    #[default]
+    Untold,
+    /// The store answers it at regular intervals.
+    Answering,
+    /// The store has not answered since this time.
+    SilentSince(Millis),
+}
+
 /// A simulated host.
 #[derive(Debug)]
 pub struct SimHost {
@@ -48,6 +65,8 @@
     pub node: Option<Node>,
     /// What the host tells others of itself.
     pub status: Status,
+    /// How it reads the store.
+    pub store: SimStore,
     /// The number of its requests in progress at the one server that all hosts use.
     pub load: u16,
     /// Whether it neither runs nor receives for now.
@@ -91,7 +110,7 @@
     by_address: BTreeMap<SocketAddrV4, usize>,
     seeds: Vec<SocketAddrV4>,
     // Messages by the time of their arrival, with the index of the receiver.
-    in_flight: BTreeMap<(Millis, u64), (usize, usize, Message)>,
+    in_flight: BTreeMap<(Millis, u64), (usize, usize, Message, StoreContact)>,
     next_message: u64,
     /// Every message whose number is a multiple of this one is lost; 0 loses none.
     pub loss_period: u64,
@@ -99,6 +118,8 @@
     /// 0 delays none.
     pub delay_period: u64,
     bytes_between_domains: u64,
+    /// The time between the store's answers to a host that reads it.
+    pub store_check_interval: Millis,
     /// The number of further servers at which each host has a request in progress.
     pub extra_servers: u32,
 }
@@ -127,6 +148,7 @@
             loss_period: 0,
             delay_period: 0,
             bytes_between_domains: 0,
+            store_check_interval: Millis(300),
             extra_servers: 0,
         };
         (0..sim.hosts.len()).for_each(|index| sim.start(index));
@@ -196,7 +218,8 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddrV4, content: Content) {
-        let status = self.hosts[from].status.clone();
+        let mut status = self.hosts[from].status.clone();
+        let contact = self.store_contact(from, &mut status);
         let message = Message { from: status, content, notices: Vec::new() };
         let bytes = encoded_len(&message);
         self.hosts[from].sent.add(bytes);
@@ -211,10 +234,22 @@
         }
         if !is_lost {
             let key = (self.now + self.next_delay(), self.next_message);
-            self.in_flight.insert(key, (from, receiver, message));
+            self.in_flight.insert(key, (from, receiver, message, contact));
         }
     }
 
+    /// Returns what a host says of the store's answers, and sets what its `status` says of them.
+    fn store_contact(&self, index: usize, status: &mut Status) -> StoreContact {
+        let answered_at = match self.hosts[index].store {
+            SimStore::Untold => return StoreContact::default(),
+            SimStore::Answering => Millis(self.now.0 - self.now.0 % self.store_check_interval.0),
+            SimStore::SilentSince(since) => since,
+        };
+        status.reads_store = self.now.since(answered_at) < HELD_CALL_TIME;
+        let node = self.hosts[index].node.as_ref();
+        node.map_or(StoreContact::default(), |n| n.store_contact(self.now, Some(answered_at)))
+    }
+
     /// Returns the delay of the message that was numbered last.
     fn next_delay(&self) -> Millis {
         if !is_due(self.next_message, self.delay_period) {
@@ -229,7 +264,7 @@
             if entry.key().0 > self.now {
                 return;
             }
-            let (from, to, message) = entry.remove();
+            let (from, to, message, contact) = entry.remove();
             let is_cut = self.hosts[from].side != self.hosts[to].side;
             let host = &mut self.hosts[to];
             if is_cut || host.is_frozen {
@@ -240,6 +275,7 @@
             let Some(node) = &mut host.node else {
                 continue;
             };
+            node.on_store_contact(self.now, &message, contact);
             let answer = node.on_message(self.now, &host.status, message);
             if let Some(answer) = answer {
                 self.send(to, answer.to, answer.content);
@@ -281,6 +317,7 @@
         Self {
             node: None,
             status,
+            store: SimStore::default(),
             load: index as u16 % 5 + 1,
             is_frozen: false,
             loses_digests: false,
--- a/crates/core/src/peering/tests.rs
+++ b/crates/core/src/peering/tests.rs
@@ -5,7 +5,6 @@
 use crate::peering::sim::Sim;
 use crate::peering::timing::FORGET_AFTER;
 use crate::peering::timing::PEER_TIMEOUT;
-use crate::peering::timing::ROUNDS_PER_FULL_EXCHANGE;
 use crate::peering::timing::ROUND_INTERVAL;
 
 /// The time within which a starting cluster has settled.
@@ -222,11 +221,9 @@
     sim.run(PEER_TIMEOUT);
     assert_eq!(reads(&sim), 2);
     chosen.iter().for_each(|&i| sim.hosts[i].status.reads_store = false);
-    sim.run(waits.reader_silence());
+    sim.run(Millis(waits.reader_silence().0 - ROUND_INTERVAL.0));
     assert_eq!(reads(&sim), 2, "members wait before they read the store");
-    // The second aggregator's word is as old as the last full exchange.
-    let full_exchange = Millis(ROUND_INTERVAL.0 * u64::from(ROUNDS_PER_FULL_EXCHANGE));
-    sim.run(waits.reader_spread() + full_exchange + ROUND_INTERVAL);
+    sim.run(waits.reader_spread() + ROUND_INTERVAL + ROUND_INTERVAL);
     assert_eq!(reads(&sim), 6);
 }
 
--- a/crates/core/src/peering/timing.rs
+++ b/crates/core/src/peering/timing.rs
@@ -32,7 +32,5 @@
 pub const SEED_INTERVAL: Millis = Millis(2_000);
 /// The time without any sign of a host after which it is forgotten.
 pub const FORGET_AFTER: Millis = Millis(60_000);
-/// How long a digest tells that its sender reads the store: two full exchanges and some delay.
-pub const READER_TTL: Millis = Millis(1_100);
 /// How long no issuer is heard before hosts that are no aggregators try to become one.
 pub const ISSUER_TIMEOUT: Millis = Millis(8_000);
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -125,6 +125,11 @@
         /// The last key of the previous page; `None` for the first page.
         after: Option<String>,
     },
+    /// Reads the items under a prefix, perhaps as they were seconds ago, at a fraction of the price.
+    Check {
+        /// The prefix of the keys.
+        prefix: String,
+    },
     /// Waits for changes of items under a prefix.
     Watch {
         /// The prefix of the keys.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -205,6 +205,9 @@
         self.gauge("yuccanotch_store_era", era_of(gateway.views.revision()) as f64);
         self.gauge("yuccanotch_store_restores", gateway.views.restores() as f64);
         self.gauge("yuccanotch_store_lost_ms", lost.0 as f64);
+        if let Some(at) = gateway.store.answered_at() {
+            self.gauge("yuccanotch_store_answer_age_ms", now.since(at).0 as f64);
+        }
         self.gauge("yuccanotch_store_calls", gateway.store.calls() as f64);
         self.gauge("yuccanotch_servers", gateway.views.servers().len() as f64);
         self.gauge("yuccanotch_hosts", gateway.live_hosts() as f64);
--- a/crates/gateway/src/datagram.rs
+++ b/crates/gateway/src/datagram.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use yuccanotch_core::limits::LimitRows;
 use yuccanotch_core::peering::messages::Message;
+use yuccanotch_core::peering::messages::StoreContact;
 use yuccanotch_core::reachability::ReachRows;
 
 /// The largest datagram, in bytes.
@@ -20,12 +21,14 @@
     pub reach: ReachRows,
     /// The rates that servers name; empty from hosts that do not send them.
     pub limits: LimitRows,
+    /// When the store last answered; nothing from hosts that do not say so.
+    pub store: StoreContact,
 }
 
 impl Datagram {
     /// Encodes the datagram; `None` if that fails.
     pub fn encode(&self) -> Option<Vec<u8>> {
-        let parts = (&self.message, &self.reach, &self.limits);
+        let parts = (&self.message, &self.reach, &self.limits, &self.store);
         bincode::serde::encode_to_vec(parts, bincode::config::standard()).ok()
     }
 
@@ -34,8 +37,9 @@
         let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
         let (message, read) = bincode::serde::decode_from_slice(buf, config).ok()?;
         let (reach, read) = decode_next(buf, read);
-        let (limits, _) = decode_next(buf, read);
-        Some(Self { message, reach, limits })
+        let (limits, read) = decode_next(buf, read);
+        let (store, _) = decode_next(buf, read);
+        Some(Self { message, reach, limits, store })
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -136,6 +136,11 @@
         gateway.links.on_rows(&datagram.reach);
         gateway.on_limit_rows(&datagram.limits);
         links::apply_changes(&gateway);
+        gateway.peers.node.borrow_mut().on_store_contact(
+            gateway.clock.now(),
+            &datagram.message,
+            datagram.store,
+        );
         if let Some(answer) = on_message(&gateway, datagram.message) {
             send(&gateway, &socket, vec![answer]).await;
         }
@@ -176,8 +181,11 @@
     let from = own_status(gateway);
     let is_full_exchange = gateway.peers.node().is_full_exchange();
     let notices = gateway.crashes.notices(is_full_exchange);
+    let now = gateway.clock.now();
+    let answered_at = gateway.store.answered_at().filter(|_| gateway.follows_store.get());
+    let store = gateway.peers.node().store_contact(now, answered_at);
     let turn = gateway.links.next_turn();
-    let limit_rows = gateway.routing.limits.borrow().rows(gateway.clock.now(), turn);
+    let limit_rows = gateway.routing.limits.borrow().rows(now, turn);
     for Outgoing { to, content } in outgoing {
         let notices = match content {
             Content::Summary { .. } | Content::Peers(_) => gateway.crashes.notices(true),
@@ -186,7 +194,7 @@
         let is_full = is_full_exchange || matches!(content, Content::Summary { .. });
         let rows = gateway.links.rows(own_host_row(gateway), is_full);
         let message = Message { from: from.clone(), content, notices };
-        let datagram = Datagram { message, reach: rows, limits: limit_rows.clone() };
+        let datagram = Datagram { message, reach: rows, limits: limit_rows.clone(), store };
         let Some(buf) = datagram.encode() else {
             continue;
         };
@@ -201,7 +209,7 @@
         incarnation: gateway.peers.incarnation,
         is_stopping: gateway.shutdown.is_stopping(),
         is_issuer: gateway.is_issuer.get(),
-        reads_store: gateway.follows_store.get() && gateway.store.lost_since().is_none(),
+        reads_store: gateway.hears_store(gateway.clock.now()),
         revision: gateway.views.revision(),
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -19,6 +19,7 @@
 use crate::adapter::StoreError;
 use crate::adapter::StoreReply;
 use crate::event_log::EventLog;
+use crate::issuer;
 use crate::pool::Pool;
 use crate::pool::Reuse;
 use crate::pool::SendError;
@@ -27,6 +28,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// The time that a watch call may take beyond the time that the store may hold it.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
+/// The prefix of the items that are read to find out whether the store answers; it has few.
+const CHECKED_PREFIX: &str = issuer::ISSUER_KEY;
 /// The largest accepted answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -38,6 +41,7 @@
     clock: Clock,
     event_log: Rc<EventLog>,
     lost_since: Cell<Option<Millis>>,
+    answered_at: Cell<Option<Millis>>,
     // The latest era that an answer or another host has named.
     era: Cell<u64>,
     calls: Cell<u64>,
@@ -59,6 +63,7 @@
             clock,
             event_log,
             lost_since: Cell::new(None),
+            answered_at: Cell::new(None),
             era: Cell::new(0),
             calls: Cell::new(0),
         })
@@ -83,6 +88,16 @@
         result
     }
 
+    /// Makes a call that the store answers at once, to find out whether it answers this host; one
+    /// without an answer tells nothing, since a single answer may be lost.
+    pub async fn check(&self, limit: Millis) {
+        self.calls.set(self.calls.get() + 1);
+        let call = StoreCall::Check { prefix: CHECKED_PREFIX.to_owned() };
+        if let Ok(Ok(_)) = time::timeout(limit.to_duration(), self.send_call(&call)).await {
+            self.answered_at.set(Some(self.clock.now()));
+        }
+    }
+
     async fn send_call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let unanswered = |why: String| StoreError::Unanswered(why);
         let mut conn = self
@@ -123,6 +138,9 @@
     }
 
     fn record_reachability(&self, result: &Result<StoreReply, StoreError>) {
+        if result.is_ok() {
+            self.answered_at.set(Some(self.clock.now()));
+        }
         match (result, self.lost_since.get()) {
             (Ok(_), Some(since)) => {
                 let outage = self.clock.now().since(since);
@@ -143,6 +161,11 @@
         self.lost_since.get()
     }
 
+    /// Returns when the store last answered a call, other than by refusing it.
+    pub fn answered_at(&self) -> Option<Millis> {
+        self.answered_at.get()
+    }
+
     /// Returns the number of calls made.
     pub fn calls(&self) -> u64 {
         self.calls.get()
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -87,10 +87,16 @@
     /// Returns whether this host follows the store, and is not behind what the store should have
     /// told it.
     fn expects_changes_from_store(&self, now: Millis) -> bool {
-        let reads_store = self.follows_store.get() && self.store.lost_since().is_none();
         let has_state = self.views.configuration().is_some() && self.views.servers_read();
         let is_late = self.sync.lag.borrow().span(now) >= self.sync.waits.store_silence();
-        reads_store && has_state && !is_late
+        self.hears_store(now) && has_state && !is_late
+    }
+
+    /// Returns whether this host follows the store, and has lately had an answer of it.
+    pub(crate) fn hears_store(&self, now: Millis) -> bool {
+        let doubt = self.sync.waits.store_doubt();
+        let is_heard = self.store.answered_at().is_some_and(|at| now.since(at) < doubt);
+        self.follows_store.get() && self.store.lost_since().is_none() && is_heard
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -37,8 +37,6 @@
 const BACKOFF_MS: (u64, u64) = (60, 600);
 /// The additional pause of hosts that are no aggregators after a failed call.
 const MEMBER_PAUSE: Duration = Duration::from_millis(2_500);
-/// The time between checks whether this host has to follow the store.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Follows the store whenever this host has to, for the life of the process.
 pub async fn run(gateway: Rc<Gateway>, keys: StoreKeys) {
@@ -49,7 +47,7 @@
         log_role(&gateway, &mut known_reason, reason);
         if reason.is_none() {
             gateway.follows_store.set(false);
-            time::sleep(ROLE_CHECK_INTERVAL).await;
+            time::sleep(gateway.sync.waits().role_check_interval().to_duration()).await;
             continue;
         }
         match read_all(&gateway.store, &gateway.views, &keys).await {
@@ -126,6 +124,7 @@
         let answer = tokio::select! {
             answer = store.call(&call) => answer,
             () = wait_until_behind(views) => continue,
+            () = check_store(gateway) => continue,
         };
         match answer {
             // The changes before these are those of another era.
@@ -148,6 +147,16 @@
     }
 }
 
+/// Finds out again and again, while a watch call is held, whether the store still answers this host;
+/// never resolves.
+async fn check_store(gateway: &Gateway) {
+    let waits = gateway.sync.waits();
+    loop {
+        time::sleep(waits.store_check_interval().to_duration()).await;
+        gateway.store.check(waits.store_check_timeout()).await;
+    }
+}
+
 /// Resolves when other hosts have seen a newer revision than the watch call in progress has
 /// delivered.
 async fn wait_until_behind(views: &Views) {
--- a/crates/gateway/tests/recorded_datagrams.rs
+++ b/crates/gateway/tests/recorded_datagrams.rs
@@ -18,6 +18,7 @@
 use yuccanotch_core::peering::messages::Message;
 use yuccanotch_core::peering::messages::Peer;
 use yuccanotch_core::peering::messages::Status;
+use yuccanotch_core::peering::messages::StoreContact;
 use yuccanotch_core::peering::messages::Surroundings;
 use yuccanotch_core::peering::observations::LeavingRow;
 use yuccanotch_core::peering::observations::LoadRow;
@@ -126,16 +127,35 @@
     include_bytes!("recorded/d761cae-summary.bin"),
 ];
 
+/// The datagrams of the landed release ec617e4, in the order of [`messages`].
+const RECORDED_WITH_LIMITS: [&[u8]; 5] = [
+    include_bytes!("recorded/ec617e4-join.bin"),
+    include_bytes!("recorded/ec617e4-peers.bin"),
+    include_bytes!("recorded/ec617e4-report.bin"),
+    include_bytes!("recorded/ec617e4-digest.bin"),
+    include_bytes!("recorded/ec617e4-summary.bin"),
+];
+
 fn limits() -> LimitRows {
     let row = |server, rate| LimitRow { server, boot: 3, rate, age_ms: 70_000 };
     LimitRows { servers: vec![row(7, Some(MilliRate(3_500))), row(8, None)] }
 }
 
-/// Guards against a change that hosts of this release cannot read from the landed one.
+fn store() -> StoreContact {
+    StoreContact { own_age_ms: Some(333), other_age_ms: Some(70_000) }
+}
+
+/// Guards against a change that hosts of this release cannot read from the landed ones.
 #[test]
-fn datagrams_of_the_landed_release_are_read() {
+fn datagrams_of_the_landed_releases_are_read() {
     for ((message, reach), recorded) in messages().into_iter().zip(RECORDED) {
-        let expected = Datagram { message, reach, limits: LimitRows::default() };
+        let (limits, store) = Default::default();
+        let expected = Datagram { message, reach, limits, store };
+        assert_eq!(Datagram::decode(recorded), Some(expected));
+    }
+    for ((message, reach), recorded) in messages().into_iter().zip(RECORDED_WITH_LIMITS) {
+        let store = StoreContact::default();
+        let expected = Datagram { message, reach, limits: limits(), store };
         assert_eq!(Datagram::decode(recorded), Some(expected));
     }
 }
@@ -144,16 +164,19 @@
 /// as they know.
 #[test]
 fn datagrams_begin_with_what_the_landed_release_reads() {
-    for ((message, reach), recorded) in messages().into_iter().zip(RECORDED) {
-        let buf = Datagram { message, reach, limits: limits() }.encode().expect("bytes");
+    let all = messages().into_iter().zip(RECORDED.into_iter().zip(RECORDED_WITH_LIMITS));
+    for ((message, reach), (recorded, with_limits)) in all {
+        let buf =
+            Datagram { message, reach, limits: limits(), store: store() }.encode().expect("bytes");
         assert_eq!(&buf[..recorded.len()], recorded);
+        assert_eq!(&buf[..with_limits.len()], with_limits);
     }
 }
 
 #[test]
 fn datagrams_are_read_as_they_were_sent() {
     for (message, reach) in messages() {
-        let datagram = Datagram { message, reach, limits: limits() };
+        let datagram = Datagram { message, reach, limits: limits(), store: store() };
         let mut buf = datagram.encode().expect("bytes");
         assert_eq!(Datagram::decode(&buf).as_ref(), Some(&datagram));
         // What a later release adds behind changes nothing.
