Mark a streamed answer as incomplete whatever its buffer holds

Callers could take a stream that had been broken off for a complete one. Cause: the end of a dropped ChunkSender was told by one more chunk, for which the buffer of a caller that reads slowly has no room; the body then ended as if it were finished. Change: a body is complete only if its sender said so; every other end of the sender is a break-off, and needs no room.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,7 +1,9 @@
 //! The answer to a caller, either complete or streamed.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -48,7 +50,7 @@
 #[derive(Debug)]
 enum Source {
     Whole(Option<Bytes>),
-    Chunks(mpsc::Receiver<Result<Bytes, BrokenOff>>),
+    Chunks { rx: mpsc::Receiver<Bytes>, is_finished: Rc<Cell<bool>> },
 }
 
 /// The body of an answer.
@@ -73,11 +75,11 @@
 }
 
 /// Sends the chunks of a streamed answer. Dropping it without [`ChunkSender::finish`] makes the
-/// answer end as incomplete.
+/// answer end as incomplete, after the chunks sent so far.
 #[derive(Debug)]
 pub struct ChunkSender {
-    tx: mpsc::Sender<Result<Bytes, BrokenOff>>,
-    finished: bool,
+    tx: mpsc::Sender<Bytes>,
+    is_finished: Rc<Cell<bool>>,
 }
 
 impl ChunkSender {
@@ -85,35 +87,22 @@
     pub async fn send(&self, bytes: Bytes) {
         if !bytes.is_empty() {
             // If the caller has disconnected, its guard ends the request's task.
-            let _ = self.tx.send(Ok(bytes)).await;
+            let _ = self.tx.send(bytes).await;
         }
     }
 
     /// Ends the answer as complete.
-    pub fn finish(mut self) {
-        self.finished = true;
-    }
-
-    /// Ends the answer as incomplete, after the chunks sent so far.
-    pub async fn break_off(mut self) {
-        let _ = self.tx.send(Err(BrokenOff::ByHost)).await;
-        self.finished = true;
-    }
-}
-
-impl Drop for ChunkSender {
-    fn drop(&mut self) {
-        if !self.finished {
-            let _ = self.tx.try_send(Err(BrokenOff::ByHost));
-        }
+    pub fn finish(self) {
+        self.is_finished.set(true);
     }
 }
 
 /// Creates a streamed body and the sender of its chunks.
 pub fn chunked() -> (ChunkSender, AnswerBody) {
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let body = AnswerBody { source: Source::Chunks(rx), _guard: None };
-    (ChunkSender { tx, finished: false }, body)
+    let is_finished = Rc::<Cell<bool>>::default();
+    let source = Source::Chunks { rx, is_finished: is_finished.clone() };
+    (ChunkSender { tx, is_finished }, AnswerBody { source, _guard: None })
 }
 
 impl Body for AnswerBody {
@@ -126,7 +115,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut self.source {
             Source::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Source::Chunks(rx) => rx.poll_recv(cx).map(|next| next.map(|r| r.map(Frame::data))),
+            Source::Chunks { rx, is_finished } => rx.poll_recv(cx).map(|next| match next {
+                Some(chunk) => Some(Ok(Frame::data(chunk))),
+                None if is_finished.get() => None,
+                None => Some(Err(BrokenOff::ByHost)),
+            }),
         }
     }
 
@@ -139,7 +132,7 @@
             Source::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Source::Chunks(_) => SizeHint::default(),
+            Source::Chunks { .. } => SizeHint::default(),
         }
     }
 }
@@ -151,3 +144,35 @@
     *response.headers_mut() = fields;
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use http_body_util::BodyExt;
+    use tokio::runtime::Builder;
+
+    use super::*;
+
+    /// Sends `count` chunks, ends the answer and returns whether it looks complete to a reader that has
+    /// read nothing before.
+    fn looks_complete(count: usize, end: fn(ChunkSender)) -> bool {
+        let runtime = Builder::new_current_thread().build().expect("a runtime");
+        runtime.block_on(async {
+            let (chunks, body) = chunked();
+            for _ in 0..count {
+                chunks.send(Bytes::from_static(b"chunk")).await;
+            }
+            end(chunks);
+            body.collect().await.is_ok()
+        })
+    }
+
+    /// Guards against an answer that ends as complete because no room was left for the sign of its
+    /// break-off.
+    #[test]
+    fn an_answer_that_is_not_finished_never_looks_complete() {
+        for count in 0..=MAX_BUFFERED_CHUNKS {
+            assert!(!looks_complete(count, drop), "{count} chunks");
+            assert!(looks_complete(count, ChunkSender::finish), "{count} chunks");
+        }
+    }
+}
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -421,9 +421,7 @@
             NextStep::BreakOff => {
                 self.gateway.counters.request_ended(self.end_reason);
                 self.log_end(Event::AnswerBrokenOff);
-                if let Some(chunks) = self.chunks.take() {
-                    chunks.break_off().await;
-                }
+                self.chunks = None;
             }
             NextStep::Refuse => self.answer_with_status(StatusCode::SERVICE_UNAVAILABLE),
             NextStep::PassOn | NextStep::Unknown | NextStep::Retry | NextStep::AwaitBudget => {
