Take only the rest of a begun stream for its rest

Callers got a stream of 3 of 8 events that ended as complete (ORDER), when its server broke it off and the next one answered 204; after a 4xx the request counted as answered, and no other server was asked. Cause: the answer of the next server was read by the route and its status, not by what the caller had received. Change: an answer that has not the status and the media type of the begun one ends the attempt as not_the_rest, at servers and at other hosts; the stream goes on elsewhere, or breaks off. Result: both tests of platform/tests/begun_streams.rs failed before (204 'looks complete', no resumption after it) and pass; outcomes and cut_off_hosts pass.

--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -71,6 +71,8 @@
         StreamOrder = "stream_order",
         /// The stream ended inside an event.
         StreamPart = "stream_part",
+        /// The answer is not the rest of the stream that has begun.
+        NotTheRest = "not_the_rest",
         /// A part of the prompt, or the request itself, crashes servers.
         Quarantined = "quarantined",
         /// The host was told to stop, and its grace period is about to end.
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -86,6 +86,9 @@
         if !reply.sealed {
             return unanswered(AttemptEnd::Broken, EndReason::UnsealedFailure);
         }
+        if let Some(ended) = self.check_rest(&head) {
+            return ended;
+        }
         if self.route.streaming && head.status.is_success() {
             return self.relay_stream(head, reply, body, conn).await;
         }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -91,6 +91,9 @@
             }
             return ended;
         }
+        if let Some(ended) = self.check_rest(&head) {
+            return ended;
+        }
         if self.route.streaming && head.status.is_success() {
             return self.relay_stream(head, reply, body, conn).await;
         }
@@ -215,6 +218,16 @@
         None
     }
 
+    /// Checks the head of an answer that comes after a stream has begun; returns the result of the
+    /// attempt unless it is the rest of that stream, which has the same status and media type. Whatever
+    /// else a server answers has no place behind what the caller has received.
+    pub(super) fn check_rest(&self, head: &http::response::Parts) -> Option<AttemptResult> {
+        let (status, media_type) = self.begun_as.as_ref()?;
+        let is_rest =
+            head.status == *status && head.headers.get(header::CONTENT_TYPE) == media_type.as_ref();
+        (!is_rest).then(|| unanswered(AttemptEnd::Failed, EndReason::NotTheRest))
+    }
+
     /// Receives a complete answer that is not a stream and sends it to the caller.
     async fn receive_whole_answer(
         &mut self,
@@ -336,6 +349,7 @@
             return;
         };
         self.outcome.on_answer_begun();
+        self.begun_as = Some((head.status, head.headers.get(header::CONTENT_TYPE).cloned()));
         let mut fields = self.gateway.adapter.returned_headers(&head.headers);
         fields.remove(header::CONTENT_LENGTH);
         self.add_relay_fields(&mut fields);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -84,6 +84,8 @@
     head_tx: Option<oneshot::Sender<Response<AnswerBody>>>,
     chunks: Option<ChunkSender>,
     events: EventSplitter,
+    // The status and the media type that the answer began with.
+    begun_as: Option<(StatusCode, Option<HeaderValue>)>,
     // The weights version that the answer began with.
     version: Option<u64>,
     // The time from the start of the request to its first event.
@@ -204,6 +206,7 @@
             tried,
             head_tx: Some(head_tx),
             chunks: None,
+            begun_as: None,
             version,
             first_event_delay: Millis::ZERO,
             last_event_at: started,
