Send a request whose resends are used up only to new servers

A begun stream whose servers answered with errors was sent 71 times to the same server; the retries that its service has were used up by one request. Cause: an attempt at a new server was left, which let the request be sent on, but the only server for it had had it; the count of resends stopped at zero and was not looked at. Change: without resends left the candidates are the servers that have not had the request; if none is listed, the request ends at once.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -128,6 +128,9 @@
     fn choose_server(&mut self, request_state: &RequestState) -> Option<(u8, AttemptTarget)> {
         let server = self.rng.random_range(0..SERVERS);
         if self.truth.reached_servers.contains(&server) {
+            if !request_state.may_resend() {
+                return None;
+            }
             return Some((server, AttemptTarget::Tried));
         }
         if request_state.may_try_new_server() {
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -130,6 +130,11 @@
         self.attempts_left > 0 || planted!(ForwardBeyondBound)
     }
 
+    /// Returns whether the request may be sent again to a server that has had it.
+    pub fn may_resend(&self) -> bool {
+        self.resends_left > 0
+    }
+
     /// Records that the head of an answer was sent to the caller.
     pub fn on_answer_begun(&mut self) {
         self.begun = true;
@@ -163,7 +168,7 @@
         let resumable = !self.begun || self.repeat == RepeatPolicy::Resumable;
         // The server asked may take the request on a chain without the stage that declined.
         let may_return = self.begun || end == AttemptEnd::StageDeclined;
-        let allowed = self.may_try_new_server() || (may_return && self.resends_left > 0);
+        let allowed = self.may_try_new_server() || (may_return && self.may_resend());
         if !(repeatable && resumable && allowed && conditions.within_deadline) {
             return self.give_up(end);
         }
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -65,6 +65,26 @@
     assert_eq!(state.on_end(AttemptEnd::StageDeclined, WITHIN_LIMITS), NextStep::Refuse);
 }
 
+/// Guards against a request that goes to the same server again and again, since an attempt at a new
+/// one is left for which there is none.
+#[test]
+fn a_request_is_not_sent_again_beyond_its_resends_though_it_may_go_to_a_new_server() {
+    let mut state = RequestState::new(RepeatPolicy::Resumable, 3);
+    state.on_send(AttemptTarget::Untried);
+    state.on_answer_begun();
+    let mut resends = 0;
+    while state.may_resend() {
+        assert_eq!(state.on_end(AttemptEnd::Failed, WITHIN_LIMITS), NextStep::Retry);
+        state.on_send(AttemptTarget::Tried);
+        resends += 1;
+    }
+    assert_eq!(resends, 6);
+    assert!(state.may_try_new_server());
+    assert_eq!(state.on_end(AttemptEnd::Failed, WITHIN_LIMITS), NextStep::Retry);
+    state.on_send(AttemptTarget::Untried);
+    assert!(!state.may_resend());
+}
+
 #[test]
 fn a_declined_request_without_attempts_left_is_refused() {
     let mut state = RequestState::new(RepeatPolicy::Never, 1);
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -40,8 +40,11 @@
                 .may_try()
                 .then(|| routing.choose_target(&self.service, self.expected_load(), candidates))
                 .flatten();
-            let unavailable =
-                matches!(candidates, Candidates::Tried(tried) if !routing.is_listed(tried));
+            let unavailable = match candidates {
+                Candidates::All { .. } => false,
+                Candidates::Untried { tried } => !routing.lists_other(&self.service, tried),
+                Candidates::Tried(tried) => !routing.is_listed(tried),
+            };
             // The host that passed the request on has other hosts to choose from.
             let is_in_vain = self.is_relayed
                 && (routing.reaches_none(&self.service) || routing.lacks_share(&self.service));
@@ -115,10 +118,11 @@
     }
 
     fn candidates(&self) -> Candidates<'_> {
-        if self.outcome.may_try_new_server() {
-            Candidates::All { tried: &self.tried }
-        } else {
-            Candidates::Tried(&self.tried)
+        let tried = &self.tried;
+        match (self.outcome.may_try_new_server(), self.outcome.may_resend()) {
+            (true, true) => Candidates::All { tried },
+            (true, false) => Candidates::Untried { tried },
+            (false, _) => Candidates::Tried(tried),
         }
     }
 
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -125,12 +125,16 @@
         match &service.engine {
             Some(profile) => {
                 let allowed_first = match candidates {
-                    Candidates::All { .. } => None,
+                    Candidates::All { .. } | Candidates::Untried { .. } => None,
                     Candidates::Tried(tried) => Some(tried),
                 };
                 let needs =
                     ChainNeeds { domain: &self.domain, tokens, current: None, allowed_first };
-                self.choose_chain(service, profile, needs).map(|c| Target::Chain(Rc::new(c)))
+                let mut holders = self.collect_holders(service, profile, None);
+                if let Candidates::Untried { tried } = candidates {
+                    holders.iter_mut().for_each(|h| h.may_begin &= !tried.contains(&h.server));
+                }
+                path::choose_chain(profile, &holders, needs).map(|c| Target::Chain(Rc::new(c)))
             }
             None => self.choose_server(service, candidates),
         }
@@ -142,23 +146,22 @@
         servers.iter().any(|s| list.get(s).is_some_and(|e| e.state == ServerState::Ready))
     }
 
+    /// Returns whether a server at which requests of `service` may begin is listed beside those in
+    /// `tried`.
+    pub fn lists_other(&self, service: &Service, tried: &[ServerName]) -> bool {
+        let servers = self.views.servers();
+        let mut first = self.first_servers(&servers, service);
+        first.any(|entry| !tried.contains(&entry.id))
+    }
+
     /// Chooses another chain for a request that runs on the chain `now`. The first server stays the
     /// same.
     pub fn choose_other_chain(&self, service: &Service, tokens: f64, now: &Chain) -> Option<Chain> {
         let profile = service.engine.as_ref()?;
         let needs =
             ChainNeeds { domain: &self.domain, tokens, current: Some(now), allowed_first: None };
-        self.choose_chain(service, profile, needs).filter(|chain| chain != now)
-    }
-
-    fn choose_chain(
-        &self,
-        service: &Service,
-        profile: &EngineProfile,
-        needs: ChainNeeds<'_>,
-    ) -> Option<Chain> {
-        let holders = self.collect_holders(service, profile, needs.current);
-        path::choose_chain(profile, &holders, needs)
+        let holders = self.collect_holders(service, profile, Some(now));
+        path::choose_chain(profile, &holders, needs).filter(|chain| chain != now)
     }
 
     /// Returns whether a request may begin at the server as far as this host's links and the rate
@@ -297,10 +300,13 @@
     }
 
     fn choose_server(&self, service: &Service, candidates: Candidates<'_>) -> Option<Target> {
-        let (tried, must_be_tried) = match candidates {
-            Candidates::All { tried } => (tried, false),
-            Candidates::Tried(tried) => (tried, true),
+        let is_candidate = |e: &ServerEntry| match candidates {
+            Candidates::All { .. } => true,
+            Candidates::Untried { tried } => !tried.contains(&e.id),
+            Candidates::Tried(tried) => tried.contains(&e.id),
         };
+        let (Candidates::All { tried } | Candidates::Untried { tried } | Candidates::Tried(tried)) =
+            candidates;
         let now = self.clock.now();
         let health = self.health.borrow();
         let pauses = self.pauses.borrow();
@@ -320,7 +326,7 @@
         servers
             .iter()
             .filter(|e| e.service == service.name && e.state == ServerState::Ready)
-            .filter(|e| !must_be_tried || tried.contains(&e.id))
+            .filter(|e| is_candidate(e))
             .filter(|e| !pauses.includes(now, &e.id))
             .filter(|e| self.may_begin(&e.id, e.address))
             .map(|e| (cost(e) + rng.random::<f64>() * 0.5, e))
--- a/crates/gateway/src/routing/target.rs
+++ b/crates/gateway/src/routing/target.rs
@@ -50,6 +50,11 @@
         /// The servers that have already received the request.
         tried: &'a [ServerName],
     },
+    /// Only servers that have not received the request yet.
+    Untried {
+        /// The servers that have already received the request.
+        tried: &'a [ServerName],
+    },
     /// Only servers that have already received the request.
     Tried(&'a [ServerName]),
 }
