Use no server that lists layers which the model does not have

One entry with layers from 100 of a model of 80 left no chain for any request: all callers of the model were refused. Cause: the end of such a range was a boundary that the chain had to reach. Change: a range of layers that the model does not have is none, for chains and for plans; the issuer orders such a server like an empty one. Result: a_holder_of_layers_that_the_model_lacks_changes_no_chain_and_no_plan failed before (100-101: no chain) and passes.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -94,6 +94,11 @@
         self.kinds.iter().find(|k| k.name == name)
     }
 
+    /// Returns whether a server can hold the layers of `range`: there are some, and the model has them.
+    pub fn has_layers(&self, range: LayerRange) -> bool {
+        !range.is_empty() && range.to <= self.layers
+    }
+
     /// Returns the memory that the KV cache of one token takes in one layer, in MB.
     fn kv_mb_per_token_layer(&self) -> f64 {
         self.kv_bytes_per_token / f64::from(self.layers.max(1)) / 1e6
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -305,6 +305,9 @@
 
 impl<'a> Candidate<'a> {
     fn new(profile: &EngineProfile, holder: &'a LayerHolder, need: ChainNeeds<'_>) -> Option<Self> {
+        if !profile.has_layers(holder.layers) {
+            return None;
+        }
         let capacity = profile.token_layer_capacity(&holder.kind, holder.layers.len());
         let per_layer = need.tokens.max(1.0);
         let free = capacity * MAX_MEMORY_UTILIZATION - f64::from(holder.load.token_layers);
@@ -312,7 +315,7 @@
         let is_kept = need
             .current
             .is_some_and(|c| c.stages().iter().any(|stage| stage.server == holder.server));
-        if holder.layers.is_empty() || (free_layers == 0 && !is_kept) {
+        if free_layers == 0 && !is_kept {
             return None;
         }
         let utilization = f64::from(holder.load.token_layers) / capacity.max(1.0);
--- a/crates/core/src/placement/plan.rs
+++ b/crates/core/src/placement/plan.rs
@@ -110,7 +110,8 @@
                 .total_cmp(&b.kind.step_time_factor)
                 .then_with(|| a.server.cmp(&b.server))
         });
-        let assigned = servers.iter().map(|model_server| model_server.holds).collect();
+        let held = |s: &&ModelServer| s.holds.filter(|range| profile.has_layers(*range));
+        let assigned = servers.iter().map(held).collect();
         Self { profile, servers, assigned }
     }
 
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -342,6 +342,37 @@
     assert!(second.stages().iter().all(|p| p.server != slow));
 }
 
+/// Guards against an entry of layers that the model does not have, which left no chain for any request.
+#[test]
+fn a_holder_of_layers_that_the_model_lacks_changes_no_chain_and_no_plan() {
+    let holders = planned_holders();
+    let chain = choose_for(&holders, "a").expect("a chain");
+    let model_layers = profile().layers;
+    for (from, to) in [
+        (model_layers, model_layers + 1),
+        (model_layers - 1, model_layers + 1),
+        (model_layers + 20, model_layers + 21),
+        (0, u16::MAX),
+        (u16::MAX - 1, u16::MAX),
+        (3, 1),
+        (0, 0),
+    ] {
+        let mut with_odd = holders.clone();
+        let mut odd = holders[0].clone();
+        odd.server = ServerName::new("odd");
+        odd.address = address(holders.len());
+        odd.layers = LayerRange::new(from, to);
+        with_odd.push(odd);
+        assert_eq!(choose_for(&with_odd, "a").as_ref(), Some(&chain), "{from}-{to}");
+        let mut servers = with_held_layers(fleet(), &plan(&profile(), &fleet()));
+        servers[0].holds = Some(LayerRange::new(from, to));
+        let mended = plan(&profile(), &servers);
+        for domain in ["a", "b", "c"] {
+            assert!(uncovered_layers(&servers, &mended, domain).is_empty(), "{from}-{to} {domain}");
+        }
+    }
+}
+
 #[test]
 fn a_nearly_full_server_whose_middle_layers_have_a_copy_elsewhere_gets_one_stage_only() {
     let mut holders = planned_holders();
