Begin a loop of a host anew when it panics

Cause: the loops of a host were spawned and their handles dropped, so a panic in one ended it without a line, and the host went on without following the store, hearing other hosts or ordering servers: what other operators saw as machines that 'stopped following' the list. The rounds of the exchange are a loop of their own. No entry that makes a loop panic is known.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -95,6 +95,8 @@
     SettingsRejected = 2005, Warn, "settings rejected";
     /// The gateway process is about to exit; requests in progress get their final answer.
     GatewayAnswering = 2006, Info, "gateway answers what is in progress";
+    /// A loop of the gateway process has panicked and is begun anew.
+    LoopPanicked = 2007, Error, "loop panicked";
     /// A request is sent to a server.
     RequestSent = 2101, Info, "request sent";
     /// An attempt ended without a usable answer.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -44,6 +44,7 @@
     passed_on: Counter,
     taken: Counter,
     unreadable: Counter,
+    panics: Counter,
     moves: Counter,
     moves_refused: Counter,
     leaving: HashMap<LeavingSource, Counter>,
@@ -84,6 +85,7 @@
             passed_on: counter(&recorder, "yuccanotch_requests_passed_on_total", None),
             taken: counter(&recorder, "yuccanotch_requests_taken_total", None),
             unreadable: counter(&recorder, "yuccanotch_messages_unreadable_total", None),
+            panics: counter(&recorder, "yuccanotch_loop_panics_total", None),
             moves: counter(&recorder, "yuccanotch_moves_total", None),
             moves_refused: counter(&recorder, "yuccanotch_moves_refused_total", None),
             leaving: LeavingSource::ALL
@@ -130,6 +132,11 @@
         self.unreadable.increment(1);
     }
 
+    /// Counts a loop of this host that panicked.
+    pub fn loop_panicked(&self) {
+        self.panics.increment(1);
+    }
+
     /// Counts the end of an attempt; `again` tells whether another attempt follows.
     pub fn attempt_ended(&self, reason: EndReason, again: bool) {
         increment(&self.attempts, reason);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -118,12 +118,8 @@
     gateway.peers.node.borrow_mut().add_listed(gateway.clock.now(), peer);
 }
 
-/// Sends and receives datagrams for the life of the process.
-pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket) {
-    let socket = Rc::new(socket);
-    let sender_socket = socket.clone();
-    let sender_gateway = gateway.clone();
-    tokio::task::spawn_local(async move { send_rounds(sender_gateway, sender_socket).await });
+/// Receives and answers datagrams for the life of the process.
+pub async fn run(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, SocketAddr::V4(from))) = socket.recv_from(&mut buf).await else {
@@ -156,8 +152,8 @@
     }
 }
 
-/// Runs the rounds of the exchange.
-async fn send_rounds(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
+/// Runs the rounds of the exchange for the life of the process.
+pub async fn send_rounds(gateway: Rc<Gateway>, socket: Rc<UdpSocket>) {
     loop {
         let jitter = rand::rng().random_range(0..ROUND_JITTER_MS);
         time::sleep((ROUND_INTERVAL + Millis(jitter)).to_duration()).await;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
@@ -55,6 +58,7 @@
 use crate::shutdown;
 use crate::shutdown::Shutdown;
 use crate::store::StoreClient;
+use crate::supervision;
 use crate::sync;
 use crate::sync::SyncState;
 use crate::views::Views;
@@ -345,10 +349,49 @@
         Event::GatewayStarted,
         &[("host", &settings.host), ("domain", &settings.domain), ("callers", &settings.callers)],
     );
-    let keys = gateway.adapter.store_keys();
-    tokio::task::spawn_local(watch::run(gateway.clone(), keys));
-    tokio::task::spawn_local(gossip::run(gateway.clone(), gossip_socket));
-    tokio::task::spawn_local(sync::serve(gateway.clone(), control));
+    spawn_loops(&gateway, gossip_socket, control);
+    spawn_listeners(&gateway, callers, relay, ready, metrics);
+    if let Some(read_settings) = read_settings {
+        tokio::task::spawn_local(reload::run(gateway.clone(), hangup, read_settings));
+    }
+    term.recv().await;
+    shutdown::run(&gateway).await;
+    Ok(())
+}
+
+/// Spawns the loops that run for the life of the process.
+fn spawn_loops(gateway: &Rc<Gateway>, gossip_socket: UdpSocket, control: TcpListener) {
+    let spawn = |name, run: fn(Rc<Gateway>) -> Pin<Box<dyn Future<Output = ()>>>| {
+        let shared = gateway.clone();
+        supervision::spawn(gateway, name, move || run(shared.clone()));
+    };
+    spawn("watch", |gateway| Box::pin(watch::run(gateway)));
+    spawn("links", |gateway| Box::pin(links::run(gateway)));
+    spawn("issuer", |gateway| Box::pin(issuer::run(gateway)));
+    spawn("sync", |gateway| Box::pin(sync::run(gateway)));
+    spawn("listing", |gateway| Box::pin(listing::run(gateway)));
+    spawn("upkeep", |gateway| Box::pin(run_upkeep(gateway)));
+    let (shared, socket) = (gateway.clone(), Rc::new(gossip_socket));
+    let rounds_socket = socket.clone();
+    supervision::spawn(gateway, "gossip", move || gossip::run(shared.clone(), socket.clone()));
+    let shared = gateway.clone();
+    supervision::spawn(gateway, "rounds", move || {
+        gossip::send_rounds(shared.clone(), rounds_socket.clone())
+    });
+    let (shared, control) = (gateway.clone(), Rc::new(control));
+    supervision::spawn(gateway, "sync server", move || {
+        sync::serve(shared.clone(), control.clone())
+    });
+}
+
+/// Spawns the loops that accept connections, of callers until the shutdown closes their listeners.
+fn spawn_listeners(
+    gateway: &Rc<Gateway>,
+    callers: TcpListener,
+    relay: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+) {
     let metrics_gateway = gateway.clone();
     tokio::task::spawn_local(probe_server::serve(metrics, move || {
         Response::new(AnswerBody::whole(Bytes::from(
@@ -361,17 +404,6 @@
     }));
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers, RequestSource::Caller));
     tokio::task::spawn_local(callers::accept(gateway.clone(), relay, RequestSource::Host));
-    tokio::task::spawn_local(links::run(gateway.clone()));
-    tokio::task::spawn_local(issuer::run(gateway.clone()));
-    tokio::task::spawn_local(sync::run(gateway.clone()));
-    tokio::task::spawn_local(listing::run(gateway.clone()));
-    tokio::task::spawn_local(run_upkeep(gateway.clone()));
-    if let Some(read_settings) = read_settings {
-        tokio::task::spawn_local(reload::run(gateway.clone(), hangup, read_settings));
-    }
-    term.recv().await;
-    shutdown::run(&gateway).await;
-    Ok(())
 }
 
 /// Does the periodic work for the life of the process.
--- a/crates/gateway/src/issuer.rs
+++ b/crates/gateway/src/issuer.rs
@@ -65,6 +65,8 @@
 
 /// Becomes the issuer whenever no other host is, for the life of the process.
 pub async fn run(gateway: Rc<Gateway>) {
+    // This loop may have been begun anew in the middle of a term, whose lease expires.
+    gateway.is_issuer.set(false);
     loop {
         let (least, most) = ACQUIRE_PAUSE_MS;
         let pause = rand::rng().random_range(least..most);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod store;
+mod supervision;
 pub mod sync;
 pub mod views;
 pub mod watch;
--- a/crates/gateway/src/sync/server.rs
+++ b/crates/gateway/src/sync/server.rs
@@ -74,7 +74,7 @@
 }
 
 /// Answers requests for changes on the control address for the life of the process.
-pub async fn serve(gateway: Rc<Gateway>, listener: TcpListener) {
+pub async fn serve(gateway: Rc<Gateway>, listener: Rc<TcpListener>) {
     loop {
         let stream = probe_server::accept(&listener).await;
         if net::set_options(&stream).is_ok() {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -39,7 +39,8 @@
 const MEMBER_PAUSE: Duration = Duration::from_millis(2_500);
 
 /// Follows the store whenever this host has to, for the life of the process.
-pub async fn run(gateway: Rc<Gateway>, keys: StoreKeys) {
+pub async fn run(gateway: Rc<Gateway>) {
+    let keys = gateway.adapter.store_keys();
     let mut backoff = Backoff::default();
     let mut known_reason = None;
     loop {
