Take no entry for a server that has an unusable address or name

Callers got 503 for requests whose service has servers: entries of another writer with port 0, with an address at which no host can listen, or with an empty or very long name were listed as servers, and each request tried up to four of them.

--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -94,6 +94,16 @@
     }
 }
 
+reasons! {
+    /// Why an entry of the list of servers that can be read names no server to use.
+    EntryFault {
+        /// No server can listen on its address.
+        Address = "address",
+        /// A name in it is empty or too long.
+        Name = "name",
+    }
+}
+
 reasons! {
     /// How a host learned that a server is leaving, before the list of servers said so.
     LeavingSource {
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -8,6 +8,7 @@
 use crate::clock::Millis;
 use crate::defect::planted;
 use crate::forward::leaving::LeavingServers;
+use crate::forward::reason::EntryFault;
 use crate::forward::reason::LeavingSource;
 use crate::name::DomainName;
 use crate::name::ServerName;
@@ -63,7 +64,32 @@
     pub engine: Option<EngineEntry>,
 }
 
+/// The longest name in an entry, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 impl ServerEntry {
+    /// Returns why the entry names no server that can be used, whoever wrote it; `None` if it may.
+    pub fn fault(&self) -> Option<EntryFault> {
+        let ip = self.address.ip();
+        let is_host = !ip.is_unspecified() && !ip.is_multicast() && !ip.is_broadcast();
+        let is_name = |name: &str| (1..=MAX_NAME_BYTES).contains(&name.len());
+        let kind = self.engine.as_ref().map(|engine| engine.kind.as_str());
+        let mut names =
+            [self.id.as_str(), self.service.as_str(), self.domain.as_str()].into_iter().chain(kind);
+        if self.address.port() == 0 || !is_host {
+            Some(EntryFault::Address)
+        } else if !names.all(is_name) {
+            Some(EntryFault::Name)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether the server takes no new work, since it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.state == ServerState::Leaving
+    }
+
     /// Returns whether requests of its service may begin at it: it is a plain server, or it holds the
     /// first layer.
     pub fn begins_requests(&self) -> bool {
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -275,12 +275,14 @@
     }
 
     fn decode_entry(&self, key: &str, value: &[u8]) -> Option<ServerEntry> {
-        match self.adapter.decode_server(key, value) {
-            Ok(entry) => Some(entry),
-            Err(e) => {
-                self.event_log.line(Event::EntryRejected, &[("key", &key), ("why", &e)]);
-                None
-            }
-        }
+        let why = match self.adapter.decode_server(key, value) {
+            Ok(entry) => match entry.fault() {
+                None => return Some(entry),
+                Some(fault) => fault.to_string(),
+            },
+            Err(e) => e.to_string(),
+        };
+        self.event_log.line(Event::EntryRejected, &[("key", &key), ("why", &why)]);
+        None
     }
 }
