Believe a refusal on a kept connection only if it names the request

Callers were told 503, 'not run', of an order that a server ran (REFUSED), when the server wrote an earlier refusal once more on a kept connection; a request that may go elsewhere would have run twice. Cause: a refusal without an id counted as one of whatever had been sent. Change: on a connection that has had a request before, a refusal without the id of this one ends the attempt as another request's answer, of unknown outcome. Result: a_refusal_on_a_kept_connection_that_names_no_request_promises_nothing failed before (503) and passes; the other tests of outcomes pass.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -85,7 +85,7 @@
             _ => Announcer::Asked(&asked),
         };
         gateway.record_announcements(announcer, &reply);
-        if let Some(ended) = self.check_reply(&head, &reply, target) {
+        if let Some(ended) = self.check_reply(&head, &reply, target, conn.is_new()) {
             if let Some(address) = reply.at_fault {
                 self.check_declining_stage(address).await;
             }
@@ -185,12 +185,17 @@
         head: &http::response::Parts,
         reply: &ServerReply,
         target: &Target,
+        is_new_connection: bool,
     ) -> Option<AttemptResult> {
         let routing = &self.gateway.routing;
         if reply.id.is_some() && reply.id.as_deref() != self.caller.id.as_deref() {
             return Some(unanswered(AttemptEnd::Broken, EndReason::OtherAnswer));
         }
         if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+            // On a kept connection a refusal that names no request may be that of an earlier one.
+            if reply.id.is_none() && !is_new_connection {
+                return Some(unanswered(AttemptEnd::Broken, EndReason::OtherAnswer));
+            }
             let at_fault = routing.record_decline(target.server(), reply.at_fault);
             self.gateway.event_log.line(
                 Event::RequestDeclined,
