Take the answer to another request for no answer to an order or a report

The issuer ended its term when a server wrote an earlier refusal once more in place of the answer to an order. Cause: orders, reports and health checks read whatever comes next on a kept connection. Change: they are sent without an id, so an answer that names one is that of another request: no answer has come, and the connection is closed. Open: an earlier answer without an id on such a connection looks like the order's own.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -306,6 +306,10 @@
         let response = conn.send(req).await.ok()?;
         let (head, body) = response.into_parts();
         let reply = self.adapter.decode_reply(&head);
+        // Reports, orders and health checks have no id: this answers an earlier request.
+        if reply.id.is_some() {
+            return None;
+        }
         self.record_announcements(Announcer::At(address), &reply);
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.ok()?.to_bytes();
         if !reply.closes {
