Bound the idle time that a server names

A server that names a very long idle time in Keep-Alive stopped the request that read it (502), in builds that check arithmetic; others computed a wrong time. Cause: the seconds were multiplied without a check. Result: a_server_may_name_any_idle_time failed before (multiply with overflow) and passes.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -31,6 +31,8 @@
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 /// The idle time that is assumed of a server that names none.
 const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
+/// The longest idle time that is believed of a server.
+const MAX_KEEP_ALIVE: Millis = Millis(3_600_000);
 /// The percentage of the server's idle time for which a connection is kept. The margin avoids
 /// sending a request while the server's close is on its way.
 const KEEP_ALIVE_USED_PERCENT: u64 = 70;
@@ -175,7 +177,7 @@
     /// Returns a connection to the pool after a complete answer. `keep_alive` is how long the
     /// server keeps it open when idle.
     pub fn release(&self, mut conn: PooledConnection, keep_alive: Option<Millis>) {
-        let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE);
+        let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
         conn.is_new = false;
         conn.idle_until = self.clock.now() + Millis(keep_alive.0 * KEEP_ALIVE_USED_PERCENT / 100);
         let mut idle = self.idle.borrow_mut();
