Let supervised loops take the host that they run on

Cause: the linter rejects the type of the closure that began the loops by name. Change: supervision::spawn passes the host to the loop, so that most are named as they are.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -2,11 +2,9 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -365,26 +363,21 @@
 
 /// Spawns the loops that run for the life of the process.
 fn spawn_loops(gateway: &Rc<Gateway>, gossip_socket: UdpSocket, control: TcpListener) {
-    let spawn = |name, run: fn(Rc<Gateway>) -> Pin<Box<dyn Future<Output = ()>>>| {
-        let shared = gateway.clone();
-        supervision::spawn(gateway, name, move || run(shared.clone()));
-    };
-    spawn("watch", |gateway| Box::pin(watch::run(gateway)));
-    spawn("links", |gateway| Box::pin(links::run(gateway)));
-    spawn("issuer", |gateway| Box::pin(issuer::run(gateway)));
-    spawn("sync", |gateway| Box::pin(sync::run(gateway)));
-    spawn("listing", |gateway| Box::pin(listing::run(gateway)));
-    spawn("upkeep", |gateway| Box::pin(run_upkeep(gateway)));
-    let (shared, socket) = (gateway.clone(), Rc::new(gossip_socket));
+    supervision::spawn(gateway, "watch", watch::run);
+    supervision::spawn(gateway, "links", links::run);
+    supervision::spawn(gateway, "issuer", issuer::run);
+    supervision::spawn(gateway, "sync", sync::run);
+    supervision::spawn(gateway, "listing", listing::run);
+    supervision::spawn(gateway, "upkeep", run_upkeep);
+    let socket = Rc::new(gossip_socket);
     let rounds_socket = socket.clone();
-    supervision::spawn(gateway, "gossip", move || gossip::run(shared.clone(), socket.clone()));
-    let shared = gateway.clone();
-    supervision::spawn(gateway, "rounds", move || {
-        gossip::send_rounds(shared.clone(), rounds_socket.clone())
+    supervision::spawn(gateway, "gossip", move |gateway| gossip::run(gateway, socket.clone()));
+    supervision::spawn(gateway, "rounds", move |gateway| {
+        gossip::send_rounds(gateway, rounds_socket.clone())
     });
-    let (shared, control) = (gateway.clone(), Rc::new(control));
-    supervision::spawn(gateway, "sync server", move || {
-        sync::serve(shared.clone(), control.clone())
+    let control = Rc::new(control);
+    supervision::spawn(gateway, "sync server", move |gateway| {
+        sync::serve(gateway, control.clone())
     });
 }
 
--- a/crates/gateway/src/supervision.rs
+++ b/crates/gateway/src/supervision.rs
@@ -18,12 +18,16 @@
 
 /// Spawns the loop that `begin` creates, for the life of the process; one that panics is logged, counted
 /// and begun anew.
-pub fn spawn<F>(gateway: &Rc<Gateway>, name: &'static str, begin: impl Fn() -> F + 'static)
-where
+pub fn spawn<F>(
+    gateway: &Rc<Gateway>,
+    name: &'static str,
+    begin: impl Fn(Rc<Gateway>) -> F + 'static,
+) where
     F: Future<Output = ()> + 'static,
 {
     let gateway = gateway.clone();
     task::spawn_local(async move {
+        let begin = || begin(gateway.clone());
         keep_running(begin, |why| {
             gateway.counters.loop_panicked();
             gateway.event_log.line(Event::LoopPanicked, &[("loop", &name), ("why", &why)]);
