Move tests into files of their own, and say who has had a request once

Cause: three new test modules stood in source files, a constant in the middle of one, and the servers that have had a request were taken apart by a pattern. Change: *_tests.rs beside the sources, Candidates::tried, the constant at the top.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -118,7 +118,7 @@
     /// A request is passed to another host, since this one reaches no server for it or may send
     /// nothing to any.
     RequestPassedOn = 2110, Info, "request passed on";
-    /// The process exits while a request has no final answer.
+    /// The process exits, or the task of a request panics, while the request has no final answer.
     RequestAbandoned = 2111, Warn, "request abandoned";
     /// A server is suspected to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
--- a/crates/core/src/forward/servers.rs
+++ b/crates/core/src/forward/servers.rs
@@ -22,6 +22,9 @@
 /// How long the list remembers entries that were removed.
 const DEPARTED_TTL: Millis = Millis(60_000);
 
+/// The longest name in an entry, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 /// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerState {
@@ -64,9 +67,6 @@
     pub engine: Option<EngineEntry>,
 }
 
-/// The longest name in an entry, in bytes.
-const MAX_NAME_BYTES: usize = 256;
-
 impl ServerEntry {
     /// Returns why the entry names no server that can be used, whoever wrote it; `None` if it may.
     pub fn fault(&self) -> Option<EntryFault> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,5 +31,7 @@
 pub mod route;
 pub mod share;
 pub mod shutdown;
+#[cfg(test)]
+mod shutdown_tests;
 pub mod store;
 pub mod stream;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -19,7 +19,7 @@
 use tokio::sync::oneshot;
 
 /// The largest number of chunks buffered for a caller that reads slowly.
-const MAX_BUFFERED_CHUNKS: usize = 16;
+pub(crate) const MAX_BUFFERED_CHUNKS: usize = 16;
 
 quick_error! {
     /// Why an answer ended before it was complete.
@@ -144,35 +144,3 @@
     *response.headers_mut() = fields;
     response
 }
-
-#[cfg(test)]
-mod tests {
-    use http_body_util::BodyExt;
-    use tokio::runtime::Builder;
-
-    use super::*;
-
-    /// Sends `count` chunks, ends the answer and returns whether it looks complete to a reader that has
-    /// read nothing before.
-    fn looks_complete(count: usize, end: fn(ChunkSender)) -> bool {
-        let runtime = Builder::new_current_thread().build().expect("a runtime");
-        runtime.block_on(async {
-            let (chunks, body) = chunked();
-            for _ in 0..count {
-                chunks.send(Bytes::from_static(b"chunk")).await;
-            }
-            end(chunks);
-            body.collect().await.is_ok()
-        })
-    }
-
-    /// Guards against an answer that ends as complete because no room was left for the sign of its
-    /// break-off.
-    #[test]
-    fn an_answer_that_is_not_finished_never_looks_complete() {
-        for count in 0..=MAX_BUFFERED_CHUNKS {
-            assert!(!looks_complete(count, drop), "{count} chunks");
-            assert!(looks_complete(count, ChunkSender::finish), "{count} chunks");
-        }
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod adapter;
 mod announcements;
 pub mod answer;
+#[cfg(test)]
+mod answer_tests;
 pub mod callers;
 pub mod counters;
 pub mod datagram;
@@ -31,6 +33,8 @@
 pub mod shutdown;
 pub mod store;
 mod supervision;
+#[cfg(test)]
+mod supervision_tests;
 pub mod sync;
 pub mod views;
 pub mod watch;
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -305,8 +305,7 @@
             Candidates::Untried { tried } => !tried.contains(&e.id),
             Candidates::Tried(tried) => tried.contains(&e.id),
         };
-        let (Candidates::All { tried } | Candidates::Untried { tried } | Candidates::Tried(tried)) =
-            candidates;
+        let tried = candidates.tried();
         let now = self.clock.now();
         let health = self.health.borrow();
         let pauses = self.pauses.borrow();
--- a/crates/gateway/src/routing/target.rs
+++ b/crates/gateway/src/routing/target.rs
@@ -59,6 +59,15 @@
     Tried(&'a [ServerName]),
 }
 
+impl<'a> Candidates<'a> {
+    /// Returns the servers that have already received the request.
+    pub fn tried(self) -> &'a [ServerName] {
+        match self {
+            Self::All { tried } | Self::Untried { tried } | Self::Tried(tried) => tried,
+        }
+    }
+}
+
 /// Counts as one request in progress at its target until it is dropped.
 pub struct InProgress {
     pub(super) routing: Rc<RoutingState>,
--- a/crates/gateway/src/supervision.rs
+++ b/crates/gateway/src/supervision.rs
@@ -38,7 +38,7 @@
 
 /// Runs the loop that `begin` creates until it ends by itself, and tells `on_panic` the text of each
 /// panic.
-async fn keep_running<F>(begin: impl Fn() -> F, on_panic: impl Fn(&str))
+pub(crate) async fn keep_running<F>(begin: impl Fn() -> F, on_panic: impl Fn(&str))
 where
     F: Future<Output = ()> + 'static,
 {
@@ -55,32 +55,3 @@
     let text = panic.downcast_ref::<&str>().copied();
     text.or_else(|| panic.downcast_ref::<String>().map(String::as_str)).unwrap_or("")
 }
-
-#[cfg(test)]
-mod tests {
-    use std::cell::Cell;
-    use std::cell::RefCell;
-
-    use tokio::runtime::Builder;
-    use tokio::task::LocalSet;
-
-    use super::*;
-
-    /// Guards against a host that goes on without a loop that has panicked, and says nothing.
-    #[test]
-    fn a_loop_that_panics_is_told_of_and_begun_anew() {
-        let runtime = Builder::new_current_thread().enable_time().build().expect("a runtime");
-        let begun = Rc::<Cell<u32>>::default();
-        let told = RefCell::<Vec<String>>::default();
-        let counter = begun.clone();
-        let begin = move || {
-            let number = counter.get() + 1;
-            counter.set(number);
-            async move { assert!(number > 2, "run {number}") }
-        };
-        let tasks = LocalSet::new();
-        tasks.block_on(&runtime, keep_running(begin, |why| told.borrow_mut().push(why.to_owned())));
-        assert_eq!(begun.get(), 3);
-        assert_eq!(*told.borrow(), ["run 1", "run 2"]);
-    }
-}
