--- a/crates/core/src/peering/messages.rs
+++ b/crates/core/src/peering/messages.rs
@@ -37,7 +37,8 @@
     pub is_stopping: bool,
     /// Whether the sender is the order issuer.
     pub is_issuer: bool,
-    /// Whether the sender reads the store and its last call succeeded.
+    /// Whether the sender reads the store and has had an answer of it lately; hosts of earlier releases
+    /// say so until a call fails.
     pub reads_store: bool,
     /// The store revision up to which the sender has applied all changes.
     pub revision: u64,
@@ -132,7 +133,7 @@
     pub own_age_ms: Option<u32>,
     /// How long ago it answered another aggregator of the domain, as that one said itself, in ms. It
     /// goes no further: at each hop an age loses the time for which the message was on its way, so that
-    /// hosts that passed it back and forth would keep it young.
+    /// hosts that passed it back and forth would understate it more and more.
     pub other_age_ms: Option<u32>,
 }
 
