Split the tests of placement: planner, chains

Change: the tests of chains and loads move to path_tests.rs as they are; the model and servers that both use stay in tests.rs.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,8 @@
 #[cfg(test)]
 mod membership_tests;
 pub mod path;
+#[cfg(test)]
+mod path_tests;
 pub mod plan;
 #[cfg(test)]
 mod tests;
