--- a/crates/core/src/catch_up/tests.rs
+++ b/crates/core/src/catch_up/tests.rs
@@ -105,8 +105,10 @@
         let silence_when_all_is_well =
             waits.store_check_interval() + ROUND_INTERVAL + ROUND_INTERVAL;
         assert!(silence_when_all_is_well < waits.reader_silence());
-        assert!(waits.store_check_interval() + waits.store_check_timeout() < waits.store_doubt());
-        assert!(waits.store_doubt() < waits.reader_silence());
+        assert!(
+            waits.store_check_interval() + waits.store_check_timeout() < waits.store_answer_ttl()
+        );
+        assert!(waits.store_answer_ttl() < waits.reader_silence());
         assert!(waits.first_byte() + waits.queue_wait() <= waits.limit());
     }
 }
--- a/crates/core/src/catch_up/waits.rs
+++ b/crates/core/src/catch_up/waits.rs
@@ -49,7 +49,7 @@
 
     /// Returns how long after the store's last answer a host still says that it reads the store. One
     /// check without an answer is too few to doubt it.
-    pub fn store_doubt(&self) -> Millis {
+    pub fn store_answer_ttl(&self) -> Millis {
         Millis(self.limit.0 * 2 / 5)
     }
 
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -242,12 +242,12 @@
             self.gateway.crashes.on_break(self.run);
         }
         if let Some(reason) = cut {
-            self.end_early(reason).await;
+            self.end_early(reason);
         }
     }
 
     /// Ends a request whose attempts were cut short for `reason`.
-    async fn end_early(&mut self, reason: EndReason) {
+    fn end_early(&mut self, reason: EndReason) {
         self.end_reason = reason;
         let next = self.outcome.final_step();
         match reason {
@@ -256,16 +256,16 @@
                 self.log_end(Event::CallerLeft);
             }
             EndReason::Deadline => {
-                self.finish_unanswered(next, None, StatusCode::GATEWAY_TIMEOUT).await;
+                self.finish_unanswered(next, None, StatusCode::GATEWAY_TIMEOUT);
             }
-            _ => self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await,
+            _ => self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY),
         }
     }
 
     /// Makes attempts until one succeeds or no further one is allowed, and sends the final answer.
     async fn run_attempts(&mut self) {
         loop {
-            if self.refuse_if_quarantined().await {
+            if self.refuse_if_quarantined() {
                 return;
             }
             let Some(destination) = self.wait_for_destination().await else {
@@ -277,11 +277,11 @@
                 let all_paused = self.gateway.routing.time_all_paused(&self.service).is_some();
                 self.end_reason = if all_paused { EndReason::AllPaused } else { EndReason::NoRoom };
                 let next = self.outcome.final_step();
-                self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await;
+                self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY);
                 return;
             };
             // Another host may have found a cause of crashes during the wait.
-            if self.refuse_if_quarantined().await {
+            if self.refuse_if_quarantined() {
                 return;
             }
             let ended = match &destination {
@@ -302,7 +302,7 @@
             }
             self.gateway.counters.attempt_ended(why, next == NextStep::Retry);
             if next != NextStep::Retry {
-                self.finish_unanswered(next, server_answer, StatusCode::BAD_GATEWAY).await;
+                self.finish_unanswered(next, server_answer, StatusCode::BAD_GATEWAY);
                 return;
             }
         }
@@ -310,7 +310,7 @@
 
     /// Ends the request without another attempt if one of its fingerprints is quarantined; returns
     /// whether it did.
-    async fn refuse_if_quarantined(&mut self) -> bool {
+    fn refuse_if_quarantined(&mut self) -> bool {
         let Some((fingerprint, left)) = self.gateway.crashes.find_quarantined(&self.fingerprints)
         else {
             return false;
@@ -322,7 +322,7 @@
         self.end_reason = EndReason::Quarantined;
         self.retry_after = Some(left);
         let next = self.outcome.final_step();
-        self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY).await;
+        self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY);
         true
     }
 
@@ -409,7 +409,7 @@
     /// Ends a request that got no usable answer, in the way that `next` says. `server_answer` is
     /// the failure to pass on, and `unknown_status` the status if it is not known whether the
     /// request ran.
-    async fn finish_unanswered(
+    fn finish_unanswered(
         &mut self,
         next: NextStep,
         server_answer: Option<Response<Bytes>>,
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -94,8 +94,8 @@
 
     /// Returns whether this host follows the store, and has lately had an answer of it.
     pub(crate) fn hears_store(&self, now: Millis) -> bool {
-        let doubt = self.sync.waits.store_doubt();
-        let is_heard = self.store.answered_at().is_some_and(|at| now.since(at) < doubt);
+        let ttl = self.sync.waits.store_answer_ttl();
+        let is_heard = self.store.answered_at().is_some_and(|at| now.since(at) < ttl);
         self.follows_store.get() && self.store.lost_since().is_none() && is_heard
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,6 +1,7 @@
 //! Follows changes of the configuration and the list of servers in the store, on hosts that read it
 //! for their failure domain.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -125,7 +126,7 @@
         let answer = tokio::select! {
             answer = store.call(&call) => answer,
             () = wait_until_behind(views) => continue,
-            () = check_store(gateway) => continue,
+            never = check_store(gateway) => match never {},
         };
         match answer {
             // The changes before these are those of another era.
@@ -148,9 +149,8 @@
     }
 }
 
-/// Finds out again and again, while a watch call is held, whether the store still answers this host;
-/// never resolves.
-async fn check_store(gateway: &Gateway) {
+/// Finds out again and again, while a watch call is held, whether the store still answers this host.
+async fn check_store(gateway: &Gateway) -> Infallible {
     let waits = gateway.sync.waits();
     loop {
         time::sleep(waits.store_check_interval().to_duration()).await;
