Choose chains within one failure domain on request

The link that all failure domains share has a capacity, which chain selection does not know. ChainNeeds::may_cross excludes hops between domains, and a chain counts its crossings.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -420,7 +420,8 @@
 
 fn chain_stage(index: usize, from: u16, to: u16) -> ChainStage {
     let server = ServerName::new(&format!("s-{index}"));
-    ChainStage { server, address: server_address(index), layers: LayerRange::new(from, to) }
+    let domain = DomainName::new("a");
+    ChainStage { server, address: server_address(index), domain, layers: LayerRange::new(from, to) }
 }
 
 fn server_entry(state: ServerState) -> ServerEntry {
--- a/crates/core/src/placement/chain.rs
+++ b/crates/core/src/placement/chain.rs
@@ -5,6 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::defect::planted;
+use crate::name::DomainName;
 use crate::name::ServerName;
 use crate::placement::engine::LayerRange;
 
@@ -18,6 +19,8 @@
     pub server: ServerName,
     /// The address on which it listens.
     pub address: SocketAddrV4,
+    /// The failure domain that it is in.
+    pub domain: DomainName,
     /// The layers that it runs.
     pub layers: LayerRange,
 }
@@ -81,4 +84,20 @@
     pub fn first(&self) -> &ChainStage {
         &self.stages[0]
     }
+
+    /// Returns the number of hops between stages of different failure domains.
+    pub fn crossings(&self) -> usize {
+        self.domain_crossings().count()
+    }
+
+    /// Returns the number of hops between failure domains that `old` does not have. On the hops of
+    /// `old` the tokens of the request are already accounted for.
+    pub fn crossings_beyond(&self, old: &Self) -> usize {
+        let has_hop = |hop: &[ChainStage]| old.stages.windows(2).any(|old_hop| old_hop == hop);
+        self.domain_crossings().filter(|hop| !has_hop(hop)).count()
+    }
+
+    fn domain_crossings(&self) -> impl Iterator<Item = &[ChainStage]> {
+        self.stages.windows(2).filter(|hop| hop[0].domain != hop[1].domain)
+    }
 }
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -84,6 +84,11 @@
     pub max_parallel_loads: u32,
     /// The time that loading the weights of all layers takes, in ms.
     pub load_ms: f64,
+    /// The capacity of the link that the failure domains share, in Mbit/s; `None` if it is not
+    /// known.
+    pub inter_domain_mbps: Option<f64>,
+    /// The activations that one token sends over each hop between stages, in bytes.
+    pub activation_bytes: f64,
     /// The kinds of accelerator on which the engines run.
     pub kinds: Vec<AcceleratorKind>,
 }
@@ -94,6 +99,14 @@
         self.kinds.iter().find(|k| k.name == name)
     }
 
+    /// Returns the number of tokens per second whose activations the link between failure domains
+    /// carries; `None` if its capacity or the size of activations is not known.
+    pub fn inter_domain_tokens_per_s(&self) -> Option<f64> {
+        let bytes_per_s = self.inter_domain_mbps? * 1e6 / 8.0;
+        let is_known = bytes_per_s > 0.0 && self.activation_bytes > 0.0;
+        is_known.then(|| bytes_per_s / self.activation_bytes)
+    }
+
     /// Returns whether a server can hold the layers of `range`: there are some, and the model has them.
     pub fn has_layers(&self, range: LayerRange) -> bool {
         !range.is_empty() && range.to <= self.layers
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -76,6 +76,8 @@
     pub current: Option<&'a Chain>,
     /// The servers that may run the first stage; `None` allows all.
     pub allowed_first: Option<&'a [ServerName]>,
+    /// Whether stages may be in different failure domains.
+    pub may_cross: bool,
 }
 
 impl ChainNeeds<'_> {
@@ -131,6 +133,8 @@
     /// Each layer has a holder with capacity left and a server may be the first stage, but the
     /// ranges that servers hold do not connect to a chain.
     RangesDoNotMeet,
+    /// There is a chain, but only over hops between failure domains, which the request may not use.
+    OnlyAcrossDomains,
 }
 
 /// Determines why `holders` offer no chain for `need`.
@@ -148,10 +152,34 @@
         None if !holders_of(0).any(|h| may_be_first_stage(profile, h, need)) => {
             NoChain::FirstServerUnavailable { holders: holders_of(0).count() }
         }
+        None if has_chain_across_domains(profile, holders, need) => NoChain::OnlyAcrossDomains,
         None => NoChain::RangesDoNotMeet,
     }
 }
 
+fn has_chain_across_domains(
+    profile: &EngineProfile,
+    holders: &[LayerHolder],
+    need: ChainNeeds<'_>,
+) -> bool {
+    let across = ChainNeeds { may_cross: true, ..need };
+    !need.may_cross && choose_chain(profile, holders, across).is_some()
+}
+
+/// Returns whether the `holders` of one failure domain hold all layers, with or without capacity
+/// left.
+pub fn has_complete_domain(profile: &EngineProfile, holders: &[LayerHolder]) -> bool {
+    let holds = |domain: &DomainName, layer: u16| {
+        holders.iter().any(|h| {
+            h.domain == *domain
+                && profile.has_layers(h.layers)
+                && h.layers.covers(LayerRange::new(layer, layer + 1))
+        })
+    };
+    let mut first = holders.iter().filter(|h| h.layers.from == 0);
+    first.any(|h| (0..profile.layers).all(|layer| holds(&h.domain, layer)))
+}
+
 fn may_be_first_stage(profile: &EngineProfile, holder: &LayerHolder, need: ChainNeeds<'_>) -> bool {
     let candidate = Candidate::new(profile, holder, need);
     need.may_be_first_stage(holder) && candidate.is_some_and(|c| c.may_be_first)
@@ -242,8 +270,10 @@
         let index = at * domain_count + d;
         let hop = if **domain == candidate.holder.domain {
             SAME_DOMAIN_HOP_COST_MS
-        } else {
+        } else if need.may_cross {
             CROSS_DOMAIN_HOP_COST_MS
+        } else {
+            continue;
         };
         let cost = best[index].cost + hop;
         if cost.is_finite() && found.is_none_or(|(c, _)| cost < c) {
@@ -270,6 +300,7 @@
         stages.push(ChainStage {
             server: candidate.holder.server.clone(),
             address: candidate.holder.address,
+            domain: candidate.holder.domain.clone(),
             layers: LayerRange::new(path.from, boundaries[at / domain_count]),
         });
         at = path.predecessor;
--- a/crates/core/src/placement/path_tests.rs
+++ b/crates/core/src/placement/path_tests.rs
@@ -57,7 +57,7 @@
         .collect()
 }
 
-fn planned_holders() -> Vec<LayerHolder> {
+pub(super) fn planned_holders() -> Vec<LayerHolder> {
     let servers = fleet();
     let plan = plan(&profile(), &servers);
     holders(&servers, &plan)
@@ -68,7 +68,13 @@
     path::choose_chain(
         &profile(),
         holders,
-        ChainNeeds { domain: &domain, tokens: 1_000.0, current: None, allowed_first: None },
+        ChainNeeds {
+            domain: &domain,
+            tokens: 1_000.0,
+            current: None,
+            allowed_first: None,
+            may_cross: true,
+        },
     )
 }
 
@@ -184,7 +190,13 @@
         holder.load.first = 192.0;
     }
     let domain = DomainName::new("a");
-    let need = ChainNeeds { domain: &domain, tokens: 1_000.0, current: None, allowed_first: None };
+    let need = ChainNeeds {
+        domain: &domain,
+        tokens: 1_000.0,
+        current: None,
+        allowed_first: None,
+        may_cross: true,
+    };
     assert_eq!(path::choose_chain(&profile(), &holders, need), None);
     let reason = path::explain_no_chain(&profile(), &holders, need);
     assert!(matches!(reason, NoChain::FirstServerUnavailable { holders: 3.. }), "{reason:?}");
@@ -199,7 +211,13 @@
     let reason = path::explain_no_chain(
         &profile(),
         &holders,
-        ChainNeeds { domain: &domain, tokens: 1.0, current: None, allowed_first: None },
+        ChainNeeds {
+            domain: &domain,
+            tokens: 1.0,
+            current: None,
+            allowed_first: None,
+            may_cross: true,
+        },
     );
     assert!(matches!(reason, NoChain::LayerUnavailable { layer: ..=33, holders: 0 }), "{reason:?}");
 }
@@ -216,6 +234,7 @@
         tokens: 1_000.0,
         current: Some(&before),
         allowed_first: None,
+        may_cross: true,
     };
     let after = path::choose_chain(&profile(), &holders, need).expect("a chain");
     assert_eq!(after.first(), before.first());
@@ -235,6 +254,7 @@
         tokens: 1_000.0,
         current: Some(&before),
         allowed_first: None,
+        may_cross: true,
     };
     let mut used_servers = BTreeSet::new();
     for _ in 0..60 {
@@ -261,6 +281,7 @@
         tokens: 1_000.0,
         current: Some(&before),
         allowed_first: None,
+        may_cross: true,
     };
     assert_eq!(path::choose_chain(&profile(), &holders, need), None);
 }
@@ -269,6 +290,7 @@
     ChainStage {
         server: ServerName::new(&index.to_string()),
         address: address(index),
+        domain: DomainName::new("a"),
         layers: LayerRange::new(from, to),
     }
 }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -40,6 +40,8 @@
         report_lag_ms: 200.0,
         max_parallel_loads: 6,
         load_ms: 14_000.0,
+        inter_domain_mbps: None,
+        activation_bytes: 0.0,
         kinds: vec![kind("big"), kind("small"), kind("slow")],
     }
 }
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -77,6 +77,8 @@
         report_lag_ms: 200.0,
         max_parallel_loads: 6,
         load_ms: 14_000.0,
+        inter_domain_mbps: None,
+        activation_bytes: 0.0,
         kinds: kinds(),
     }
 }
@@ -202,7 +204,7 @@
             })
             .collect();
         let domain = DomainName::new("d-0");
-        let need = ChainNeeds { domain: &domain, tokens, current: None, allowed_first: None };
+        let need = ChainNeeds { domain: &domain, tokens, current: None, allowed_first: None, may_cross: true };
         if let Some(chain) = path::choose_chain(&profile, &holders, need) {
             let mut at = 0;
             for stage in chain.stages() {
@@ -213,5 +215,9 @@
             }
             assert_eq!(at, LAYERS);
         }
+        let within = ChainNeeds { may_cross: false, ..need };
+        if let Some(chain) = path::choose_chain(&profile, &holders, within) {
+            assert_eq!(chain.crossings(), 0);
+        }
     }
 }
