Limit domain crossings by a token bucket in each host

Chains that crossed domains stalled when hosts sent more tokens than the inter-domain link carries. Without allowance a request gets a chain within one domain, unless no domain holds all layers; a request that has begun may overdraw the bucket by its size.

--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -3,6 +3,9 @@
 
 pub mod balance;
 pub mod chain;
+pub mod crossing;
+#[cfg(test)]
+mod crossing_tests;
 pub mod engine;
 pub mod load;
 pub mod membership;
