Apply the allowance for domain crossings to requests and moves

The periodic work fills the bucket of each service whose link is configured, with the number of hosts that share the retry budget. Tokens are taken when a request is sent or moved. Events 2220 and 2221 report a used-up and a full allowance.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -148,6 +148,10 @@
     ServerLimitEnded = 2215, Info, "server limit ended";
     /// A server names a rate that is negative or no number.
     LimitNotFollowed = 2216, Warn, "server limit not followed";
+    /// The host has used up its share of the link between failure domains.
+    CrossingsExhausted = 2220, Info, "allowance for domain crossings exhausted";
+    /// The host has its whole allowance for domain crossings.
+    CrossingsAvailable = 2221, Info, "allowance for domain crossings available";
     /// This host's links to a server that other hosts hear are cut.
     LinkCut = 2211, Warn, "link to a server is cut";
     /// This host reaches a server again.
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -49,6 +49,9 @@
     pub(super) async fn attempt(&mut self, target: &Target) -> AttemptResult {
         let gateway = self.gateway.clone();
         self.set_current(target.clone());
+        if let Target::Chain(chain) = target {
+            gateway.routing.on_sending_over(&self.service, chain, self.expected_tokens());
+        }
         gateway.routing.on_send(target.server());
         let asked = gateway.incarnation(target.server());
         let known = self.tried.contains(target.server());
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -45,6 +45,7 @@
 use crate::relay::Relayed;
 use crate::relay::TriedServers;
 use crate::routing::InProgress;
+use crate::routing::RequestTokens;
 use crate::routing::Target;
 
 /// The shortest and longest time that a refused caller is told to wait before it tries again, in
@@ -270,7 +271,7 @@
             }
             let Some(destination) = self.wait_for_destination().await else {
                 let lacks =
-                    self.gateway.routing.describe_shortage(&self.service, self.expected_load());
+                    self.gateway.routing.describe_shortage(&self.service, self.expected_tokens());
                 self.gateway
                     .event_log
                     .line(Event::AttemptEnded, &[("id", &self.id()), ("lacks", &lacks)]);
@@ -379,13 +380,19 @@
     /// Returns the number of tokens that the request is expected to hold, in the mean over its
     /// life.
     fn expected_load(&self) -> f64 {
+        self.expected_tokens().held
+    }
+
+    /// Returns the expected tokens of the request.
+    fn expected_tokens(&self) -> RequestTokens {
         let Some(prompt) = self.caller.prompt_tokens else {
-            return DEFAULT_REQUEST_TOKENS;
+            return RequestTokens { held: DEFAULT_REQUEST_TOKENS, total: DEFAULT_REQUEST_TOKENS };
         };
         let most = f64::from(self.caller.max_tokens.unwrap_or(0));
         let expected =
             self.caller.expected_tokens.map_or(most * DEFAULT_LENGTH_FRACTION, f64::from);
-        f64::from(prompt) + MEAN_HELD_FRACTION * expected.min(most)
+        let (prompt, answer) = (f64::from(prompt), expected.min(most));
+        RequestTokens { held: prompt + MEAN_HELD_FRACTION * answer, total: prompt + answer }
     }
 
     /// Adds what a host that passed the request on needs to know to the head of an answer.
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -38,7 +38,7 @@
             }
             let found = waiter
                 .may_try()
-                .then(|| routing.choose_target(&self.service, self.expected_load(), candidates))
+                .then(|| routing.choose_target(&self.service, self.expected_tokens(), candidates))
                 .flatten();
             let unavailable = match candidates {
                 Candidates::All { .. } => false,
@@ -98,8 +98,8 @@
         let within_budget = gateway.routing.has_retry(&self.service.name, hosts);
         let conditions = RetryConditions { within_budget, within_deadline };
         let has_other_target = || {
-            let load = self.expected_load();
-            let target = gateway.routing.choose_target(&self.service, load, self.candidates());
+            let tokens = self.expected_tokens();
+            let target = gateway.routing.choose_target(&self.service, tokens, self.candidates());
             target.is_some_and(|target| self.may_replace_current(&target))
         };
         self.outcome.would_retry(AttemptEnd::Silent, conditions)
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -87,10 +87,11 @@
     async fn move_to_other_chain(&mut self, chain: &Chain) -> ServerProgress {
         let gateway = self.gateway.clone();
         let Some(new) =
-            gateway.routing.choose_other_chain(&self.service, self.expected_load(), chain)
+            gateway.routing.choose_other_chain(&self.service, self.expected_tokens(), chain)
         else {
             return self.lost_unless_alone();
         };
+        gateway.routing.on_moving(&self.service, chain, &new, self.expected_tokens());
         let first = new.first().clone();
         let order = Order::Repath { id: self.id(), chain: &new };
         let reply = gateway.send_order(&first.server, first.address, &order).await;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -216,9 +216,9 @@
         self.peers.node().host_count(self.clock.now())
     }
 
-    /// Returns the number of hosts that share the retry budget, this one included. A host that is
-    /// cut off from the others still divides the budget by their number, since they may still reach
-    /// servers.
+    /// Returns the number of hosts that share the retry budget and the link between failure domains,
+    /// this one included. A host that is cut off from the others still divides both by their number,
+    /// since they may still reach servers.
     pub fn hosts_sharing_retries(&self) -> usize {
         let window = self.changeable().repeats.window;
         self.peers.node().sharing_count(self.clock.now(), window)
@@ -410,7 +410,7 @@
         time::sleep(TICK_INTERVAL).await;
         let now = gateway.clock.now();
         gateway.views.on_tick(now);
-        gateway.routing.on_tick(now);
+        gateway.routing.on_tick(now, gateway.hosts_sharing_retries());
         gateway.pool.on_tick();
         quarantine::refute_crashes(&gateway);
         gateway.event_log.flush();
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -1,6 +1,7 @@
 //! The state that routing decisions use: requests in progress, the health of servers and the retry
 //! budgets.
 
+mod crossings;
 mod records;
 mod target;
 
@@ -29,6 +30,7 @@
 use yuccanotch_core::name::ServiceName;
 use yuccanotch_core::peering::observations::short_hash;
 use yuccanotch_core::placement::chain::Chain;
+use yuccanotch_core::placement::crossing::CrossingBucket;
 use yuccanotch_core::placement::engine::AcceleratorKind;
 use yuccanotch_core::placement::engine::EngineProfile;
 use yuccanotch_core::placement::engine::LayerRange;
@@ -44,6 +46,7 @@
 use crate::pool::Pool;
 pub use crate::routing::target::Candidates;
 pub use crate::routing::target::InProgress;
+pub use crate::routing::target::RequestTokens;
 pub use crate::routing::target::Target;
 use crate::views::Views;
 
@@ -76,6 +79,8 @@
     // Requests of this host in progress at each plain server.
     plain_active: RefCell<HashMap<ServerName, u32>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    // The allowances for domain crossings, of services whose link is configured.
+    crossings: RefCell<HashMap<ServiceName, CrossingBucket>>,
     waiting: RefCell<HashMap<ServiceName, WaitQueue>>,
     /// Notified when a request ends or leaves a wait queue, since another one may now have room.
     pub capacity_freed: Notify,
@@ -106,6 +111,7 @@
             limits: RefCell::default(),
             plain_active: RefCell::default(),
             budgets: RefCell::default(),
+            crossings: RefCell::default(),
             waiting: RefCell::default(),
             capacity_freed: Notify::new(),
         })
@@ -114,12 +120,11 @@
     /// Chooses the server or chain that a request of `service` is sent to; returns `None` when no
     /// server has room for it.
     ///
-    /// `tokens` is the number of tokens that the request is expected to hold, and `candidates` the
-    /// servers that may receive it.
+    /// `tokens` are the tokens of the request, and `candidates` the servers that may receive it.
     pub fn choose_target(
         &self,
         service: &Service,
-        tokens: f64,
+        tokens: RequestTokens,
         candidates: Candidates<'_>,
     ) -> Option<Target> {
         match &service.engine {
@@ -128,13 +133,15 @@
                     Candidates::All { .. } | Candidates::Untried { .. } => None,
                     Candidates::Tried(tried) => Some(tried),
                 };
-                let needs =
-                    ChainNeeds { domain: &self.domain, tokens, current: None, allowed_first };
+                let needs = ChainNeeds { allowed_first, ..self.chain_needs(tokens) };
                 let mut holders = self.collect_holders(service, profile, None);
                 if let Candidates::Untried { tried } = candidates {
                     holders.iter_mut().for_each(|h| h.may_begin &= !tried.contains(&h.server));
                 }
-                path::choose_chain(profile, &holders, needs).map(|c| Target::Chain(Rc::new(c)))
+                let chain = self.with_chooser(service, profile, &holders, tokens, |chooser| {
+                    chooser.choose(needs)
+                });
+                chain.map(|c| Target::Chain(Rc::new(c)))
             }
             None => self.choose_server(service, candidates),
         }
@@ -156,12 +163,30 @@
 
     /// Chooses another chain for a request that runs on the chain `now`. The first server stays the
     /// same.
-    pub fn choose_other_chain(&self, service: &Service, tokens: f64, now: &Chain) -> Option<Chain> {
+    pub fn choose_other_chain(
+        &self,
+        service: &Service,
+        tokens: RequestTokens,
+        now: &Chain,
+    ) -> Option<Chain> {
         let profile = service.engine.as_ref()?;
-        let needs =
-            ChainNeeds { domain: &self.domain, tokens, current: Some(now), allowed_first: None };
+        let needs = self.chain_needs(tokens);
         let holders = self.collect_holders(service, profile, Some(now));
-        path::choose_chain(profile, &holders, needs).filter(|chain| chain != now)
+        let chain = self.with_chooser(service, profile, &holders, tokens, |chooser| {
+            chooser.choose_other(needs, now)
+        });
+        chain.filter(|chain| chain != now)
+    }
+
+    /// Returns the requirements of a request that begins anywhere and may cross domains.
+    fn chain_needs(&self, tokens: RequestTokens) -> ChainNeeds<'_> {
+        ChainNeeds {
+            domain: &self.domain,
+            tokens: tokens.held,
+            current: None,
+            allowed_first: None,
+            may_cross: true,
+        }
     }
 
     /// Returns whether a request may begin at the server as far as this host's links and the rate
@@ -218,13 +243,15 @@
     }
 
     /// Describes which resource is missing for a request of `service`: the layer without a holder,
-    /// the free slot or the matching layer ranges.
-    pub fn describe_shortage(&self, service: &Service, tokens: f64) -> String {
+    /// the free slot, the matching layer ranges or the allowance to cross domains.
+    pub fn describe_shortage(&self, service: &Service, tokens: RequestTokens) -> String {
         let Some(profile) = &service.engine else {
             return "no server".to_owned();
         };
         let holders = self.collect_holders(service, profile, None);
-        let needs = ChainNeeds { domain: &self.domain, tokens, current: None, allowed_first: None };
+        let may_cross =
+            self.with_chooser(service, profile, &holders, tokens, |chooser| chooser.may_cross());
+        let needs = ChainNeeds { may_cross, ..self.chain_needs(tokens) };
         match path::explain_no_chain(profile, &holders, needs) {
             NoChain::LayerUnavailable { layer, holders } => {
                 format!("layer {layer} of {holders} holders")
@@ -233,6 +260,10 @@
                 format!("a free slot at {holders} first servers")
             }
             NoChain::RangesDoNotMeet => "ranges that meet".to_owned(),
+            NoChain::OnlyAcrossDomains => {
+                self.record_crossing_refused(&service.name, tokens);
+                "allowance to cross domains".to_owned()
+            }
         }
     }
 
@@ -399,8 +430,10 @@
         f(waiting.entry(service.clone()).or_default())
     }
 
-    /// Removes the loads of hosts that have been silent for too long, and pauses that are over.
-    pub fn on_tick(&self, now: Millis) {
+    /// Removes the loads of hosts that have been silent for too long, and pauses that are over, and
+    /// fills the allowances for domain crossings, which `hosts` hosts share.
+    pub fn on_tick(&self, now: Millis, hosts: usize) {
+        self.fill_crossings(now, hosts);
         self.loads.borrow_mut().on_tick(now);
         self.pauses.borrow_mut().on_tick(now);
     }
--- a/crates/gateway/src/routing/target.rs
+++ b/crates/gateway/src/routing/target.rs
@@ -41,6 +41,15 @@
     }
 }
 
+/// The expected tokens of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RequestTokens {
+    /// The tokens that it holds at its servers, in the mean over its life.
+    pub held: f64,
+    /// The tokens of its prompt and its whole answer.
+    pub total: f64,
+}
+
 /// The servers that may receive a request.
 #[derive(Clone, Copy, Debug)]
 pub enum Candidates<'a> {
