--- a/crates/core/src/placement/crossing.rs
+++ b/crates/core/src/placement/crossing.rs
@@ -74,6 +74,13 @@
     pub refused: f64,
 }
 
+impl CrossingTotals {
+    /// Returns the tokens with the names of their outcomes.
+    pub fn by_outcome(self) -> [(&'static str, f64); 3] {
+        [("granted", self.granted), ("overdrawn", self.overdrawn), ("refused", self.refused)]
+    }
+}
+
 /// The token bucket that limits the domain crossings of one service at one host.
 ///
 /// It starts empty. A request of more tokens than it can hold needs a full bucket and leaves a debt,
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -169,15 +169,23 @@
 /// Returns whether the `holders` of one failure domain hold all layers, with or without capacity
 /// left.
 pub fn has_complete_domain(profile: &EngineProfile, holders: &[LayerHolder]) -> bool {
-    let holds = |domain: &DomainName, layer: u16| {
-        holders.iter().any(|h| {
-            h.domain == *domain
-                && profile.has_layers(h.layers)
-                && h.layers.covers(LayerRange::new(layer, layer + 1))
-        })
-    };
     let mut first = holders.iter().filter(|h| h.layers.from == 0);
-    first.any(|h| (0..profile.layers).all(|layer| holds(&h.domain, layer)))
+    first.any(|h| contiguous_layers(profile, holders, &h.domain) == profile.layers)
+}
+
+/// Returns the first layer that no holder of `domain` holds.
+fn contiguous_layers(profile: &EngineProfile, holders: &[LayerHolder], domain: &DomainName) -> u16 {
+    let mut next = 0;
+    loop {
+        let adjoining = holders
+            .iter()
+            .filter(|h| h.layers.from <= next && next < h.layers.to)
+            .filter(|h| profile.has_layers(h.layers) && h.domain == *domain);
+        match adjoining.map(|h| h.layers.to).max() {
+            Some(to) => next = to,
+            None => return next,
+        }
+    }
 }
 
 fn may_be_first_stage(profile: &EngineProfile, holder: &LayerHolder, need: ChainNeeds<'_>) -> bool {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -202,6 +202,19 @@
         gauge.set(value);
     }
 
+    /// Sets the counters of tokens that were asked of the link between failure domains. A bucket
+    /// counts its own tokens, which begin at zero again when the service names its link anew.
+    fn crossings(&self, gateway: &Gateway) {
+        for (service, totals) in gateway.routing.crossing_totals() {
+            for (outcome, tokens) in totals.by_outcome() {
+                let service = Label::new("service", service.as_str().to_owned());
+                let labels = vec![service, Label::from_static_parts("outcome", outcome)];
+                let key = Key::from_parts("yuccanotch_crossing_tokens_total", labels);
+                self.gauges.register_counter(&key, &METADATA).absolute(tokens as u64);
+            }
+        }
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self, gateway: &Gateway) -> String {
         let now = gateway.clock.now();
@@ -233,6 +246,7 @@
         self.gauge("yuccanotch_servers_paused", paused as f64);
         let limited = gateway.routing.limits.borrow().count();
         self.gauge("yuccanotch_servers_limited", limited as f64);
+        self.crossings(gateway);
         self.gauges.handle().render() + &self.handle.render()
     }
 }
