Check the later servers of a silent chain for a crash at once

The report of the first server is 200 ms old, so hosts learned of a crashed stage 310 to 400 ms after the crash and moved streams with pauses of 450 to 700 ms. Now a silent chain is checked after 1.5 times the longest pause of the stream, and a server that refuses the connection has crashed.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -18,6 +18,9 @@
 pub mod servers;
 #[cfg(test)]
 mod servers_tests;
+pub mod silence;
+#[cfg(test)]
+mod silence_tests;
 #[cfg(test)]
 mod tests;
 pub mod waiting;
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -25,7 +25,6 @@
 use crate::adapter::ServerReply;
 use crate::announcements::Announcer;
 use crate::answer;
-use crate::exchange::silence::EVENT_TIMEOUT;
 use crate::exchange::silence::FIRST_EVENT_TIMEOUT;
 use crate::exchange::silence::RECHECK_TIMEOUT;
 use crate::exchange::AttemptResult;
@@ -299,8 +298,11 @@
     ) -> AttemptResult {
         self.version = self.version.or(reply.version);
         self.events.discard_partial_event();
-        let mut timeout =
-            if self.events.last_event_id().is_some() { EVENT_TIMEOUT } else { FIRST_EVENT_TIMEOUT };
+        let mut timeout = if self.events.last_event_id().is_some() {
+            self.event_timeout()
+        } else {
+            FIRST_EVENT_TIMEOUT
+        };
         loop {
             let frame = match time::timeout(timeout, body.frame()).await {
                 Ok(frame) => frame,
@@ -312,7 +314,7 @@
                     continue;
                 }
             };
-            timeout = EVENT_TIMEOUT;
+            timeout = self.event_timeout();
             let data = match frame {
                 None => break,
                 Some(Err(_)) => return unanswered(AttemptEnd::Broken, EndReason::StreamBroken),
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -5,6 +5,7 @@
 
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::silence;
 use yuccanotch_core::placement::chain::Chain;
 use yuccanotch_core::reachability::LinkFailure;
 
@@ -18,10 +19,6 @@
 
 /// The silence before the first event after which the host requests the model server's report.
 pub(super) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(250);
-/// The silence within a stream after which the host requests the model server's report. Together
-/// with the time that a move to another chain takes, it stays below the pause allowed within
-/// streams.
-pub(super) const EVENT_TIMEOUT: Duration = Duration::from_millis(120);
 /// The silence after which a server that was found working is checked again.
 pub(super) const RECHECK_TIMEOUT: Duration = Duration::from_millis(240);
 /// The largest age of a report that may tell which server a silent one waits for.
@@ -33,6 +30,11 @@
 const PLAIN_SERVER_TIMEOUT_MS: (u64, u64) = (100, 400);
 
 impl Exchange {
+    /// Returns the silence within the stream after which its servers are checked.
+    pub(super) fn event_timeout(&self) -> Duration {
+        silence::event_timeout(self.longest_gap, self.route.target_event_gap).to_duration()
+    }
+
     /// Returns the silence of a plain server after which a request that is safe to repeat is sent
     /// to another one: half as long again as the route's target latency, since a working server
     /// almost always answers within that.
@@ -41,8 +43,9 @@
         Duration::from_millis((self.route.target_latency.0 * 3 / 2).clamp(least, most))
     }
 
-    /// Requests a silent model server's report to find out which server it waits for, and moves the
-    /// request to a chain without that one. A silent plain server counts as lost if another one can
+    /// Finds out which server of a silent chain has crashed, or else requests the report of the first
+    /// one, which names the server that it waits for, and moves the request to a chain without that
+    /// one. The report is old, so that it names a crashed server later than the check finds it. A silent plain server counts as lost if another one can
     /// take the request.
     pub(super) async fn check_silent_server(&mut self, timeout: Duration) -> ServerProgress {
         // The next event ends the suspicions that the silence gives rise to.
@@ -60,6 +63,14 @@
         };
         let gateway = self.gateway.clone();
         let first = chain.first();
+        if timeout != RECHECK_TIMEOUT
+            && quarantine::check_later_servers(&gateway, &chain, self.silent_since()).await
+        {
+            if gateway.crashes.find_quarantined(&self.fingerprints).is_some() {
+                return ServerProgress::Lost;
+            }
+            return self.move_to_other_chain(&chain).await;
+        }
         let Some(report) = gateway.recent_report(first.address, MAX_STALL_REPORT_AGE).await else {
             gateway.links.on_failure(&first.server, LinkFailure::Silence);
             gateway.routing.suspect(&first.server, "no report");
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -411,6 +411,7 @@
         let now = gateway.clock.now();
         gateway.views.on_tick(now);
         gateway.routing.on_tick(now, gateway.hosts_sharing_retries());
+        gateway.crashes.on_tick();
         gateway.pool.on_tick();
         quarantine::refute_crashes(&gateway);
         gateway.event_log.flush();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -13,12 +13,15 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
+use tokio::task::JoinSet;
 use tokio::time;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::silence::ListeningServers;
 use yuccanotch_core::ids::RequestId;
 use yuccanotch_core::name::ServerName;
+use yuccanotch_core::placement::chain::Chain;
 use yuccanotch_core::quarantine::CrashId;
 use yuccanotch_core::quarantine::CrashNotice;
 use yuccanotch_core::quarantine::Fingerprint;
@@ -48,6 +51,8 @@
     state: RefCell<Quarantine>,
     /// The servers that are being checked for a crash.
     checks: RefCell<HashSet<ServerName>>,
+    /// The servers that accepted the connection of such a check lately.
+    listening: RefCell<ListeningServers>,
     /// The last crashes that this host itself found.
     checked: RefCell<VecDeque<CrashId>>,
     last_request: Cell<u128>,
@@ -63,6 +68,7 @@
             event_log,
             state: RefCell::new(Quarantine::new(QuarantineSettings::default())),
             checks: RefCell::default(),
+            listening: RefCell::default(),
             checked: RefCell::default(),
             last_request: Cell::new(0),
             notice_turn: Cell::new(0),
@@ -80,6 +86,11 @@
         self.state.borrow().find_quarantined(self.clock.now(), fingerprints)
     }
 
+    /// Forgets findings that are too old.
+    pub fn on_tick(&self) {
+        self.listening.borrow_mut().on_tick(self.clock.now());
+    }
+
     /// Returns the number of fingerprints that are quarantined.
     pub fn quarantined_count(&self) -> usize {
         self.state.borrow().quarantined(self.clock.now()).count()
@@ -230,6 +241,29 @@
     let _ = time::timeout(LATER_SERVER_WAIT, check).await;
 }
 
+/// Finds out, within a short time, which of the later servers of `chain` have crashed, for which a
+/// request has waited since `silent_since`; returns whether one has. The checks go on in the
+/// background after that time.
+pub async fn check_later_servers(
+    gateway: &Rc<Gateway>,
+    chain: &Chain,
+    silent_since: Millis,
+) -> bool {
+    let now = gateway.clock.now();
+    let mut checks = JoinSet::new();
+    for stage in chain.stages().iter().skip(1) {
+        if gateway.crashes.listening.borrow().is_check_due(now, &stage.server) {
+            let server = stage.server.clone();
+            checks.spawn_local(check_server(gateway.clone(), server, stage.address, silent_since));
+        }
+    }
+    let all_done = async { while checks.join_next().await.is_some() {} };
+    let _ = time::timeout(LATER_SERVER_WAIT, all_done).await;
+    checks.detach_all();
+    let checked = gateway.crashes.checked.borrow();
+    chain.stages().iter().any(|stage| checked.contains(&crash_id(gateway, &stage.server)))
+}
+
 /// Records a crash of `server`, which has been silent since `silent_since`, if it refuses
 /// connections. One check of a server runs at a time.
 async fn check_server(
@@ -245,6 +279,9 @@
     }
     let connected = net::connect(gateway.settings.source, address, CHECK_TIMEOUT).await;
     gateway.crashes.checks.borrow_mut().remove(&server);
+    if connected.is_ok() {
+        gateway.crashes.listening.borrow_mut().on_listening(gateway.clock.now(), &server);
+    }
     if connected.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused) {
         gateway.routing.suspect(&server, "crashed");
         // Another host may hear the server, which is then cut off from this one alone.
