Take a server for crashed only while it is suspected

A server that refused a connection and whose chain went on to bring events counted as crashed for good, so that the next silence ended a sound stream. The test of the check found it.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -261,7 +261,11 @@
     let _ = time::timeout(LATER_SERVER_WAIT, all_done).await;
     checks.detach_all();
     let checked = gateway.crashes.checked.borrow();
-    chain.stages().iter().any(|stage| checked.contains(&crash_id(gateway, &stage.server)))
+    // An event since then has shown that the server works after all.
+    let is_down = |server: &ServerName| {
+        checked.contains(&crash_id(gateway, server)) && !gateway.routing.is_usable(server)
+    };
+    chain.stages().iter().any(|stage| is_down(&stage.server))
 }
 
 /// Records a crash of `server`, which has been silent since `silent_since`, if it refuses
