Refuse less urgent requests first when a service of model servers is short of capacity

Each host ordered its own two or three waiting requests by priority, and whichever host checked first got the capacity that another one had freed. Hosts now compute the utilization of a service from the loads that all share, and admit a rank of requests while the utilization is below the threshold of the rank. Services whose requests have one priority are served as before.

--- a/crates/core/src/admit/mod.rs
+++ b/crates/core/src/admit/mod.rs
@@ -7,6 +7,7 @@
 mod controller;
 mod messages;
 mod pool;
+pub mod reservation;
 mod team;
 
 #[cfg(test)]
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -120,6 +120,8 @@
     RequestPassedOn = 2110, Info, "request passed on";
     /// The process exits, or the task of a request panics, while the request has no final answer.
     RequestAbandoned = 2111, Warn, "request abandoned";
+    /// A request is refused, since capacity is kept for more urgent ranks.
+    RankRefused = 2115, Info, "rank refused";
     /// A server is suspected to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
     /// A server is not suspected any more.
@@ -194,6 +196,8 @@
     IssuerEnded = 2602, Info, "issuer ended";
     /// An order was sent.
     OrderSent = 2603, Info, "order sent";
+    /// Other ranks of the requests of a service are admitted than before.
+    LevelChanged = 2710, Info, "admitted rank changed";
 }
 
 /// Logs `event` with its number and `details`.
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -37,6 +37,8 @@
         Streamed = "streamed",
         /// No server, or no chain, had capacity left.
         NoRoom = "no_room",
+        /// The rank of the request is not admitted, since capacity is kept for more urgent ranks.
+        RankRefused = "rank_refused",
         /// All servers, or all holders of a layer, have asked for a pause.
         AllPaused = "all_paused",
         /// The deadline or the timeout of the route passed.
--- a/crates/core/src/forward/routes.rs
+++ b/crates/core/src/forward/routes.rs
@@ -1,11 +1,13 @@
 //! The operators' configuration of routes, services, teams and limits, as one immutable version
 //! that is indexed for lookups.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use smallvec::SmallVec;
 
+use crate::admit::reservation::Ranks;
 use crate::clock::Millis;
 use crate::name::ServiceName;
 use crate::name::TeamName;
@@ -88,6 +90,15 @@
         }
         None
     }
+
+    /// Returns the services that requests of the route can go to.
+    fn reached_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let has_weights = self.backends.iter().any(|b| b.weight > 0);
+        let is_reached = move |(index, backend): &(usize, &Backend)| {
+            backend.weight > 0 || (!has_weights && *index == 0)
+        };
+        self.backends.iter().enumerate().filter(is_reached).map(|(_, backend)| &backend.service)
+    }
 }
 
 /// A service: a set of interchangeable backend servers.
@@ -148,6 +159,7 @@
     services: HashMap<ServiceName, Arc<Service>>,
     teams: Vec<Arc<Team>>,
     by_key: HashMap<Arc<str>, usize>,
+    ranks: HashMap<ServiceName, Ranks>,
 }
 
 impl Configuration {
@@ -171,8 +183,15 @@
                 by_key.insert(key.clone(), index);
             }
         }
-        let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { version, limits, routes, by_host, services, teams, by_key }
+        let services: HashMap<ServiceName, Arc<Service>> =
+            services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
+        let team_priorities = teams.iter().map(|team| team.priority).collect();
+        let ranks = services
+            .values()
+            .filter(|service| service.engine.is_some())
+            .filter_map(|s| Some((s.name.clone(), ranks_of(&s.name, &routes, &team_priorities)?)))
+            .collect();
+        Self { version, limits, routes, by_host, services, teams, by_key, ranks }
     }
 
     /// Returns the route of the virtual host `host` with the longest prefix of `path`.
@@ -203,8 +222,31 @@
         self.services.values()
     }
 
+    /// Returns the ranks of the requests of the service `name`; `None` unless it is a service of model
+    /// servers whose requests have two or more distinct priorities.
+    pub fn ranks(&self, name: &ServiceName) -> Option<&Ranks> {
+        self.ranks.get(name)
+    }
+
     /// Returns the team to which `key` belongs.
     pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
         self.by_key.get(key).map(|&index| &self.teams[index])
     }
 }
+
+/// Returns the ranks of the requests that `routes` lead to `service`. A request has the priority of
+/// its team, or else that of its route; requests of public routes have no team. `team_priorities` are
+/// the distinct priorities of teams, `None` if a team has none.
+fn ranks_of(
+    service: &ServiceName,
+    routes: &[Arc<Route>],
+    team_priorities: &BTreeSet<Option<u8>>,
+) -> Option<Ranks> {
+    let leading = routes.iter().filter(|r| r.reached_services().any(|name| name == service));
+    let priorities = leading.flat_map(|route| {
+        let of_teams = team_priorities.iter().map(|p| p.unwrap_or(route.priority));
+        let of_teams = of_teams.filter(|_| !route.public);
+        of_teams.chain(route.public.then_some(route.priority))
+    });
+    Ranks::new(priorities)
+}
--- a/crates/core/src/forward/waiting.rs
+++ b/crates/core/src/forward/waiting.rs
@@ -51,6 +51,14 @@
         QueuePosition { rank, arrival: self.last_arrival }
     }
 
+    /// Returns the position of a request that only some servers may take and that gives way to more
+    /// urgent ones. It blocks no other request.
+    pub fn position_behind_urgent(&mut self, priority: u8) -> QueuePosition {
+        self.last_arrival += 1;
+        let rank = Rank { progress: Progress::NotBegun, priority };
+        QueuePosition { rank, arrival: self.last_arrival }
+    }
+
     /// Removes a request that got capacity or no longer waits.
     pub fn remove(&mut self, position: QueuePosition) {
         self.positions.remove(&position);
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -15,7 +15,7 @@
 use crate::placement::load::Load;
 
 /// The cost of a hop to a stage in the same failure domain, in ms per token.
-const SAME_DOMAIN_HOP_COST_MS: f64 = 0.6;
+pub const SAME_DOMAIN_HOP_COST_MS: f64 = 0.6;
 /// The cost of a hop between failure domains, in ms per token: traffic between domains is expensive
 /// and shares one link.
 const CROSS_DOMAIN_HOP_COST_MS: f64 = 4.0;
@@ -34,7 +34,7 @@
 /// server has a finite cost, about 20 times that of an empty one.
 const CONGESTION_LIMIT: f64 = 1.05;
 /// The highest utilization of a server's memory at which it still gets new stages.
-const MAX_MEMORY_UTILIZATION: f64 = 0.92;
+pub const MAX_MEMORY_UTILIZATION: f64 = 0.92;
 /// The share of the first-stage slots of a server that chains may use.
 const MAX_SLOT_UTILIZATION: f64 = 0.95;
 
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -14,6 +14,8 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use metrics_exporter_prometheus::PrometheusRecorder;
+use yuccanotch_core::admit::reservation::Rank;
+use yuccanotch_core::admit::reservation::MAX_RANK;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::reason::LeavingSource;
@@ -21,6 +23,7 @@
 use yuccanotch_core::forward::reason::Rejection;
 use yuccanotch_core::forward::revision::era_of;
 use yuccanotch_core::forward::revision::revision_of;
+use yuccanotch_core::name::ServiceName;
 
 use crate::host::Gateway;
 
@@ -40,6 +43,7 @@
     attempts: HashMap<EndReason, Counter>,
     retries: HashMap<EndReason, Counter>,
     turned_away: HashMap<Rejection, Counter>,
+    rank_refusals: Vec<Counter>,
     sent: Counter,
     passed_on: Counter,
     taken: Counter,
@@ -81,6 +85,7 @@
                     (*r, counter(&recorder, name, Some(r.as_str())))
                 })
                 .collect(),
+            rank_refusals: (0..=MAX_RANK.0).map(|r| rank_counter(&recorder, Rank(r))).collect(),
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
             passed_on: counter(&recorder, "yuccanotch_requests_passed_on_total", None),
             taken: counter(&recorder, "yuccanotch_requests_taken_total", None),
@@ -157,6 +162,13 @@
         }
     }
 
+    /// Counts a request that was refused because its rank is not admitted.
+    pub fn rank_refused(&self, rank: Rank) {
+        if let Some(counter) = self.rank_refusals.get(usize::from(rank.0)) {
+            counter.increment(1);
+        }
+    }
+
     /// Counts a move of a request to another chain; `taken` tells whether the server accepted it.
     pub fn chain_changed(&self, taken: bool) {
         if taken {
@@ -202,6 +214,11 @@
         gauge.set(value);
     }
 
+    fn service_gauge(&self, name: &'static str, service: &ServiceName, value: f64) {
+        let labels = vec![Label::new("service", service.to_string())];
+        self.gauges.register_gauge(&Key::from_parts(name, labels), &METADATA).set(value);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self, gateway: &Gateway) -> String {
         let now = gateway.clock.now();
@@ -233,6 +250,10 @@
         self.gauge("yuccanotch_servers_paused", paused as f64);
         let limited = gateway.routing.limits.borrow().count();
         self.gauge("yuccanotch_servers_limited", limited as f64);
+        gateway.routing.for_each_reservation(|service, level, utilization| {
+            self.service_gauge("yuccanotch_service_utilization", service, utilization);
+            self.service_gauge("yuccanotch_service_admitted_rank", service, f64::from(level.0));
+        });
         self.gauges.handle().render() + &self.handle.render()
     }
 }
@@ -255,3 +276,11 @@
     counter.increment(0);
     counter
 }
+
+fn rank_counter(recorder: &PrometheusRecorder, rank: Rank) -> Counter {
+    let labels = vec![Label::new("rank", rank.to_string())];
+    let key = Key::from_parts("yuccanotch_rank_refusals_total", labels);
+    let counter = recorder.register_counter(&key, &METADATA);
+    counter.increment(0);
+    counter
+}
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -130,7 +130,7 @@
             chain,
             resume_after: self.events.last_event_id(),
             version: self.version,
-            priority: None,
+            priority: self.rank().map(|rank| rank.0),
         };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.head.method.clone();
@@ -341,6 +341,8 @@
         self.begin_answer(&head);
         self.end_reason = EndReason::Streamed;
         self.gateway.counters.stream_ended(self.first_event_delay, self.longest_gap);
+        let held = self.gateway.clock.now().since(self.sent_at);
+        self.gateway.routing.on_answered(&self.service.name, held);
         self.log_done(head.status);
         if let Some(chunks) = self.chunks.take() {
             chunks.finish();
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 mod at_host;
 mod attempt;
+mod rank;
 mod request_log;
 mod room_wait;
 mod silence;
@@ -264,6 +265,9 @@
 
     /// Makes attempts until one succeeds or no further one is allowed, and sends the final answer.
     async fn run_attempts(&mut self) {
+        if self.refuse_if_quarantined() || self.refuse_by_rank() {
+            return;
+        }
         loop {
             if self.refuse_if_quarantined() {
                 return;
@@ -277,6 +281,9 @@
                 let all_paused = self.gateway.routing.time_all_paused(&self.service).is_some();
                 self.end_reason = if all_paused { EndReason::AllPaused } else { EndReason::NoRoom };
                 let next = self.outcome.final_step();
+                if self.end_reason == EndReason::NoRoom && next == NextStep::Refuse {
+                    self.retry_after = self.delay_by_utilization();
+                }
                 self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY);
                 return;
             };
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -32,12 +32,13 @@
         let until = self.wait_deadline();
         let waiter = self.enter_queue();
         let candidates = self.candidates();
+        let yield_end = self.yield_end();
         loop {
             if let Some(host) = self.choose_host() {
                 return Some(Destination::Host(host));
             }
-            let found = waiter
-                .may_try()
+            let yields = self.gateway.clock.now() < yield_end && self.gives_way();
+            let found = (!yields && waiter.may_try())
                 .then(|| routing.choose_target(&self.service, self.expected_load(), candidates))
                 .flatten();
             let unavailable = match candidates {
@@ -56,12 +57,16 @@
         }
     }
 
-    /// Enters the wait queue. A request that only some servers may take has no precedence there.
+    /// Enters the wait queue. A request that only some servers may take has no precedence there, and
+    /// waits behind more urgent ones while its rank is not admitted.
     fn enter_queue(&self) -> Waiter {
         let priority = self.priority();
+        let gives_way = self.gives_way();
         let position = self.gateway.routing.waiting(&self.service.name, |queue| {
             if self.outcome.may_try_new_server() {
                 queue.insert(self.progress(), priority)
+            } else if gives_way {
+                queue.position_behind_urgent(priority)
             } else {
                 queue.position_without_precedence(priority)
             }
@@ -134,11 +139,6 @@
         }
     }
 
-    /// Returns the priority of the request; that of the team overrides that of the route.
-    fn priority(&self) -> u8 {
-        self.team.as_ref().and_then(|t| t.priority).unwrap_or(self.route.priority)
-    }
-
     /// Returns when the wait ends. If the caller has received a part of the answer, that part would
     /// be lost, so the request waits until the deadline unless the caller leaves before; otherwise it
     /// waits briefly, since the caller may try again.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -325,9 +325,11 @@
                 gateway.event_log.line(Event::PeerLost, &[("host", &peer.host)]);
             }
             Finding::DomainFound(domain) => {
+                gateway.routing.on_domain(&domain, true);
                 gateway.event_log.line(Event::DomainFound, &[("domain", &domain)]);
             }
             Finding::DomainLost(domain) => {
+                gateway.routing.on_domain(&domain, false);
                 gateway.event_log.line(Event::DomainLost, &[("domain", &domain)]);
             }
             Finding::Avoided(peer) => {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -2,16 +2,19 @@
 //! budgets.
 
 mod records;
+mod reservations;
 mod target;
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use rand::Rng;
 use tokio::sync::Notify;
+use yuccanotch_core::admit::reservation::Reservation;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::budget::RetryBudget;
@@ -42,6 +45,7 @@
 use crate::event_log::EventLog;
 use crate::links::Links;
 use crate::pool::Pool;
+pub use crate::routing::reservations::Ranked;
 pub use crate::routing::target::Candidates;
 pub use crate::routing::target::InProgress;
 pub use crate::routing::target::Target;
@@ -77,6 +81,9 @@
     plain_active: RefCell<HashMap<ServerName, u32>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     waiting: RefCell<HashMap<ServiceName, WaitQueue>>,
+    reservations: RefCell<HashMap<ServiceName, Reservation>>,
+    // The failure domains of which nothing is heard.
+    lost_domains: RefCell<BTreeSet<DomainName>>,
     /// Notified when a request ends or leaves a wait queue, since another one may now have room.
     pub capacity_freed: Notify,
 }
@@ -107,6 +114,8 @@
             plain_active: RefCell::default(),
             budgets: RefCell::default(),
             waiting: RefCell::default(),
+            reservations: RefCell::default(),
+            lost_domains: RefCell::default(),
             capacity_freed: Notify::new(),
         })
     }
@@ -403,6 +412,7 @@
     pub fn on_tick(&self, now: Millis) {
         self.loads.borrow_mut().on_tick(now);
         self.pauses.borrow_mut().on_tick(now);
+        self.update_reservations();
     }
 }
 
