--- a/crates/core/src/admit/reservation/mod.rs
+++ b/crates/core/src/admit/reservation/mod.rs
@@ -8,12 +8,18 @@
 mod capacity;
 #[cfg(test)]
 mod model;
+mod pacing;
 mod ranks;
 #[cfg(test)]
 mod tests;
 mod told;
+mod trials;
 
+use crate::admit::reservation::pacing::Pacing;
+use crate::admit::reservation::pacing::Share;
+use crate::admit::reservation::pacing::REPORT_AGE_MS;
 use crate::admit::reservation::told::ToldCallers;
+use crate::admit::reservation::trials::Trials;
 use crate::clock::Millis;
 use crate::placement::engine::AcceleratorKind;
 use crate::placement::engine::EngineProfile;
@@ -26,8 +32,6 @@
 
 /// How long a computed utilization is used. Loads of other hosts arrive every 50 ms.
 pub const UTILIZATION_TTL: Millis = Millis(50);
-/// The age of the loads of other hosts, as a mean over the hosts of all failure domains.
-const REPORT_AGE_MS: f64 = 150.0;
 /// The bounds of the part of the capacity that each rank leaves to the next more urgent one. Less is
 /// below the load of a few requests; more leaves too much idle when urgent requests are rare.
 const RESERVED_PER_RANK: (f64, f64) = (0.03, 0.08);
@@ -38,8 +42,6 @@
 /// The time after a change of the level before a further rank is admitted: the loads of the requests
 /// that the last change let in have arrived by then.
 const REOPEN_INTERVAL: Millis = Millis(100);
-/// Of the requests of a rank that is not admitted, each one of this number is tried.
-const TRIED_ONE_IN: u8 = 8;
 /// The least delay that a refused caller is told.
 const MIN_RETRY_AFTER: Millis = Millis(200);
 /// The part of the caller's deadline that the delay takes at most.
@@ -77,6 +79,9 @@
 pub enum Admission {
     /// The request may wait for capacity.
     Admit,
+    /// The request may wait for capacity and gives way to more urgent ones
+    /// ([`Reservation::may_send`]).
+    Try,
     /// The request is refused.
     Refuse {
         /// When the caller may retry.
@@ -102,8 +107,9 @@
     capacity: Option<ServiceCapacity>,
     updated_at: Option<Millis>,
     changed_at: Millis,
-    // By rank, the requests refused since the last one that was tried.
-    refused_in_row: Vec<u8>,
+    // By rank; that of the most urgent one is not used.
+    pacing: Vec<Pacing>,
+    trials: Trials,
     mean_request_tokens: f64,
     holding_ms: f64,
     told: ToldCallers,
@@ -119,10 +125,6 @@
         let holding_ms = expected_holding_ms(profile);
         let (least, most) = RESERVED_PER_RANK;
         let reserved = (REPORT_AGE_MS / holding_ms).clamp(least, most);
-        let phase = |rank: u8| {
-            let first = (random.clamp(0.0, 1.0) * f64::from(TRIED_ONE_IN)) as u8;
-            (first + rank) % TRIED_ONE_IN
-        };
         Self {
             least_urgent,
             level: least_urgent,
@@ -130,7 +132,8 @@
             capacity: None,
             updated_at: None,
             changed_at: Millis::ZERO,
-            refused_in_row: (0..=least_urgent.0).map(phase).collect(),
+            pacing: vec![Pacing::default(); usize::from(least_urgent.0) + 1],
+            trials: Trials::new(least_urgent, random),
             mean_request_tokens: profile.mean_prompt_tokens
                 + MEAN_HELD_FRACTION * profile.mean_answer_tokens,
             holding_ms,
@@ -148,12 +151,13 @@
         self.updated_at.is_none_or(|at| now.since(at) >= UTILIZATION_TTL)
     }
 
-    /// Records the present capacity and returns the change of the level, if there is one. Without a
-    /// known capacity all ranks are admitted.
+    /// Records the present capacity, for which `hosts` hosts admit requests, and returns the change of
+    /// the level, if there is one. Without a known capacity all ranks are admitted.
     pub fn on_capacity(
         &mut self,
         now: Millis,
         capacity: Option<ServiceCapacity>,
+        hosts: usize,
     ) -> Option<LevelChange> {
         self.capacity = capacity;
         self.updated_at = Some(now);
@@ -162,12 +166,28 @@
             Some(capacity) => self.next_level(now, capacity.utilization()),
             None => self.least_urgent,
         };
+        if let Some(capacity) = capacity {
+            self.refill(now, &capacity, hosts.max(1) as f64);
+        }
         (self.level != from).then(|| {
             self.changed_at = now;
             LevelChange { from, to: self.level }
         })
     }
 
+    /// Adds what this host may let in since the last call.
+    fn refill(&mut self, now: Millis, capacity: &ServiceCapacity, hosts: f64) {
+        let freed_per_ms = self.freed_per_ms(capacity) / hosts;
+        self.trials.refill(now, freed_per_ms);
+        for rank in (1..=self.least_urgent.0).map(Rank) {
+            let headroom = (self.closes_at(rank) - capacity.utilization()).max(0.0);
+            let requests = headroom * capacity.total_tokens / self.mean_request_tokens.max(1.0);
+            let share = Share { headroom, requests: requests / hosts, freed_per_ms };
+            let is_admitted = self.admits(rank);
+            self.pacing[usize::from(rank.0)].refill(now, share, is_admitted, self.holding_ms);
+        }
+    }
+
     /// Returns the level at `utilization`: ranks above their threshold are no longer admitted at
     /// once, and one further rank below its threshold is admitted at a time.
     fn next_level(&self, now: Millis, utilization: f64) -> Rank {
@@ -211,21 +231,38 @@
     /// Decides on a request that has not been sent to any server. Of a rank that is not admitted,
     /// one request in eight is tried.
     pub fn decide(&mut self, now: Millis, arrival: Arrival) -> Admission {
-        if self.admits(arrival.rank) || self.is_tried(arrival.rank) {
+        let rank = arrival.rank.min(self.least_urgent);
+        if self.lets_in(rank) {
+            self.pacing[usize::from(rank.0)].on_admit();
             return Admission::Admit;
         }
-        Admission::Refuse { retry_after: self.retry_after(now, arrival.rank, arrival.caller) }
+        if self.trials.selects(rank) {
+            return Admission::Try;
+        }
+        Admission::Refuse { retry_after: self.retry_after(now, rank, arrival.caller) }
     }
 
-    fn is_tried(&mut self, rank: Rank) -> bool {
+    /// Returns whether a request of `rank` may be let in now: its rank is admitted, and this host has
+    /// not used up its share of the capacity below the threshold.
+    fn lets_in(&self, rank: Rank) -> bool {
+        let may_admit = self.capacity.is_none() || self.pacing[usize::from(rank.0)].may_admit();
+        rank == Rank::MOST_URGENT || (self.admits(rank) && may_admit)
+    }
+
+    /// Returns whether a request of `rank` that gives way to more urgent ones may be sent: it would be
+    /// let in now, or the share of requests on trial is not used up.
+    pub fn may_send(&self, rank: Rank) -> bool {
+        self.lets_in(rank.min(self.least_urgent)) || self.trials.has_allowance()
+    }
+
+    /// Records that a request of `rank` that gives way to more urgent ones is sent.
+    pub fn on_trial_sent(&mut self, rank: Rank) {
         let rank = rank.min(self.least_urgent);
-        let refused = &mut self.refused_in_row[usize::from(rank.0)];
-        *refused += 1;
-        let is_tried = *refused >= TRIED_ONE_IN;
-        if is_tried {
-            *refused = 0;
+        if self.lets_in(rank) {
+            self.pacing[usize::from(rank.0)].on_admit();
+        } else {
+            self.trials.on_send();
         }
-        is_tried
     }
 
     /// Returns the delay for a caller that is refused for want of capacity, and counts the caller.
@@ -262,8 +299,13 @@
         let Some(capacity) = self.capacity else {
             return self.holding_ms;
         };
-        let part = callers * self.mean_request_tokens / capacity.total_tokens.max(1.0);
-        part * self.holding_ms / capacity.utilization().max(MIN_UTILIZATION_FOR_DELAY)
+        callers / self.freed_per_ms(&capacity)
+    }
+
+    /// Returns the number of mean requests for which capacity becomes free in a ms.
+    fn freed_per_ms(&self, capacity: &ServiceCapacity) -> f64 {
+        let requests = capacity.total_tokens.max(1.0) / self.mean_request_tokens.max(1.0);
+        requests * capacity.utilization().max(MIN_UTILIZATION_FOR_DELAY) / self.holding_ms
     }
 
     /// Records the time for which a request that was answered in full held its capacity.
