--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,6 +2,7 @@
 
 mod at_host;
 mod attempt;
+mod rank;
 mod request_log;
 mod room_wait;
 mod silence;
@@ -107,6 +108,8 @@
     fingerprints: Fingerprints,
     // Whether another host has passed the request on.
     is_relayed: bool,
+    // Whether the request is tried although its rank is not admitted.
+    is_on_trial: bool,
     // When a refused caller may try again; `None` for a random short time.
     retry_after: Option<Millis>,
 }
@@ -191,6 +194,7 @@
         Self {
             run: gateway.crashes.next_request(),
             fingerprints,
+            is_on_trial: false,
             retry_after: None,
             deadline: started + wait.since(DEADLINE_MARGIN),
             outcome,
@@ -265,6 +269,9 @@
 
     /// Makes attempts until one succeeds or no further one is allowed, and sends the final answer.
     async fn run_attempts(&mut self) {
+        if self.refuse_if_quarantined() || self.refuse_by_rank() {
+            return;
+        }
         loop {
             if self.refuse_if_quarantined() {
                 return;
@@ -278,9 +285,13 @@
                 let all_paused = self.gateway.routing.time_all_paused(&self.service).is_some();
                 self.end_reason = if all_paused { EndReason::AllPaused } else { EndReason::NoRoom };
                 let next = self.outcome.final_step();
+                if self.end_reason == EndReason::NoRoom && next == NextStep::Refuse {
+                    self.retry_after = self.delay_by_utilization();
+                }
                 self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY);
                 return;
             };
+            self.is_on_trial = false;
             // Another host may have found a cause of crashes during the wait.
             if self.refuse_if_quarantined() {
                 return;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -410,6 +410,7 @@
         time::sleep(TICK_INTERVAL).await;
         let now = gateway.clock.now();
         gateway.views.on_tick(now);
+        gateway.routing.set_hosts(gateway.live_hosts());
         gateway.routing.on_tick(now, gateway.hosts_sharing_retries());
         gateway.crashes.on_tick();
         gateway.pool.on_tick();
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -3,16 +3,19 @@
 
 mod crossings;
 mod records;
+mod reservations;
 mod target;
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use rand::Rng;
 use tokio::sync::Notify;
+use yuccanotch_core::admit::reservation::Reservation;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::budget::RetryBudget;
@@ -44,6 +47,7 @@
 use crate::event_log::EventLog;
 use crate::links::Links;
 use crate::pool::Pool;
+pub use crate::routing::reservations::Ranked;
 pub use crate::routing::target::Candidates;
 pub use crate::routing::target::InProgress;
 pub use crate::routing::target::RequestTokens;
@@ -82,6 +86,11 @@
     // The allowances for domain crossings, of services whose link is configured.
     crossings: RefCell<HashMap<ServiceName, CrossingBucket>>,
     waiting: RefCell<HashMap<ServiceName, WaitQueue>>,
+    reservations: RefCell<HashMap<ServiceName, Reservation>>,
+    // The number of hosts believed alive, this one included.
+    hosts: Cell<usize>,
+    // The failure domains of which nothing is heard.
+    lost_domains: RefCell<BTreeSet<DomainName>>,
     /// Notified when a request ends or leaves a wait queue, since another one may now have room.
     pub capacity_freed: Notify,
 }
@@ -113,6 +122,9 @@
             budgets: RefCell::default(),
             crossings: RefCell::default(),
             waiting: RefCell::default(),
+            reservations: RefCell::default(),
+            hosts: Cell::new(1),
+            lost_domains: RefCell::default(),
             capacity_freed: Notify::new(),
         })
     }
@@ -436,6 +448,7 @@
         self.fill_crossings(now, hosts);
         self.loads.borrow_mut().on_tick(now);
         self.pauses.borrow_mut().on_tick(now);
+        self.update_reservations();
     }
 }
 
