--- a/crates/core/src/placement/crossing_tests.rs
+++ b/crates/core/src/placement/crossing_tests.rs
@@ -48,7 +48,15 @@
 
 fn needs(domain: &DomainName) -> ChainNeeds<'_> {
     let tokens = REQUEST_TOKENS;
-    ChainNeeds { domain, tokens, current: None, allowed_first: None, may_cross: true }
+    ChainNeeds {
+        domain,
+        tokens,
+        current: None,
+        allowed_first: None,
+        may_cross: true,
+        max_prefill_backlog_ms: None,
+        spread_seed: None,
+    }
 }
 
 fn choose(holders: &[LayerHolder], domain: &str, bucket: &CrossingBucket) -> Option<Chain> {
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -39,9 +39,7 @@
             }
             let gives_way = gives_way_until.is_some_and(|end| self.gateway.clock.now() < end);
             let may_try = waiter.may_try() && (!gives_way || self.may_send_now());
-            let found = may_try
-                .then(|| routing.choose_target(&self.service, self.expected_tokens(), candidates))
-                .flatten();
+            let found = may_try.then(|| self.choose_target(candidates)).flatten();
             let unavailable = match candidates {
                 Candidates::All { .. } => false,
                 Candidates::Untried { tried } => !routing.lists_other(&self.service, tried),
@@ -107,8 +105,7 @@
         let within_budget = gateway.routing.has_retry(&self.service.name, hosts);
         let conditions = RetryConditions { within_budget, within_deadline };
         let has_other_target = || {
-            let tokens = self.expected_tokens();
-            let target = gateway.routing.choose_target(&self.service, tokens, self.candidates());
+            let target = self.choose_target(self.candidates());
             target.is_some_and(|target| self.may_replace_current(&target))
         };
         self.outcome.would_retry(AttemptEnd::Silent, conditions)
@@ -126,6 +123,12 @@
         }
     }
 
+    fn choose_target(&self, candidates: Candidates<'_>) -> Option<Target> {
+        let target_latency = self.route.target_latency;
+        let tokens = self.expected_tokens();
+        self.gateway.routing.choose_target(&self.service, tokens, target_latency, candidates)
+    }
+
     fn candidates(&self) -> Candidates<'_> {
         let tried = &self.tried;
         match (self.outcome.may_try_new_server(), self.outcome.may_resend()) {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -34,10 +34,8 @@
 use yuccanotch_core::peering::observations::short_hash;
 use yuccanotch_core::placement::chain::Chain;
 use yuccanotch_core::placement::crossing::CrossingBucket;
-use yuccanotch_core::placement::engine::AcceleratorKind;
 use yuccanotch_core::placement::engine::EngineProfile;
-use yuccanotch_core::placement::engine::LayerRange;
-use yuccanotch_core::placement::load::Load;
+use yuccanotch_core::placement::load::PendingPrefill;
 use yuccanotch_core::placement::load::ServerLoads;
 use yuccanotch_core::placement::path;
 use yuccanotch_core::placement::path::ChainNeeds;
@@ -56,10 +54,6 @@
 
 /// The extra cost of a plain server in another failure domain, in requests in progress.
 const OTHER_DOMAIN_COST: f64 = 2.0;
-
-/// The mean number of hosts that move requests off the same lost server at the same time. A host
-/// sees only its own moves, so it multiplies their load by this number.
-const MEAN_MOVING_HOSTS: f64 = 3.0;
 /// The extra cost of a plain server for each recent fault, in requests in progress.
 const FAULT_COST: f64 = 2.0;
 
@@ -132,11 +126,13 @@
     /// Chooses the server or chain that a request of `service` is sent to; returns `None` when no
     /// server has room for it.
     ///
-    /// `tokens` are the tokens of the request, and `candidates` the servers that may receive it.
+    /// `tokens` are the tokens of the request, `target_latency` that of its route, and `candidates` the
+    /// servers that may receive it.
     pub fn choose_target(
         &self,
         service: &Service,
         tokens: RequestTokens,
+        target_latency: Millis,
         candidates: Candidates<'_>,
     ) -> Option<Target> {
         match &service.engine {
@@ -145,7 +141,13 @@
                     Candidates::All { .. } | Candidates::Untried { .. } => None,
                     Candidates::Tried(tried) => Some(tried),
                 };
-                let needs = ChainNeeds { allowed_first, ..self.chain_needs(tokens) };
+                // Behind a longer backlog the first event is late at any rate.
+                let max_prefill_backlog_ms = Some(target_latency.0 as f64);
+                let needs = ChainNeeds {
+                    allowed_first,
+                    max_prefill_backlog_ms,
+                    ..self.chain_needs(tokens)
+                };
                 let mut holders = self.collect_holders(service, profile, None);
                 if let Candidates::Untried { tried } = candidates {
                     holders.iter_mut().for_each(|h| h.may_begin &= !tried.contains(&h.server));
@@ -174,7 +176,8 @@
     }
 
     /// Chooses another chain for a request that runs on the chain `now`. The first server stays the
-    /// same.
+    /// same. No prefill backlog excludes a server: a detour over other failure domains costs a
+    /// stream more than the wait, which is part of the cost.
     pub fn choose_other_chain(
         &self,
         service: &Service,
@@ -198,6 +201,8 @@
             current: None,
             allowed_first: None,
             may_cross: true,
+            max_prefill_backlog_ms: None,
+            spread_seed: Some(rand::random()),
         }
     }
 
@@ -279,26 +284,6 @@
         }
     }
 
-    /// Adds the load of a moved request to the servers that are in `new` but not in `old`: they
-    /// must process its tokens again.
-    pub fn on_moved(&self, service: &Service, old: &Chain, new: &Chain, tokens: f64) {
-        let Some(profile) = &service.engine else {
-            return;
-        };
-        let now = self.clock.now();
-        let servers = self.views.servers();
-        let mut loads = self.loads.borrow_mut();
-        for stage in new.stages().iter().filter(|p| !old.stages().contains(p)) {
-            let kind = servers.get(&stage.server).and_then(|e| e.engine.as_ref());
-            if let Some(kind) = kind.and_then(|e| profile.kind(&e.kind)) {
-                let per_ms =
-                    prefill_tokens_per_ms(profile, kind, stage.layers, loads.total(&stage.server));
-                let tokens = tokens * MEAN_MOVING_HOSTS;
-                loads.add_prefill(now, &stage.server, tokens, per_ms);
-            }
-        }
-    }
-
     /// Returns the servers that may be stages of a chain. One that is in a pause may only stay a
     /// stage of the chain `current`.
     fn collect_holders(
@@ -324,20 +309,21 @@
                 let engine = e.engine.as_ref()?;
                 let kind = profile.kind(&engine.kind)?;
                 let layers = engine.layers?;
-                let load = loads.total(&e.id);
-                let per_ms = prefill_tokens_per_ms(profile, kind, layers, load);
-                Some(LayerHolder {
+                let mut holder = LayerHolder {
                     server: e.id.clone(),
                     address: e.address,
                     domain: e.domain.clone(),
                     kind: kind.clone(),
                     layers,
-                    load,
-                    prefill_backlog_ms: loads.prefill_backlog(now, &e.id, per_ms) / per_ms,
+                    load: loads.total(&e.id),
+                    prefill_backlog_ms: 0.0,
                     slowness: health.slowness(now, &e.id),
                     faults: health.faults(now, &e.id),
                     may_begin: self.may_begin(&e.id, e.address),
-                })
+                };
+                let pending = loads.pending_prefill(&e.id) as f64;
+                holder.prefill_backlog_ms = pending / holder.prefill_tokens_per_ms(profile);
+                Some(holder)
             })
             .collect()
     }
@@ -376,15 +362,25 @@
             .map(|(_, e)| Target::Server { server: e.id.clone(), address: e.address })
     }
 
-    /// Counts a request as in progress at `target` until the returned value is dropped.
-    pub fn begin(self: &Rc<Self>, target: &Target, tokens: f64) -> InProgress {
+    /// Counts a request as in progress at `target` until the returned value is dropped, and its
+    /// `pending` prefill until [`InProgress::on_event`] or that drop.
+    pub fn begin(
+        self: &Rc<Self>,
+        target: &Target,
+        tokens: f64,
+        pending: PendingPrefill,
+    ) -> InProgress {
         match target {
-            Target::Chain(chain) => self.loads.borrow_mut().add_request(chain, tokens),
+            Target::Chain(chain) => {
+                let mut loads = self.loads.borrow_mut();
+                loads.add_request(chain, tokens);
+                loads.add_prefill(&pending);
+            }
             Target::Server { server, .. } => {
                 *self.plain_active.borrow_mut().entry(server.clone()).or_default() += 1;
             }
         }
-        InProgress { routing: self.clone(), target: target.clone(), tokens }
+        InProgress { routing: self.clone(), target: target.clone(), tokens, pending }
     }
 
     fn end(&self, target: &Target, tokens: f64) {
@@ -451,14 +447,3 @@
         self.update_reservations();
     }
 }
-
-/// Returns how many prompt tokens a server with `load` processes per ms.
-fn prefill_tokens_per_ms(
-    profile: &EngineProfile,
-    kind: &AcceleratorKind,
-    layers: LayerRange,
-    load: Load,
-) -> f64 {
-    let context = f64::from(load.token_layers) / f64::from(layers.len().max(1));
-    profile.prefill_tokens_per_ms(kind, layers.len(), f64::from(load.active), context)
-}
