Bound the bytes and connections that callers hold

Cause: bodies were read without a common bound, each read kept a buffer of its own, and readiness and metrics connections had neither a bound nor a time limit for a head.

limits.memory-mb sets a budget with a share each for bodies, answers kept whole, connections and chunks for slow callers. Bytes are reserved before they are read, into one buffer. A body that waits for room has the one closed that has made no progress for the longest time, and is refused with 503 after 1 s. A new connection takes the place of the one that has had no request for the longest time.

Pipelined requests at a route fail: they take all 90 places, and no ordinary request is answered within 60 s.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -83,6 +83,12 @@
     ClaimsRestored = 1602, Error, "store shows an older copy of claims";
     /// A stored slot of claims cannot be decoded; it answers no call until it is repaired.
     ClaimsDamaged = 1603, Error, "claims cannot be read";
+    /// The gateway process has no room left for one kind of buffered bytes.
+    MemoryExhausted = 2121, Warn, "memory budget exhausted";
+    /// The gateway process has room again for this kind of buffered bytes.
+    MemoryRegained = 2122, Info, "memory budget has room again";
+    /// Connections were closed or not taken, since all places were in use.
+    ConnectionsClosed = 2123, Warn, "connections closed for others";
     /// The gateway process serves callers.
     GatewayStarted = 2001, Info, "gateway started";
     /// The gateway process received a request to stop.
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -149,6 +149,10 @@
         BodyLate = "body_late",
         /// The body of the request ended early.
         BodyBroken = "body_broken",
+        /// The memory budget had no room for the body in time.
+        NoMemory = "no_memory",
+        /// The body made too little progress while other requests needed its room.
+        BodyStraggling = "body_straggling",
         /// The host is about to exit, and the request was still being read or waiting to be admitted.
         Stopping = "stopping",
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! events that carry the time, and performs the actions that it returns.
 
 pub mod admit;
+pub mod bytes;
 pub mod catch_up;
 pub mod claim;
 pub mod clock;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -17,6 +17,13 @@
 use quick_error::quick_error;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time;
+use yuccanotch_core::bytes::ByteBudget;
+use yuccanotch_core::bytes::Reservation;
+use yuccanotch_core::bytes::UseKind;
+
+use crate::body;
+use crate::connections::ConnectionRequest;
 
 /// The largest number of chunks buffered for a caller that reads slowly.
 pub(crate) const MAX_BUFFERED_CHUNKS: usize = 16;
@@ -58,13 +65,14 @@
 pub struct AnswerBody {
     source: Source,
     _guard: Option<CallerGuard>,
+    _request: Option<ConnectionRequest>,
 }
 
 impl AnswerBody {
     /// Creates a body from all of its bytes.
     pub fn whole(bytes: Bytes) -> Self {
         let bytes = if bytes.is_empty() { None } else { Some(bytes) };
-        Self { source: Source::Whole(bytes), _guard: None }
+        Self { source: Source::Whole(bytes), _guard: None, _request: None }
     }
 
     /// Attaches a guard, which is dropped together with the body.
@@ -72,6 +80,12 @@
         self._guard = Some(guard);
         self
     }
+
+    /// Attaches the request of a connection, which ends together with the body.
+    pub(crate) fn with_request(mut self, request: ConnectionRequest) -> Self {
+        self._request = Some(request);
+        self
+    }
 }
 
 /// Sends the chunks of a streamed answer. Dropping it without [`ChunkSender::finish`] makes the
@@ -80,15 +94,32 @@
 pub struct ChunkSender {
     tx: mpsc::Sender<Bytes>,
     is_finished: Rc<Cell<bool>>,
+    budget: ByteBudget,
 }
 
 impl ChunkSender {
     /// Sends a chunk; waits while the buffer is full.
     pub async fn send(&self, bytes: Bytes) {
         if !bytes.is_empty() {
+            let reservation = self.reserve(bytes.len()).await;
             // If the caller has disconnected, its guard ends the request's task.
-            let _ = self.tx.send(bytes).await;
+            let _ = self.tx.send(body::with_reservation(bytes, reservation)).await;
+        }
+    }
+
+    /// Reserves the bytes of a chunk. A caller that has read all chunks before it never waits for
+    /// others that read slowly.
+    async fn reserve(&self, bytes: usize) -> Reservation {
+        let mut reservation = self.budget.reservation(UseKind::Chunks);
+        while reservation.grow(bytes).is_err() {
+            let is_read = self.tx.capacity() == self.tx.max_capacity();
+            if is_read || self.tx.is_closed() {
+                reservation.grow_beyond(bytes);
+                break;
+            }
+            time::sleep(body::ROOM_CHECK_INTERVAL).await;
         }
+        reservation
     }
 
     /// Ends the answer as complete.
@@ -97,12 +128,13 @@
     }
 }
 
-/// Creates a streamed body and the sender of its chunks.
-pub fn chunked() -> (ChunkSender, AnswerBody) {
+/// Creates a streamed body and the sender of its chunks, which count towards `budget`.
+pub fn chunked(budget: &ByteBudget) -> (ChunkSender, AnswerBody) {
     let (tx, rx) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let is_finished = Rc::<Cell<bool>>::default();
     let source = Source::Chunks { rx, is_finished: is_finished.clone() };
-    (ChunkSender { tx, is_finished }, AnswerBody { source, _guard: None })
+    let body = AnswerBody { source, _guard: None, _request: None };
+    (ChunkSender { tx, is_finished, budget: budget.clone() }, body)
 }
 
 impl Body for AnswerBody {
--- a/crates/gateway/src/answer_tests.rs
+++ b/crates/gateway/src/answer_tests.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::runtime::Builder;
+use yuccanotch_core::bytes::ByteBudget;
 
 use crate::answer::chunked;
 use crate::answer::ChunkSender;
@@ -13,7 +14,7 @@
 fn looks_complete(count: usize, end: fn(ChunkSender)) -> bool {
     let runtime = Builder::new_current_thread().build().expect("a runtime");
     runtime.block_on(async {
-        let (chunks, body) = chunked();
+        let (chunks, body) = chunked(&ByteBudget::new(None));
         for _ in 0..count {
             chunks.send(Bytes::from_static(b"chunk")).await;
         }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -12,9 +12,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -23,8 +20,11 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
+use tokio::task;
 use tokio::time;
 use xxhash_rust::xxh3::xxh3_64;
+use yuccanotch_core::bytes::Reservation;
+use yuccanotch_core::bytes::UseKind;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::forward::reason::Rejection;
@@ -36,6 +36,8 @@
 use crate::adapter::CallerRequest;
 use crate::answer;
 use crate::answer::AnswerBody;
+use crate::body;
+use crate::connections::Connection;
 use crate::exchange;
 use crate::exchange::Admitted;
 use crate::exchange::Exchange;
@@ -50,6 +52,17 @@
 /// The most bytes that a host adds to the head of a request that it passes on.
 const MAX_RELAY_HEAD_BYTES: usize = 4 << 10;
 
+/// The memory of a connection beside its buffers for reading and writing, in bytes: its tasks, the decoded
+/// head and the sockets' state.
+const CONNECTION_BASE_BYTES: usize = 16 << 10;
+
+/// How long a connection that has been answered stays open without a request, at least. It is longer than
+/// an answer may stay unacknowledged, so that no part of an answer is lost with the connection.
+pub(crate) const MIN_ANSWERED_IDLE: Millis = Millis(3_000);
+
+/// How often a new connection looks for a place that a closed one has left.
+const PLACE_CHECKS: usize = 4;
+
 /// The time between checks whether this host has caught up.
 const CATCH_UP_POLL: Duration = Duration::from_millis(20);
 
@@ -69,6 +82,8 @@
         | Rejection::OlderConfiguration
         | Rejection::Behind
         | Rejection::TooManyRelayed
+        | Rejection::NoMemory
+        | Rejection::BodyStraggling
         | Rejection::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         Rejection::NoRoute => StatusCode::NOT_FOUND,
         Rejection::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -80,8 +95,9 @@
 /// Accepts callers' connections until the shutdown of the host reaches the phase in which it
 /// accepts none.
 ///
-/// Connections beyond half of the allowed sockets are closed at once, so that their callers can try
-/// another host.
+/// Connections have half of the allowed sockets and a part of the memory budget. Beyond these, the one
+/// that has had no request for the longest time is closed for a new one; if all have requests, the new
+/// one is closed at once, so that its caller can try another host.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, source: RequestSource) {
     let closing = gateway.shutdown.closing();
     tokio::pin!(closing);
@@ -90,26 +106,96 @@
             stream = probe_server::accept(&listener) => stream,
             () = &mut closing => return,
         };
-        if gateway.caller_connections.get() >= gateway.settings.sockets / 2 {
-            continue;
+        match find_place(&gateway, source).await {
+            Some(place) => {
+                task::spawn_local(serve(gateway.clone(), stream, source, place));
+            }
+            None => gateway.note_connection_refused(),
+        }
+    }
+}
+
+/// The place of a connection in the memory budget and among the connections of the host.
+struct Place {
+    connection: Connection,
+    closed: oneshot::Receiver<()>,
+    _reservation: Reservation,
+}
+
+/// Returns the largest size of each buffer of a connection, in bytes.
+fn buffer_bytes(gateway: &Gateway, source: RequestSource) -> usize {
+    let limits = gateway.views.configuration().map(|c| c.limits).unwrap_or_default();
+    let added = if source == RequestSource::Host { MAX_RELAY_HEAD_BYTES } else { 0 };
+    limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES) + added
+}
+
+/// Finds a place for a new connection, and closes an idle one or a straggling body if there is none.
+async fn find_place(gateway: &Gateway, source: RequestSource) -> Option<Place> {
+    if let Some(place) = take_place(gateway, source) {
+        return Some(place);
+    }
+    if gateway.connections.close_oldest_idle() {
+        gateway.note_idle_closed();
+    } else if !gateway.open_bodies.close_straggler(gateway.clock.now()) {
+        return None;
+    }
+    for _ in 0..PLACE_CHECKS {
+        // The task of the closed connection runs meanwhile.
+        task::yield_now().await;
+        if let Some(place) = take_place(gateway, source) {
+            return Some(place);
         }
-        tokio::task::spawn_local(serve(gateway.clone(), stream, source));
     }
+    None
 }
 
-async fn serve(gateway: Rc<Gateway>, stream: TcpStream, source: RequestSource) {
+fn take_place(gateway: &Gateway, source: RequestSource) -> Option<Place> {
+    if gateway.connections.count() >= gateway.settings.sockets / 2 {
+        return None;
+    }
+    let bytes = 2 * buffer_bytes(gateway, source) + CONNECTION_BASE_BYTES;
+    let Ok(reservation) = gateway.byte_budget.reserve(UseKind::Connections, bytes) else {
+        gateway.note_exhausted(UseKind::Connections);
+        return None;
+    };
+    let (connection, closed) = gateway.connections.open();
+    Some(Place { connection, closed, _reservation: reservation })
+}
+
+/// Serves a connection until it ends or is closed for others.
+async fn serve(gateway: Rc<Gateway>, stream: TcpStream, source: RequestSource, place: Place) {
     if net::set_options(&stream).is_err() {
         return;
     }
+    let Place { connection, closed, _reservation } = place;
     gateway.caller_connections.set(gateway.caller_connections.get() + 1);
+    tokio::select! {
+        biased;
+        Ok(()) = closed => {}
+        () = serve_requests(&gateway, stream, source, connection) => {}
+    }
+    gateway.caller_connections.set(gateway.caller_connections.get() - 1);
+}
+
+async fn serve_requests(
+    gateway: &Rc<Gateway>,
+    stream: TcpStream,
+    source: RequestSource,
+    connection: Connection,
+) {
     let limits = gateway.views.configuration().map(|c| c.limits).unwrap_or_default();
     let handler = gateway.clone();
-    let service = service_fn(move |req| handle(handler.clone(), req, source));
-    let added = if source == RequestSource::Host { MAX_RELAY_HEAD_BYTES } else { 0 };
+    let service = service_fn(move |req| {
+        let (request, handler) = (connection.begin_request(), handler.clone());
+        async move {
+            let response = handle(handler, req, source).await?;
+            Ok::<_, Infallible>(response.map(|body| body.with_request(request)))
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.to_duration())
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES) + added)
+        .max_buf_size(buffer_bytes(gateway, source))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let stopping = gateway.shutdown.closing();
@@ -122,7 +208,6 @@
         }
     };
     drop(result);
-    gateway.caller_connections.set(gateway.caller_connections.get() - 1);
 }
 
 /// Answers one request. The exchange runs in a task of its own, which ends when the caller
@@ -171,7 +256,7 @@
     let (guard, gone) = answer::caller_guard();
     let exchange = Exchange::new(gateway.clone(), admitted, head_tx);
     let active = gateway.begin_request();
-    tokio::task::spawn_local(async move {
+    task::spawn_local(async move {
         exchange.run(gone).await;
         drop(active);
         drop(taken);
@@ -200,7 +285,7 @@
         .and_then(|name| configuration.service(name))
         .ok_or(Rejection::NoConfiguration)?
         .clone();
-    let body = read_body(body, &configuration.limits, caller).await?;
+    let body = read_body(gateway, body, &configuration.limits, caller).await?;
     let started = gateway.clock.now();
     let caller = caller.clone();
     Ok(Admitted { head, body, caller, route, service, team, started, relayed: None })
@@ -261,17 +346,17 @@
     Ok(Allowed { configuration, route, team })
 }
 
+/// Reads the body of a request, which has the time of an idle connection to arrive.
 async fn read_body(
+    gateway: &Gateway,
     body: Incoming,
     limits: &Limits,
     caller: &CallerRequest,
 ) -> Result<Bytes, Rejection> {
     let wait = caller.deadline.unwrap_or(limits.idle_timeout).min(limits.idle_timeout);
-    let reading = Limited::new(body, limits.body_bytes).collect();
+    let reading = body::read_request(gateway, body, limits.body_bytes, wait);
     match time::timeout(wait.to_duration(), reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Rejection::TooLarge),
-        Ok(Err(_)) => Err(Rejection::BodyBroken),
+        Ok(body) => body.map_err(Rejection::from),
         Err(_) => Err(Rejection::BodyLate),
     }
 }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -14,6 +14,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 use metrics_exporter_prometheus::PrometheusRecorder;
+use yuccanotch_core::bytes::UseKind;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::forward::reason::LeavingSource;
@@ -40,6 +41,8 @@
     attempts: HashMap<EndReason, Counter>,
     retries: HashMap<EndReason, Counter>,
     turned_away: HashMap<Rejection, Counter>,
+    idle_closed: Counter,
+    refused: Counter,
     sent: Counter,
     passed_on: Counter,
     taken: Counter,
@@ -81,6 +84,8 @@
                     (*r, counter(&recorder, name, Some(r.as_str())))
                 })
                 .collect(),
+            idle_closed: counter(&recorder, "yuccanotch_idle_connections_closed_total", None),
+            refused: counter(&recorder, "yuccanotch_connections_refused_total", None),
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
             passed_on: counter(&recorder, "yuccanotch_requests_passed_on_total", None),
             taken: counter(&recorder, "yuccanotch_requests_taken_total", None),
@@ -157,6 +162,16 @@
         }
     }
 
+    /// Counts an idle connection that was closed for a new one.
+    pub fn idle_connection_closed(&self) {
+        self.idle_closed.increment(1);
+    }
+
+    /// Counts a new connection that found no place.
+    pub fn connection_refused(&self) {
+        self.refused.increment(1);
+    }
+
     /// Counts a move of a request to another chain; `taken` tells whether the server accepted it.
     pub fn chain_changed(&self, taken: bool) {
         if taken {
@@ -197,6 +212,22 @@
         self.longest_gap.record(longest_gap.0 as f64);
     }
 
+    /// Sets the gauges of the memory budget.
+    fn set_byte_gauges(&self, gateway: &Gateway) {
+        for kind in UseKind::ALL {
+            let labels = vec![Label::from_static_parts("kind", kind.as_str())];
+            let key = Key::from_parts("yuccanotch_buffered_bytes", labels.clone());
+            let used = gateway.byte_budget.used(kind);
+            self.gauges.register_gauge(&key, &METADATA).set(used as f64);
+            let limit = gateway.byte_budget.limit(kind);
+            if limit < usize::MAX {
+                let key = Key::from_parts("yuccanotch_buffered_bytes_limit", labels);
+                self.gauges.register_gauge(&key, &METADATA).set(limit as f64);
+            }
+        }
+        self.gauge("yuccanotch_bodies_open", gateway.open_bodies.count() as f64);
+    }
+
     fn gauge(&self, name: &'static str, value: f64) {
         let gauge: Gauge = self.gauges.register_gauge(&Key::from_static_name(name), &METADATA);
         gauge.set(value);
@@ -220,6 +251,7 @@
         self.gauge("yuccanotch_hosts", gateway.live_hosts() as f64);
         self.gauge("yuccanotch_requests_active", gateway.active_requests() as f64);
         self.gauge("yuccanotch_caller_connections", gateway.caller_connections.get() as f64);
+        self.set_byte_gauges(gateway);
         self.gauge("yuccanotch_log_lines_dropped", gateway.event_log.dropped() as f64);
         self.gauge("yuccanotch_is_issuer", f64::from(u8::from(gateway.is_issuer.get())));
         let suspects = gateway.routing.health.borrow().suspects(now).count();
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -1,5 +1,6 @@
 //! An attempt at another host, which sends the request to servers that this host does not reach.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -7,9 +8,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
 use tokio::time;
@@ -19,6 +18,7 @@
 use yuccanotch_core::forward::reason::EndReason;
 use yuccanotch_core::peering::observations::short_hash;
 
+use crate::body;
 use crate::exchange::attempt::unanswered;
 use crate::exchange::attempt::MAX_ANSWER_BYTES;
 use crate::exchange::AttemptResult;
@@ -92,7 +92,8 @@
         if self.route.streaming && head.status.is_success() {
             return self.relay_stream(head, reply, body, conn).await;
         }
-        let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+        let waits = Cell::default();
+        let Ok(body) = body::read_answer(&gateway, body, MAX_ANSWER_BYTES, &waits).await else {
             return unanswered(AttemptEnd::Broken, EndReason::BodyBroken);
         };
         if !reply.closes {
@@ -101,7 +102,7 @@
         // The other host has tried what the route allows before it passed on a server's failure.
         let is_failure = head.status.is_server_error();
         self.end_reason = if is_failure { EndReason::ServerError } else { EndReason::Answered };
-        let mut response = Response::new(body.to_bytes());
+        let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = gateway.adapter.returned_headers(&head.headers);
         self.send_whole_answer(response);
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: sends the request to a target, checks the answer and passes it to the caller.
 
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -10,7 +11,6 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time;
 use yuccanotch_core::clock::Millis;
@@ -25,6 +25,7 @@
 use crate::adapter::ServerReply;
 use crate::announcements::Announcer;
 use crate::answer;
+use crate::body;
 use crate::exchange::silence::EVENT_TIMEOUT;
 use crate::exchange::silence::FIRST_EVENT_TIMEOUT;
 use crate::exchange::silence::RECHECK_TIMEOUT;
@@ -271,11 +272,14 @@
     async fn receive_body(&self, body: Incoming) -> Result<Bytes, AttemptResult> {
         let is_safe = self.route.repeat == RepeatPolicy::Safe;
         let limit = if is_safe { self.plain_server_timeout() } else { Duration::MAX };
-        let receiving = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let waits_for_memory = Cell::new(false);
+        let receiving = body::read_answer(&self.gateway, body, MAX_ANSWER_BYTES, &waits_for_memory);
         tokio::pin!(receiving);
         loop {
             match time::timeout(limit, &mut receiving).await {
-                Ok(Ok(body)) => return Ok(body.to_bytes()),
+                Ok(Ok(body)) => return Ok(body),
+                // The server is not at fault while this host does not read.
+                Err(_) if waits_for_memory.get() => {}
                 Ok(Err(_)) => return Err(unanswered(AttemptEnd::Broken, EndReason::BodyBroken)),
                 Err(_) => {
                     if let ServerProgress::Lost = self.lost_unless_alone() {
@@ -358,7 +362,7 @@
         let mut fields = self.gateway.adapter.returned_headers(&head.headers);
         fields.remove(header::CONTENT_LENGTH);
         self.add_relay_fields(&mut fields);
-        let (chunks, body) = answer::chunked();
+        let (chunks, body) = answer::chunked(&self.gateway.byte_budget);
         self.chunks = Some(chunks);
         // If the caller has disconnected, its guard ends this task.
         let _ = head_tx.send(answer::respond(head.status, fields, body));
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -18,6 +18,7 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 use tokio::time;
+use yuccanotch_core::bytes::ByteBudget;
 use yuccanotch_core::catch_up::Waits;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
@@ -31,8 +32,10 @@
 use crate::adapter::WholeRequest;
 use crate::announcements::Announcer;
 use crate::answer::AnswerBody;
+use crate::body::BodyTable;
 use crate::callers;
 use crate::callers::RequestSource;
+use crate::connections::ConnectionTable;
 use crate::counters::Counters;
 use crate::event_log::EventLog;
 use crate::gossip;
@@ -41,6 +44,7 @@
 use crate::links;
 use crate::links::Links;
 use crate::listing;
+use crate::memory::MemoryReport;
 use crate::net;
 use crate::pool::Pool;
 use crate::pool::Reuse;
@@ -112,6 +116,14 @@
     pub is_issuer: Cell<bool>,
     /// The number of open connections of callers.
     pub caller_connections: Cell<usize>,
+    /// The bytes that the process may buffer, and those that it does.
+    pub byte_budget: ByteBudget,
+    /// The bodies of callers that are being read.
+    pub open_bodies: Rc<BodyTable>,
+    /// The connections of callers and of other hosts.
+    pub connections: Rc<ConnectionTable>,
+    /// What the log says about exhausted memory and closed connections.
+    pub memory_report: MemoryReport,
     /// The number of requests of other hosts in progress.
     pub taken_requests: Cell<usize>,
     active_requests: Rc<Cell<usize>>,
@@ -162,6 +174,8 @@
         let crashes = CrashTracker::new(clock.clone(), event_log.clone());
         let peers = Peers::new(settings.own_peer(), &settings.changeable.seeds);
         let changeable = RefCell::new(Rc::new(settings.changeable.clone()));
+        let byte_budget = ByteBudget::new(settings.memory_bytes);
+        let connections = ConnectionTable::new(clock.clone(), callers::MIN_ANSWERED_IDLE);
         let sync = SyncState::new(Waits::new(settings.change_limit));
         Ok(Rc::new(Self {
             settings,
@@ -182,6 +196,10 @@
             shutdown: Shutdown::new(),
             is_issuer: Cell::new(false),
             caller_connections: Cell::new(0),
+            byte_budget,
+            open_bodies: Rc::default(),
+            connections,
+            memory_report: MemoryReport::default(),
             taken_requests: Cell::new(0),
             active_requests: Rc::default(),
             changeable,
@@ -390,13 +408,13 @@
     metrics: TcpListener,
 ) {
     let metrics_gateway = gateway.clone();
-    tokio::task::spawn_local(probe_server::serve(metrics, move || {
+    tokio::task::spawn_local(probe_server::serve(gateway.clock.clone(), metrics, move || {
         Response::new(AnswerBody::whole(Bytes::from(
             metrics_gateway.counters.render(&metrics_gateway),
         )))
     }));
     let ready_gateway = gateway.clone();
-    tokio::task::spawn_local(probe_server::serve(ready, move || {
+    tokio::task::spawn_local(probe_server::serve(gateway.clock.clone(), ready, move || {
         ready_gateway.readiness_response()
     }));
     tokio::task::spawn_local(callers::accept(gateway.clone(), callers, RequestSource::Caller));
@@ -412,6 +430,7 @@
         gateway.views.on_tick(now);
         gateway.routing.on_tick(now);
         gateway.pool.on_tick();
+        gateway.report_memory();
         quarantine::refute_crashes(&gateway);
         gateway.event_log.flush();
         if now.since(slow_checked_at) >= SLOW_CHECK_INTERVAL {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod answer;
 #[cfg(test)]
 mod answer_tests;
+mod body;
 pub mod callers;
+mod connections;
 pub mod counters;
 pub mod datagram;
 pub mod event_log;
@@ -21,6 +23,7 @@
 mod limits;
 pub mod links;
 mod listing;
+mod memory;
 pub mod net;
 pub mod pool;
 pub mod probe_server;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,6 +39,8 @@
     pub change_limit: Millis,
     /// The largest number of open sockets.
     pub sockets: usize,
+    /// The memory limit of the process, in bytes; `None` sets no bound on buffered bytes.
+    pub memory_bytes: Option<u64>,
     /// The settings that may change while the process runs.
     pub changeable: Changeable,
 }
