--- a/crates/core/src/bytes/connections.rs
+++ b/crates/core/src/bytes/connections.rs
@@ -4,6 +4,10 @@
 
 use crate::clock::Millis;
 
+/// The part of the connections that may be ending after their answers at a time, as a divisor. It keeps
+/// sound callers from all having to connect anew under overload.
+const ENDING_SHARE: usize = 8;
+
 /// An open connection.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(u64);
@@ -14,6 +18,7 @@
     /// The number of requests that are not answered completely.
     requests: usize,
     has_answered: bool,
+    is_ending: bool,
 }
 
 /// The open connections of a listener, each with the time since which it has no request.
@@ -36,7 +41,8 @@
     pub fn begin(&mut self, now: Millis) -> ConnectionId {
         let id = ConnectionId(self.next);
         self.next += 1;
-        let connection = OpenConnection { idle_since: now, requests: 0, has_answered: false };
+        let connection =
+            OpenConnection { idle_since: now, requests: 0, has_answered: false, is_ending: false };
         self.connections.insert(id, connection);
         id
     }
@@ -72,11 +78,25 @@
     pub fn take_oldest_idle(&mut self, now: Millis) -> Option<ConnectionId> {
         let idle = self.connections.iter().filter(|(_, c)| {
             let is_kept = c.has_answered && now.since(c.idle_since) < self.kept_for;
-            c.requests == 0 && !is_kept
+            c.requests == 0 && !is_kept && !c.is_ending
         });
         let (id, _) = idle.min_by_key(|(_, c)| c.idle_since)?;
         let id = *id;
         self.connections.remove(&id);
         Some(id)
     }
+
+    /// Chooses the oldest connection with a request, which is to end after the answer to it; `None` if
+    /// enough of them are about to end. A caller that pipelines requests without end leaves its place
+    /// in this way, and no request is cut.
+    pub fn choose_to_end(&mut self) -> Option<ConnectionId> {
+        let ending = self.connections.values().filter(|c| c.is_ending).count();
+        if ending > self.connections.len() / ENDING_SHARE {
+            return None;
+        }
+        let mut busy = self.connections.iter_mut().filter(|(_, c)| c.requests > 0 && !c.is_ending);
+        let (id, connection) = busy.next()?;
+        connection.is_ending = true;
+        Some(*id)
+    }
 }
--- a/crates/core/src/bytes/tests.rs
+++ b/crates/core/src/bytes/tests.rs
@@ -130,3 +130,17 @@
     assert_eq!(connections.take_oldest_idle(Millis(3_900)), Some(answered));
     assert_eq!(connections.count(), 1);
 }
+
+/// Load: callers that pipeline requests without end fill all places, so that none is ever idle.
+#[test]
+fn the_oldest_busy_connections_end_after_their_answers_a_few_at_a_time() {
+    let mut connections = OpenConnections::new(Millis(3_000));
+    let busy: Vec<_> = (0..16).map(|ms| connections.begin(Millis(ms))).collect();
+    busy.iter().for_each(|id| connections.on_request(*id));
+    assert_eq!(connections.take_oldest_idle(Millis(9_000)), None);
+    let ending: Vec<_> = (0..16).map_while(|_| connections.choose_to_end()).collect();
+    assert_eq!(ending, busy[..3]);
+    assert_eq!(connections.count(), 16);
+    ending.iter().for_each(|id| connections.end(*id));
+    assert_eq!(connections.choose_to_end(), Some(busy[3]));
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -37,6 +37,7 @@
 use crate::answer;
 use crate::answer::AnswerBody;
 use crate::body;
+use crate::connections::CloseTime;
 use crate::connections::Connection;
 use crate::exchange;
 use crate::exchange::Admitted;
@@ -97,7 +98,8 @@
 ///
 /// Connections have half of the allowed sockets and a part of the memory budget. Beyond these, the one
 /// that has had no request for the longest time is closed for a new one; if all have requests, the new
-/// one is closed at once, so that its caller can try another host.
+/// one is closed at once, so that its caller can try another host, and the oldest one ends after its
+/// answer.
 pub async fn accept(gateway: Rc<Gateway>, listener: TcpListener, source: RequestSource) {
     let closing = gateway.shutdown.closing();
     tokio::pin!(closing);
@@ -118,7 +120,7 @@
 /// The place of a connection in the memory budget and among the connections of the host.
 struct Place {
     connection: Connection,
-    closed: oneshot::Receiver<()>,
+    closed: oneshot::Receiver<CloseTime>,
     _reservation: Reservation,
 }
 
@@ -137,6 +139,7 @@
     if gateway.connections.close_oldest_idle() {
         gateway.note_idle_closed();
     } else if !gateway.open_bodies.close_straggler(gateway.clock.now()) {
+        gateway.connections.end_oldest_busy();
         return None;
     }
     for _ in 0..PLACE_CHECKS {
@@ -169,11 +172,7 @@
     }
     let Place { connection, closed, _reservation } = place;
     gateway.caller_connections.set(gateway.caller_connections.get() + 1);
-    tokio::select! {
-        biased;
-        Ok(()) = closed => {}
-        () = serve_requests(&gateway, stream, source, connection) => {}
-    }
+    serve_requests(&gateway, stream, source, connection, closed).await;
     gateway.caller_connections.set(gateway.caller_connections.get() - 1);
 }
 
@@ -182,6 +181,7 @@
     stream: TcpStream,
     source: RequestSource,
     connection: Connection,
+    closed: oneshot::Receiver<CloseTime>,
 ) {
     let limits = gateway.views.configuration().map(|c| c.limits).unwrap_or_default();
     let handler = gateway.clone();
@@ -198,16 +198,22 @@
         .max_buf_size(buffer_bytes(gateway, source))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let stopping = gateway.shutdown.closing();
-    tokio::pin!(stopping);
-    let result = tokio::select! {
-        result = &mut connection => result,
-        () = &mut stopping => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let ends = async {
+        tokio::select! {
+            () = gateway.shutdown.closing() => CloseTime::AfterAnswer,
+            Ok(time) = closed => time,
         }
     };
-    drop(result);
+    tokio::select! {
+        _ = &mut connection => {}
+        time = ends => {
+            if time == CloseTime::AfterAnswer {
+                connection.as_mut().graceful_shutdown();
+                // If the connection breaks, the guards of its answers end their requests.
+                let _ = connection.await;
+            }
+        }
+    }
 }
 
 /// Answers one request. The exchange runs in a task of its own, which ends when the caller
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -11,12 +11,21 @@
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 
+/// When a connection is closed for others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CloseTime {
+    /// At once: it has no request.
+    Now,
+    /// After the answer to its request.
+    AfterAnswer,
+}
+
 /// The open connections of a listener, and the signals that close them.
 #[derive(Debug)]
 pub struct ConnectionTable {
     clock: Clock,
     connections: RefCell<OpenConnections>,
-    closers: RefCell<HashMap<ConnectionId, oneshot::Sender<()>>>,
+    closers: RefCell<HashMap<ConnectionId, oneshot::Sender<CloseTime>>>,
 }
 
 impl ConnectionTable {
@@ -30,7 +39,7 @@
     }
 
     /// Adds a connection, and returns the receiver of the signal that closes it.
-    pub(crate) fn open(self: &Rc<Self>) -> (Connection, oneshot::Receiver<()>) {
+    pub(crate) fn open(self: &Rc<Self>) -> (Connection, oneshot::Receiver<CloseTime>) {
         let (closer, closed) = oneshot::channel();
         let id = self.connections.borrow_mut().begin(self.clock.now());
         self.closers.borrow_mut().insert(id, closer);
@@ -43,11 +52,23 @@
         let Some(id) = self.connections.borrow_mut().take_oldest_idle(self.clock.now()) else {
             return false;
         };
+        self.close(id, CloseTime::Now);
+        true
+    }
+
+    /// Lets the oldest connection with a request end after its answer, unless enough of them do.
+    pub(crate) fn end_oldest_busy(&self) {
+        let chosen = self.connections.borrow_mut().choose_to_end();
+        if let Some(id) = chosen {
+            self.close(id, CloseTime::AfterAnswer);
+        }
+    }
+
+    fn close(&self, id: ConnectionId, time: CloseTime) {
         if let Some(closer) = self.closers.borrow_mut().remove(&id) {
             // The connection may have ended in the same moment.
-            let _ = closer.send(());
+            let _ = closer.send(time);
         }
-        true
     }
 
     /// Returns the number of open connections.
--- a/crates/gateway/src/probe_server.rs
+++ b/crates/gateway/src/probe_server.rs
@@ -27,6 +27,7 @@
 use yuccanotch_core::clock::Millis;
 
 use crate::answer::AnswerBody;
+use crate::connections::CloseTime;
 use crate::connections::Connection;
 use crate::connections::ConnectionTable;
 use crate::net;
@@ -75,7 +76,7 @@
 async fn serve_connection(
     stream: TcpStream,
     place: Connection,
-    closed: oneshot::Receiver<()>,
+    closed: oneshot::Receiver<CloseTime>,
     answer: Rc<impl Fn() -> Response<AnswerBody>>,
 ) {
     let service = service_fn(move |req: Request<Incoming>| {
@@ -95,7 +96,7 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         biased;
-        Ok(()) = closed => {}
+        Ok(_) = closed => {}
         // If the connection breaks, the client asks again on another one.
         _ = connection => {}
     }
