--- a/crates/core/src/admit/reservation/mod.rs
+++ b/crates/core/src/admit/reservation/mod.rs
@@ -33,8 +33,7 @@
 /// How long a computed utilization is used. Loads of other hosts arrive every 50 ms.
 pub const UTILIZATION_TTL: Millis = Millis(50);
 /// The bounds of the part of the capacity that each rank leaves to the next more urgent one. Less is
-/// below the load of a few requests; 0.08 left 0.16 of the capacity idle in the model's burst of the
-/// least urgent rank, 0.05 leaves 0.10, and urgent requests fare nearly as well.
+/// below the load of a few requests; more leaves capacity idle while requests are refused.
 const RESERVED_PER_RANK: (f64, f64) = (0.03, 0.05);
 /// The largest part of the capacity that is reserved by all ranks together.
 const MAX_RESERVED: f64 = 0.4;
