Act on a review of the new parts

A request that left during the check of a chain aborted the checks, after which those servers were never checked again; streams that fall silent together now wait for the same check. A chunked body that fits is no longer refused because its doubled buffer does not. At most an eighth of the connections, and one at least, end for others.

--- a/crates/core/src/admit/reservation/mod.rs
+++ b/crates/core/src/admit/reservation/mod.rs
@@ -9,20 +9,21 @@
 #[cfg(test)]
 mod model;
 mod pacing;
+mod pending_retries;
 mod ranks;
 #[cfg(test)]
 mod tests;
-mod told;
 mod trials;
 
 use crate::admit::reservation::pacing::Pacing;
 use crate::admit::reservation::pacing::Share;
 use crate::admit::reservation::pacing::REPORT_AGE_MS;
-use crate::admit::reservation::told::ToldCallers;
+use crate::admit::reservation::pending_retries::PendingRetries;
 use crate::admit::reservation::trials::Trials;
 use crate::clock::Millis;
 use crate::placement::engine::AcceleratorKind;
 use crate::placement::engine::EngineProfile;
+use crate::placement::load::MEAN_HELD_FRACTION;
 use crate::placement::path::SAME_DOMAIN_HOP_COST_MS;
 
 pub use crate::admit::reservation::capacity::ServiceCapacity;
@@ -51,8 +52,6 @@
 const MIN_UTILIZATION_FOR_DELAY: f64 = 0.5;
 /// The weight of a new sample in the mean holding time.
 const HOLDING_TIME_GAIN: f64 = 1.0 / 16.0;
-/// The part of an answer that a request holds in the mean over its life.
-const MEAN_HELD_FRACTION: f64 = 0.55;
 
 /// A request that has not been sent to any server.
 #[derive(Clone, Copy, Debug)]
@@ -112,7 +111,7 @@
     trials: Trials,
     mean_request_tokens: f64,
     holding_ms: f64,
-    told: ToldCallers,
+    pending_retries: PendingRetries,
 }
 
 impl Reservation {
@@ -137,7 +136,7 @@
             mean_request_tokens: profile.mean_prompt_tokens
                 + MEAN_HELD_FRACTION * profile.mean_answer_tokens,
             holding_ms,
-            told: ToldCallers::default(),
+            pending_retries: PendingRetries::default(),
         }
     }
 
@@ -280,14 +279,15 @@
         let most = (caller.time_left.0 / MAX_RETRY_AFTER_DIVISOR) as f64;
         let most = most.max(least);
         let to_open = self.time_to_open_ms(rank);
-        let callers = (f64::from(self.told.pending(now)) + 1.0) * caller.hosts.max(1) as f64;
+        let callers =
+            (f64::from(self.pending_retries.count(now)) + 1.0) * caller.hosts.max(1) as f64;
         let end =
             (to_open + self.time_to_serve_ms(callers)).clamp(2.0 * least, 2.0 * most).min(most);
         // A range that the bound cuts short keeps half its length, so that retries stay spread.
         let start = to_open.max(least).min(least.max(end / 2.0));
         let delay = start + caller.random.clamp(0.0, 1.0) * (end - start).max(0.0);
         let delay = Millis(delay.round() as u64);
-        self.told.add(now, delay);
+        self.pending_retries.add(now, delay);
         delay
     }
 
--- a/crates/core/src/admit/reservation/told.rs
+++ b/crates/core/src/admit/reservation/pending_retries.rs
@@ -10,19 +10,19 @@
 /// The number of callers told to retry, by the time of their retry. Its size does not depend on the
 /// number of callers.
 #[derive(Clone, Debug)]
-pub struct ToldCallers {
+pub struct PendingRetries {
     counts: [u32; SLOT_COUNT],
     // The number of the earliest slot that is counted, from the start of the clock.
     first: u64,
 }
 
-impl Default for ToldCallers {
+impl Default for PendingRetries {
     fn default() -> Self {
         Self { counts: [0; SLOT_COUNT], first: 0 }
     }
 }
 
-impl ToldCallers {
+impl PendingRetries {
     /// Records a caller that was told at `now` to retry after `delay`.
     pub fn add(&mut self, now: Millis, delay: Millis) {
         self.expire(now);
@@ -33,7 +33,7 @@
     }
 
     /// Returns how many callers are still to retry.
-    pub fn pending(&mut self, now: Millis) -> u32 {
+    pub fn count(&mut self, now: Millis) -> u32 {
         self.expire(now);
         self.counts.iter().fold(0, |sum, count| sum.saturating_add(*count))
     }
--- a/crates/core/src/bytes/budget.rs
+++ b/crates/core/src/bytes/budget.rs
@@ -85,6 +85,11 @@
     budget.max(memory / MIN_BUDGET_SHARE)
 }
 
+/// Returns the largest single reservation of a kind that has `whole` bytes.
+fn largest(whole: usize) -> usize {
+    whole - whole / RESERVED_SHARE
+}
+
 /// The bytes that a process may buffer, and those that it does.
 ///
 /// Reservations may be dropped in other threads, since buffers of answers may.
@@ -108,6 +113,11 @@
         self.account.limits[kind as usize]
     }
 
+    /// Returns the largest single reservation of `kind` that can ever be made.
+    pub fn largest(&self, kind: UseKind) -> usize {
+        largest(self.limit(kind))
+    }
+
     /// Returns the reserved bytes of `kind`.
     pub fn used(&self, kind: UseKind) -> usize {
         self.account.used[kind as usize].load(Ordering::Relaxed)
@@ -153,7 +163,7 @@
     pub fn grow(&mut self, more: usize) -> Result<(), NoRoom> {
         let whole = self.account.limits[self.kind as usize];
         let bytes = self.bytes.saturating_add(more);
-        let limit = if bytes > SMALL_BYTES { whole - whole / RESERVED_SHARE } else { whole };
+        let limit = if bytes > SMALL_BYTES { largest(whole) } else { whole };
         if bytes > limit {
             return Err(NoRoom::Ever);
         }
--- a/crates/core/src/bytes/connections.rs
+++ b/crates/core/src/bytes/connections.rs
@@ -91,7 +91,7 @@
     /// in this way, and no request is cut.
     pub fn choose_to_end(&mut self) -> Option<ConnectionId> {
         let ending = self.connections.values().filter(|c| c.is_ending).count();
-        if ending > self.connections.len() / ENDING_SHARE {
+        if ending >= (self.connections.len() / ENDING_SHARE).max(1) {
             return None;
         }
         let mut busy = self.connections.iter_mut().filter(|(_, c)| c.requests > 0 && !c.is_ending);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -83,12 +83,6 @@
     ClaimsRestored = 1602, Error, "store shows an older copy of claims";
     /// A stored slot of claims cannot be decoded; it answers no call until it is repaired.
     ClaimsDamaged = 1603, Error, "claims cannot be read";
-    /// The gateway process has no room left for one kind of buffered bytes.
-    MemoryExhausted = 2121, Warn, "memory budget exhausted";
-    /// The gateway process has room again for this kind of buffered bytes.
-    MemoryRegained = 2122, Info, "memory budget has room again";
-    /// Connections were closed or not taken, since all places were in use.
-    ConnectionsClosed = 2123, Warn, "connections closed for others";
     /// The gateway process serves callers.
     GatewayStarted = 2001, Info, "gateway started";
     /// The gateway process received a request to stop.
@@ -128,6 +122,12 @@
     RequestAbandoned = 2111, Warn, "request abandoned";
     /// A request is refused, since capacity is kept for more urgent ranks.
     RankRefused = 2115, Info, "rank refused";
+    /// The gateway process has no room left for one kind of buffered bytes.
+    MemoryExhausted = 2121, Warn, "memory budget exhausted";
+    /// The gateway process has room again for this kind of buffered bytes.
+    MemoryRegained = 2122, Info, "memory budget has room again";
+    /// Connections were closed or not taken, since all places were in use.
+    ConnectionsClosed = 2123, Warn, "connections closed for others";
     /// A server is suspected to be lost or faulty.
     ServerSuspected = 2201, Warn, "server suspected";
     /// A server is not suspected any more.
@@ -148,6 +148,10 @@
     QuarantineBegan = 2209, Warn, "quarantine began";
     /// A fingerprint no longer explains crashes; requests with it are served.
     QuarantineEnded = 2210, Info, "quarantine ended";
+    /// This host's links to a server that other hosts hear are cut.
+    LinkCut = 2211, Warn, "link to a server is cut";
+    /// This host reaches a server again.
+    LinkRestored = 2212, Info, "link to a server is restored";
     /// A server that was said to have crashed still answers some host.
     CrashRefuted = 2213, Info, "crash refuted";
     /// A server names how many requests it takes from all hosts together.
@@ -160,10 +164,6 @@
     CrossingsExhausted = 2220, Info, "allowance for domain crossings exhausted";
     /// The host has its whole allowance for domain crossings.
     CrossingsAvailable = 2221, Info, "allowance for domain crossings available";
-    /// This host's links to a server that other hosts hear are cut.
-    LinkCut = 2211, Warn, "link to a server is cut";
-    /// This host reaches a server again.
-    LinkRestored = 2212, Info, "link to a server is restored";
     /// A version of the configuration was adopted.
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
--- a/crates/core/src/peering/observations.rs
+++ b/crates/core/src/peering/observations.rs
@@ -116,7 +116,8 @@
     pub prefill: Vec<PrefillRow>,
 }
 
-/// Adds up observations: loads and pending prefill are summed, of suspicions and slowness the strongest counts.
+/// Adds up observations: loads and pending prefill are summed, of suspicions and slowness the
+/// strongest counts.
 #[derive(Debug, Default)]
 pub struct ObservationSum {
     loads: HashMap<u32, LoadRow>,
--- a/crates/core/src/placement/crossing.rs
+++ b/crates/core/src/placement/crossing.rs
@@ -69,8 +69,8 @@
     /// The tokens taken beyond what the bucket held: by requests that had begun, and while no
     /// failure domain held all layers.
     pub overdrawn: f64,
-    /// The tokens of requests that were sent within a failure domain, or nowhere, because the
-    /// bucket did not hold the tokens of a crossing.
+    /// The tokens of requests that were sent within a failure domain, or nowhere, while the bucket
+    /// did not hold the tokens of a crossing.
     pub refused: f64,
 }
 
@@ -219,7 +219,7 @@
 
     /// Chooses another chain for a request that has begun on `current`. Hops that `current` has need
     /// no allowance again. Without an allowance, and without a chain within one domain, the request
-    /// may overdraw the bucket.
+    /// may overdraw the bucket, or cross without one if no domain holds all layers.
     pub fn choose_other(&self, needs: ChainNeeds<'_>, current: &Chain) -> Option<Chain> {
         let needs = ChainNeeds { current: Some(current), ..needs };
         let across = self.choose_across(needs)?;
--- a/crates/core/src/placement/load.rs
+++ b/crates/core/src/placement/load.rs
@@ -14,6 +14,9 @@
 /// How long the loads of other hosts count after the last news of them.
 pub const PEER_LOAD_TTL: Millis = Millis(1_500);
 
+/// The mean fraction of its answer's tokens that a request holds over its life.
+pub const MEAN_HELD_FRACTION: f64 = 0.55;
+
 /// Work in progress on one server.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Load {
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -1,6 +1,7 @@
 //! Chooses the chain for a request: the cheapest path through all layers over servers that have
 //! capacity left. Costs are in ms per generated token.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
 use smallvec::SmallVec;
@@ -214,8 +215,9 @@
 /// Returns whether the `holders` of one failure domain hold all layers, with or without capacity
 /// left.
 pub fn has_complete_domain(profile: &EngineProfile, holders: &[LayerHolder]) -> bool {
-    let mut first = holders.iter().filter(|h| h.layers.from == 0);
-    first.any(|h| contiguous_layers(profile, holders, &h.domain) == profile.layers)
+    let first = holders.iter().filter(|h| h.layers.from == 0);
+    let domains: BTreeSet<&DomainName> = first.map(|h| &h.domain).collect();
+    domains.into_iter().any(|d| contiguous_layers(profile, holders, d) == profile.layers)
 }
 
 /// Returns the first layer that no holder of `domain` holds.
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -208,6 +208,7 @@
     limit: usize,
     time_left: Millis,
 ) -> Result<Bytes, BodyError> {
+    let limit = limit.min(gateway.byte_budget.largest(UseKind::Bodies));
     let length = stated_length(&body);
     if length.is_some_and(|length| length > limit) {
         return Err(BodyError::TooLong);
@@ -282,7 +283,8 @@
     if length.is_some_and(|length| length > limit) {
         return Err(BodyError::TooLong);
     }
-    let mut buffer = Buffer::new(gateway.byte_budget.reservation(UseKind::Answers), limit);
+    let reservation = gateway.byte_budget.reservation(UseKind::Answers);
+    let mut buffer = Buffer::new(reservation, length.unwrap_or(limit));
     wait_for_answer_room(gateway, &mut buffer, length.unwrap_or(0), waits).await;
     while let Some(part) = next_part(&mut body).await? {
         let missing = buffer.missing(part.len())?;
@@ -305,11 +307,11 @@
     }
     gateway.note_exhausted(UseKind::Answers);
     waits.set(true);
-    let patient_until = gateway.clock.now() + ANSWER_ROOM_WAIT;
+    let may_exceed_at = gateway.clock.now() + ANSWER_ROOM_WAIT;
     let budget = &gateway.byte_budget;
     while buffer.reservation.grow(more).is_err() {
-        let is_patient = gateway.clock.now() < patient_until;
-        if !is_patient && budget.used(UseKind::Answers) <= budget.limit(UseKind::Answers) {
+        let may_exceed = gateway.clock.now() >= may_exceed_at;
+        if may_exceed && budget.used(UseKind::Answers) <= budget.limit(UseKind::Answers) {
             buffer.reservation.grow_beyond(buffer.limit - buffer.reservation.bytes());
             break;
         }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -46,7 +46,7 @@
     turned_away: HashMap<Rejection, Counter>,
     rank_refusals: Vec<Counter>,
     idle_closed: Counter,
-    refused: Counter,
+    connections_refused: Counter,
     sent: Counter,
     passed_on: Counter,
     taken: Counter,
@@ -90,7 +90,7 @@
                 .collect(),
             rank_refusals: (0..=MAX_RANK.0).map(|r| rank_counter(&recorder, Rank(r))).collect(),
             idle_closed: counter(&recorder, "yuccanotch_idle_connections_closed_total", None),
-            refused: counter(&recorder, "yuccanotch_connections_refused_total", None),
+            connections_refused: counter(&recorder, "yuccanotch_connections_refused_total", None),
             sent: counter(&recorder, "yuccanotch_attempts_total", None),
             passed_on: counter(&recorder, "yuccanotch_requests_passed_on_total", None),
             taken: counter(&recorder, "yuccanotch_requests_taken_total", None),
@@ -181,7 +181,7 @@
 
     /// Counts a new connection that found no place.
     pub fn connection_refused(&self) {
-        self.refused.increment(1);
+        self.connections_refused.increment(1);
     }
 
     /// Counts a move of a request to another chain; `taken` tells whether the server accepted it.
@@ -245,9 +245,8 @@
         gauge.set(value);
     }
 
-    /// Sets the counters of tokens that were asked of the link between failure domains. A bucket
-    /// counts its own tokens, which begin at zero again when the service names its link anew.
-    fn crossings(&self, gateway: &Gateway) {
+    /// Sets the counters of tokens that were asked of the link between failure domains.
+    fn set_crossing_counters(&self, gateway: &Gateway) {
         for (service, totals) in gateway.routing.crossing_totals() {
             for (outcome, tokens) in totals.by_outcome() {
                 let service = Label::new("service", service.as_str().to_owned());
@@ -299,7 +298,7 @@
         self.gauge("yuccanotch_prefill_tokens_pending_most", loads.largest_prefill() as f64);
         let limited = gateway.routing.limits.borrow().count();
         self.gauge("yuccanotch_servers_limited", limited as f64);
-        self.crossings(gateway);
+        self.set_crossing_counters(gateway);
         gateway.routing.for_each_reservation(|service, level, utilization| {
             self.service_gauge("yuccanotch_service_utilization", service, utilization);
             self.service_gauge("yuccanotch_service_admitted_rank", service, f64::from(level.0));
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -33,6 +33,7 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::routes::Team;
 use yuccanotch_core::ids::RequestId;
+use yuccanotch_core::placement::load::MEAN_HELD_FRACTION;
 use yuccanotch_core::quarantine;
 use yuccanotch_core::quarantine::Fingerprints;
 
@@ -62,8 +63,6 @@
 const DEADLINE_MARGIN: Millis = Millis(8);
 /// The time that must be left until the deadline for another attempt.
 const MIN_TIME_FOR_RETRY: Millis = Millis(15);
-/// The mean fraction of its answer's tokens that a request holds over its life.
-const MEAN_HELD_FRACTION: f64 = 0.55;
 /// The fraction of the largest answer that a request without an estimate is expected to produce.
 const DEFAULT_LENGTH_FRACTION: f64 = 0.6;
 /// The tokens expected of a request that does not state the length of its prompt.
@@ -407,7 +406,7 @@
     }
 
     /// Returns the number of tokens that servers without the request's KV cache have to prefill: the
-    /// prompt, and what has been answered.
+    /// prompt, or the mean of the tokens held once the answer has begun.
     fn tokens_to_prefill(&self) -> u32 {
         if self.outcome.has_begun() {
             return self.expected_load() as u32;
--- a/crates/gateway/src/exchange/rank.rs
+++ b/crates/gateway/src/exchange/rank.rs
@@ -94,7 +94,7 @@
     fn refused_caller(&self) -> RefusedCaller {
         RefusedCaller {
             time_left: self.deadline.since(self.gateway.clock.now()),
-            hosts: self.gateway.live_hosts(),
+            hosts: self.gateway.routing.hosts(),
             random: rand::random(),
         }
     }
--- a/crates/gateway/src/exchange/silence.rs
+++ b/crates/gateway/src/exchange/silence.rs
@@ -45,8 +45,8 @@
 
     /// Finds out which server of a silent chain has crashed, or else requests the report of the first
     /// one, which names the server that it waits for, and moves the request to a chain without that
-    /// one. The report is old, so that it names a crashed server later than the check finds it. A silent plain server counts as lost if another one can
-    /// take the request.
+    /// one. The check comes first, since the report is `report_lag_ms` old. A silent plain server counts
+    /// as lost if another one can take the request.
     pub(super) async fn check_silent_server(&mut self, timeout: Duration) -> ServerProgress {
         // The next event ends the suspicions that the silence gives rise to.
         if let Some(current) = &mut self.current {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
-use tokio::task::JoinSet;
 use tokio::time;
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
@@ -42,6 +41,8 @@
 /// The longest time that a request waits for the check of a later server of its chain, before it is
 /// moved away from that server.
 const LATER_SERVER_WAIT: Duration = Duration::from_millis(20);
+/// The pause between two looks at whether checks have ended.
+const CHECK_POLL: Duration = Duration::from_millis(1);
 /// The most crashes found by this host that are remembered, so that each is checked once.
 const MAX_CHECKED: usize = 64;
 /// The requests in flight and the crashes that this host knows.
@@ -86,6 +87,10 @@
         self.state.borrow().find_quarantined(self.clock.now(), fingerprints)
     }
 
+    fn is_being_checked(&self, server: &ServerName) -> bool {
+        self.checks.borrow().contains(server)
+    }
+
     /// Forgets findings that are too old.
     pub fn on_tick(&self) {
         self.listening.borrow_mut().on_tick(self.clock.now());
@@ -250,16 +255,22 @@
     silent_since: Millis,
 ) -> bool {
     let now = gateway.clock.now();
-    let mut checks = JoinSet::new();
-    for stage in chain.stages().iter().skip(1) {
+    let later = &chain.stages()[1..];
+    for stage in later {
         if gateway.crashes.listening.borrow().is_check_due(now, &stage.server) {
             let server = stage.server.clone();
-            checks.spawn_local(check_server(gateway.clone(), server, stage.address, silent_since));
+            let check = check_server(gateway.clone(), server, stage.address, silent_since);
+            tokio::task::spawn_local(check);
         }
     }
-    let all_done = async { while checks.join_next().await.is_some() {} };
+    // The check of a server may have been begun for another request.
+    let all_done = async {
+        time::sleep(CHECK_POLL).await;
+        while later.iter().any(|stage| gateway.crashes.is_being_checked(&stage.server)) {
+            time::sleep(CHECK_POLL).await;
+        }
+    };
     let _ = time::timeout(LATER_SERVER_WAIT, all_done).await;
-    checks.detach_all();
     let checked = gateway.crashes.checked.borrow();
     // An event since then has shown that the server works after all.
     let is_down = |server: &ServerName| {
--- a/crates/gateway/src/routing/crossings.rs
+++ b/crates/gateway/src/routing/crossings.rs
@@ -63,7 +63,7 @@
     }
 
     /// Fills the allowances of all services that name the capacity of the link between domains, and
-    /// removes all others.
+    /// removes those of services that are no longer configured.
     pub(super) fn fill_crossings(&self, now: Millis, hosts: usize) {
         let Some(configuration) = self.views.configuration() else {
             return;
@@ -72,7 +72,7 @@
         let shares: Vec<(&ServiceName, CrossingShare)> =
             configuration.services().filter_map(|s| Some((&s.name, share_of(s)?))).collect();
         let mut crossings = self.crossings.borrow_mut();
-        crossings.retain(|service, _| shares.iter().any(|(s, _)| *s == service));
+        crossings.retain(|service, _| configuration.service(service).is_some());
         for (service, share) in shares {
             let bucket =
                 crossings.entry(service.clone()).or_insert_with(|| CrossingBucket::new(now, share));
--- a/crates/gateway/src/routing/reservations.rs
+++ b/crates/gateway/src/routing/reservations.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns the number of hosts believed alive.
+    pub fn hosts(&self) -> usize {
+        self.hosts.get()
+    }
+
     /// Records the number of hosts believed alive, which share the capacity of the servers.
     pub fn set_hosts(&self, hosts: usize) {
         self.hosts.set(hosts);
