--- a/crates/core/src/placement/crossing.rs
+++ b/crates/core/src/placement/crossing.rs
@@ -11,6 +11,7 @@
 use crate::placement::path;
 use crate::placement::path::ChainNeeds;
 use crate::placement::path::LayerHolder;
+use crate::placement::shortage;
 
 /// The part of the link's capacity that the hosts use. The rest is left for hosts that start in the
 /// meantime, for requests that exceed their expected length and for overdrafts.
@@ -196,7 +197,7 @@
     /// It may if the bucket holds the tokens of one crossing. If no failure domain holds all layers,
     /// it may without an allowance, since no other chain exists.
     pub fn may_cross(&self) -> bool {
-        self.has_allowance() || !path::has_complete_domain(self.profile, self.holders)
+        self.has_allowance() || !shortage::has_complete_domain(self.profile, self.holders)
     }
 
     /// Returns whether the bucket holds the tokens of one crossing.
--- a/crates/core/src/placement/crossing_tests.rs
+++ b/crates/core/src/placement/crossing_tests.rs
@@ -20,8 +20,9 @@
 use crate::placement::path;
 use crate::placement::path::ChainNeeds;
 use crate::placement::path::LayerHolder;
-use crate::placement::path::NoChain;
 use crate::placement::path_tests::planned_holders;
+use crate::placement::shortage;
+use crate::placement::shortage::NoChain;
 use crate::placement::tests::profile;
 
 /// The tokens of a request of mean length in [`profile`].
@@ -227,7 +228,7 @@
     let domain = DomainName::new("b");
     let profile = linked_profile();
     let within = ChainNeeds { may_cross: false, ..needs(&domain) };
-    let reason = path::explain_no_chain(&profile, &holders, within);
+    let reason = shortage::explain_no_chain(&profile, &holders, within);
     assert_eq!(reason, NoChain::OnlyAcrossDomains);
     assert!(path::choose_chain(&profile, &holders, needs(&domain)).is_some());
 }
@@ -237,7 +238,7 @@
 fn where_no_domain_holds_all_layers_requests_cross_without_an_allowance() {
     let mut holders = without_layer(planned_holders(), "a", 10);
     holders = without_layer(without_layer(holders, "b", 40), "c", 70);
-    assert!(!path::has_complete_domain(&linked_profile(), &holders));
+    assert!(!shortage::has_complete_domain(&linked_profile(), &holders));
     let mut bucket = empty_bucket();
     for _ in 0..50 {
         let chain = choose(&holders, "a", &bucket).expect("a chain");
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -17,5 +17,6 @@
 pub mod plan;
 #[cfg(test)]
 mod prefill_tests;
+pub mod shortage;
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/placement/path.rs
+++ b/crates/core/src/placement/path.rs
@@ -1,7 +1,6 @@
 //! Chooses the chain for a request: the cheapest path through all layers over servers that have
 //! capacity left. Costs are in ms per generated token.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
 use smallvec::SmallVec;
@@ -102,7 +101,7 @@
 }
 
 impl ChainNeeds<'_> {
-    fn may_be_first_stage(&self, holder: &LayerHolder) -> bool {
+    pub(super) fn may_be_first_stage(&self, holder: &LayerHolder) -> bool {
         let keeps_first = self.current.is_none_or(|chain| chain.first().address == holder.address);
         let may_begin = holder.may_begin || self.current.is_some();
         let is_allowed = self.allowed_first.is_none_or(|first| first.contains(&holder.server));
@@ -160,86 +159,6 @@
 const NO_PATH: CheapestPath =
     CheapestPath { cost: f64::INFINITY, candidate: usize::MAX, from: 0, predecessor: usize::MAX };
 
-/// The reason for which no chain was found.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NoChain {
-    /// No usable server that holds a certain layer has capacity left.
-    LayerUnavailable {
-        /// The first layer of which that is true.
-        layer: u16,
-        /// The number of servers that hold it, with or without capacity left.
-        holders: usize,
-    },
-    /// Each layer has a holder with capacity left, but no holder of the first layer may be the
-    /// first stage.
-    FirstServerUnavailable {
-        /// The number of holders of the first layer, which have no free slot or are not allowed.
-        holders: usize,
-    },
-    /// Each layer has a holder with capacity left and a server may be the first stage, but the
-    /// ranges that servers hold do not connect to a chain.
-    RangesDoNotMeet,
-    /// There is a chain, but only over hops between failure domains, which the request may not use.
-    OnlyAcrossDomains,
-}
-
-/// Determines why `holders` offer no chain for `need`.
-pub fn explain_no_chain(
-    profile: &EngineProfile,
-    holders: &[LayerHolder],
-    need: ChainNeeds<'_>,
-) -> NoChain {
-    let holders_of =
-        |layer: u16| holders.iter().filter(move |h| h.layers.from <= layer && layer < h.layers.to);
-    let has_capacity =
-        |layer: &u16| holders_of(*layer).any(|h| Candidate::new(profile, h, need).is_some());
-    match (0..profile.layers).find(|layer| !has_capacity(layer)) {
-        Some(layer) => NoChain::LayerUnavailable { layer, holders: holders_of(layer).count() },
-        None if !holders_of(0).any(|h| may_be_first_stage(profile, h, need)) => {
-            NoChain::FirstServerUnavailable { holders: holders_of(0).count() }
-        }
-        None if has_chain_across_domains(profile, holders, need) => NoChain::OnlyAcrossDomains,
-        None => NoChain::RangesDoNotMeet,
-    }
-}
-
-fn has_chain_across_domains(
-    profile: &EngineProfile,
-    holders: &[LayerHolder],
-    need: ChainNeeds<'_>,
-) -> bool {
-    let across = ChainNeeds { may_cross: true, ..need };
-    !need.may_cross && choose_chain(profile, holders, across).is_some()
-}
-
-/// Returns whether the `holders` of one failure domain hold all layers, with or without capacity
-/// left.
-pub fn has_complete_domain(profile: &EngineProfile, holders: &[LayerHolder]) -> bool {
-    let first = holders.iter().filter(|h| h.layers.from == 0);
-    let domains: BTreeSet<&DomainName> = first.map(|h| &h.domain).collect();
-    domains.into_iter().any(|d| contiguous_layers(profile, holders, d) == profile.layers)
-}
-
-/// Returns the first layer that no holder of `domain` holds.
-fn contiguous_layers(profile: &EngineProfile, holders: &[LayerHolder], domain: &DomainName) -> u16 {
-    let mut next = 0;
-    loop {
-        let adjoining = holders
-            .iter()
-            .filter(|h| h.layers.from <= next && next < h.layers.to)
-            .filter(|h| profile.has_layers(h.layers) && h.domain == *domain);
-        match adjoining.map(|h| h.layers.to).max() {
-            Some(to) => next = to,
-            None => return next,
-        }
-    }
-}
-
-fn may_be_first_stage(profile: &EngineProfile, holder: &LayerHolder, need: ChainNeeds<'_>) -> bool {
-    let candidate = Candidate::new(profile, holder, need);
-    need.may_be_first_stage(holder) && candidate.is_some_and(|c| c.may_be_first)
-}
-
 /// Chooses the cheapest chain through `holders` that meets `need`, if there is one.
 ///
 /// If no chain keeps to the bound on the prefill backlog, the cheapest one without that bound is
@@ -400,17 +319,21 @@
 }
 
 /// A holder with capacity left for the request, and the factors on its cost.
-struct Candidate<'a> {
+pub(super) struct Candidate<'a> {
     holder: &'a LayerHolder,
     layers: LayerRange,
-    may_be_first: bool,
+    pub(super) may_be_first: bool,
     congestion_factor: f64,
     slot_congestion_factor: f64,
     prefill_backlog_ms: f64,
 }
 
 impl<'a> Candidate<'a> {
-    fn new(profile: &EngineProfile, holder: &'a LayerHolder, need: ChainNeeds<'_>) -> Option<Self> {
+    pub(super) fn new(
+        profile: &EngineProfile,
+        holder: &'a LayerHolder,
+        need: ChainNeeds<'_>,
+    ) -> Option<Self> {
         if !profile.has_layers(holder.layers) {
             return None;
         }
--- a/crates/core/src/placement/path_tests.rs
+++ b/crates/core/src/placement/path_tests.rs
@@ -22,10 +22,11 @@
 use crate::placement::path;
 use crate::placement::path::ChainNeeds;
 use crate::placement::path::LayerHolder;
-use crate::placement::path::NoChain;
 use crate::placement::plan::plan;
 use crate::placement::plan::ModelServer;
 use crate::placement::plan::Plan;
+use crate::placement::shortage;
+use crate::placement::shortage::NoChain;
 use crate::placement::tests::fleet;
 use crate::placement::tests::profile;
 use crate::placement::tests::uncovered_layers;
@@ -202,7 +203,7 @@
         spread_seed: None,
     };
     assert_eq!(path::choose_chain(&profile(), &holders, need), None);
-    let reason = path::explain_no_chain(&profile(), &holders, need);
+    let reason = shortage::explain_no_chain(&profile(), &holders, need);
     assert!(matches!(reason, NoChain::FirstServerUnavailable { holders: 3.. }), "{reason:?}");
 }
 
@@ -212,7 +213,7 @@
     holders.retain(|h| !(h.layers.from <= 33 && 33 < h.layers.to));
     assert_eq!(choose_for(&holders, "a"), None);
     let domain = DomainName::new("a");
-    let reason = path::explain_no_chain(
+    let reason = shortage::explain_no_chain(
         &profile(),
         &holders,
         ChainNeeds {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod request_log;
 mod room_wait;
 mod silence;
+mod tokens;
 
 use std::fmt::Display;
 use std::net::SocketAddrV4;
@@ -33,7 +34,6 @@
 use yuccanotch_core::forward::routes::Service;
 use yuccanotch_core::forward::routes::Team;
 use yuccanotch_core::ids::RequestId;
-use yuccanotch_core::placement::load::MEAN_HELD_FRACTION;
 use yuccanotch_core::quarantine;
 use yuccanotch_core::quarantine::Fingerprints;
 
@@ -47,7 +47,6 @@
 use crate::relay::Relayed;
 use crate::relay::TriedServers;
 use crate::routing::InProgress;
-use crate::routing::RequestTokens;
 use crate::routing::Target;
 
 /// The shortest and longest time that a refused caller is told to wait before it tries again, in
@@ -63,10 +62,6 @@
 const DEADLINE_MARGIN: Millis = Millis(8);
 /// The time that must be left until the deadline for another attempt.
 const MIN_TIME_FOR_RETRY: Millis = Millis(15);
-/// The fraction of the largest answer that a request without an estimate is expected to produce.
-const DEFAULT_LENGTH_FRACTION: f64 = 0.6;
-/// The tokens expected of a request that does not state the length of its prompt.
-const DEFAULT_REQUEST_TOKENS: f64 = 1_000.0;
 
 /// A request whose body is complete and that is sent to servers until it has a final answer.
 pub struct Exchange {
@@ -387,33 +382,6 @@
         self.caller.id.as_deref().unwrap_or("")
     }
 
-    /// Returns the number of tokens that the request is expected to hold, in the mean over its
-    /// life.
-    fn expected_load(&self) -> f64 {
-        self.expected_tokens().held
-    }
-
-    /// Returns the expected tokens of the request.
-    fn expected_tokens(&self) -> RequestTokens {
-        let Some(prompt) = self.caller.prompt_tokens else {
-            return RequestTokens { held: DEFAULT_REQUEST_TOKENS, total: DEFAULT_REQUEST_TOKENS };
-        };
-        let most = f64::from(self.caller.max_tokens.unwrap_or(0));
-        let expected =
-            self.caller.expected_tokens.map_or(most * DEFAULT_LENGTH_FRACTION, f64::from);
-        let (prompt, answer) = (f64::from(prompt), expected.min(most));
-        RequestTokens { held: prompt + MEAN_HELD_FRACTION * answer, total: prompt + answer }
-    }
-
-    /// Returns the number of tokens that servers without the request's KV cache have to prefill: the
-    /// prompt, or the mean of the tokens held once the answer has begun.
-    fn tokens_to_prefill(&self) -> u32 {
-        if self.outcome.has_begun() {
-            return self.expected_load() as u32;
-        }
-        self.caller.prompt_tokens.unwrap_or(DEFAULT_REQUEST_TOKENS as u32)
-    }
-
     /// Adds what a host that passed the request on needs to know to the head of an answer.
     fn add_relay_fields(&self, fields: &mut HeaderMap) {
         if self.is_relayed {
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -37,10 +37,10 @@
 use yuccanotch_core::placement::engine::EngineProfile;
 use yuccanotch_core::placement::load::PendingPrefill;
 use yuccanotch_core::placement::load::ServerLoads;
-use yuccanotch_core::placement::path;
 use yuccanotch_core::placement::path::ChainNeeds;
 use yuccanotch_core::placement::path::LayerHolder;
-use yuccanotch_core::placement::path::NoChain;
+use yuccanotch_core::placement::shortage;
+use yuccanotch_core::placement::shortage::NoChain;
 
 use crate::event_log::EventLog;
 use crate::links::Links;
@@ -269,7 +269,7 @@
         let may_cross =
             self.with_chooser(service, profile, &holders, tokens, |chooser| chooser.may_cross());
         let needs = ChainNeeds { may_cross, ..self.chain_needs(tokens) };
-        match path::explain_no_chain(profile, &holders, needs) {
+        match shortage::explain_no_chain(profile, &holders, needs) {
             NoChain::LayerUnavailable { layer, holders } => {
                 format!("layer {layer} of {holders} holders")
             }
