--- a/crates/core/src/bytes/connections.rs
+++ b/crates/core/src/bytes/connections.rs
@@ -4,8 +4,8 @@
 
 use crate::clock::Millis;
 
-/// The part of the connections that may be ending after their answers at a time, as a divisor. It keeps
-/// sound callers from all having to connect anew under overload.
+/// The part of the connections beyond which no further one ends after its answer, as a divisor. It
+/// keeps sound callers from all having to connect anew under overload, and lets one of few end.
 const ENDING_SHARE: usize = 8;
 
 /// An open connection.
@@ -91,7 +91,7 @@
     /// in this way, and no request is cut.
     pub fn choose_to_end(&mut self) -> Option<ConnectionId> {
         let ending = self.connections.values().filter(|c| c.is_ending).count();
-        if ending >= (self.connections.len() / ENDING_SHARE).max(1) {
+        if ending > self.connections.len() / ENDING_SHARE {
             return None;
         }
         let mut busy = self.connections.iter_mut().filter(|(_, c)| c.requests > 0 && !c.is_ending);
