Log answers that name no request or another one

Whether a late copy of an order's answer, of a report or of another request is at fault could not be told from the log: nothing said what a kept connection had carried before, and an answer without an id left no line at all.

Connections know their purpose now, and line 2112 names the request that was asked, the one that is named, the status, and what the connection carried before. No decision changes.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -120,6 +120,8 @@
     RequestPassedOn = 2110, Info, "request passed on";
     /// The process exits, or the task of a request panics, while the request has no final answer.
     RequestAbandoned = 2111, Warn, "request abandoned";
+    /// An answer that does not name the message that it follows on its connection.
+    AnswerUnnamed = 2112, Info, "answer without the id of its request";
     /// A request is refused, since capacity is kept for more urgent ranks.
     RankRefused = 2115, Info, "rank refused";
     /// The gateway process has no room left for one kind of buffered bytes.
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -25,6 +25,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::ServerProgress;
 use crate::pool::PooledConnection;
+use crate::pool::Purpose;
 use crate::pool::Reuse;
 use crate::pool::SendError;
 use crate::relay;
@@ -58,7 +59,8 @@
         self.current = None;
         let attempts_left = self.outcome.attempts_left();
         self.outcome.on_send(AttemptTarget::Untried);
-        let Ok(mut conn) = gateway.pool.acquire(relay, Reuse::Allowed).await else {
+        let Ok(mut conn) = gateway.pool.acquire(relay, Purpose::Requests, Reuse::Allowed).await
+        else {
             gateway.avoid_host(relay);
             return unanswered(AttemptEnd::NotSent, EndReason::Connect);
         };
@@ -76,6 +78,9 @@
         self.add_tried(relay::take_tried(&mut head.headers));
         let reply = gateway.adapter.decode_reply(&head);
         let is_own = reply.id.as_deref() == self.caller.id.as_deref();
+        if !is_own {
+            gateway.log_unnamed_answer(self.caller.id.as_deref(), &head, &reply, &conn);
+        }
         if !is_own || (head.status.is_success() && !reply.sealed) {
             return unanswered(AttemptEnd::Broken, EndReason::OtherAnswer);
         }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -36,6 +36,7 @@
 use crate::exchange::Exchange;
 use crate::exchange::ServerProgress;
 use crate::pool::PooledConnection;
+use crate::pool::Purpose;
 use crate::pool::Reuse;
 use crate::pool::SendError;
 use crate::quarantine;
@@ -59,7 +60,9 @@
         let asked = gateway.incarnation(target.server());
         let known = self.tried.contains(target.server());
         let receiver = if known { AttemptTarget::Tried } else { AttemptTarget::Untried };
-        let mut conn = match gateway.pool.acquire(target.address(), Reuse::Allowed).await {
+        let address = target.address();
+        let acquired = gateway.pool.acquire(address, Purpose::Requests, Reuse::Allowed).await;
+        let mut conn = match acquired {
             Ok(conn) => conn,
             Err(_) => {
                 gateway.links.on_failure(target.server(), LinkFailure::NoConnection);
@@ -87,10 +90,13 @@
         let reply = gateway.adapter.decode_reply(&head);
         let announcer = match head.status {
             // Whoever has the address now is not the one that was asked.
-            StatusCode::MISDIRECTED_REQUEST => Announcer::At(target.address()),
+            StatusCode::MISDIRECTED_REQUEST => Announcer::At(address),
             _ => Announcer::Asked(&asked),
         };
         gateway.record_announcements(announcer, &reply);
+        if reply.id.as_deref() != self.caller.id.as_deref() {
+            gateway.log_unnamed_answer(self.caller.id.as_deref(), &head, &reply, &conn);
+        }
         if let Some(ended) = self.check_reply(&head, &reply, target, conn.is_new()) {
             if let Some(address) = reply.at_fault {
                 self.check_declining_stage(address).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 #[cfg(test)]
 mod answer_tests;
+mod attribution;
 mod body;
 pub mod callers;
 mod connections;
@@ -32,6 +33,7 @@
 pub mod reload;
 pub mod reports;
 pub mod routing;
+mod server_calls;
 pub mod settings;
 pub mod shutdown;
 pub mod store;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,9 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
+use std::fmt::Display;
+use std::fmt::Formatter;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
@@ -52,6 +55,33 @@
     }
 }
 
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Purpose {
+    /// Requests of callers, to servers and to other hosts.
+    Requests,
+    /// Requests for the reports of model servers.
+    Reports,
+    /// An order to a model server.
+    Order,
+    /// A check of a server's health.
+    HealthCheck,
+    /// Calls to the store.
+    StoreCalls,
+}
+
+impl Display for Purpose {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Requests => "requests",
+            Self::Reports => "reports",
+            Self::Order => "order",
+            Self::HealthCheck => "health_check",
+            Self::StoreCalls => "store_calls",
+        })
+    }
+}
+
 /// A connection to one server; dropping it closes it at once.
 #[derive(Debug)]
 pub struct PooledConnection {
@@ -59,7 +89,9 @@
     task: JoinHandle<()>,
     address: SocketAddrV4,
     idle_until: Millis,
-    is_new: bool,
+    purpose: Purpose,
+    // What the connection was used for before the present message; `None` on a new one.
+    carried: Option<Purpose>,
     head_limit: HeadLimit,
 }
 
@@ -72,7 +104,18 @@
 impl PooledConnection {
     /// Returns whether the connection was established for the present request.
     pub fn is_new(&self) -> bool {
-        self.is_new
+        self.carried.is_none()
+    }
+
+    /// Returns what the connection is used for.
+    pub fn purpose(&self) -> Purpose {
+        self.purpose
+    }
+
+    /// Returns what the connection was used for last before the present message, as a text for the
+    /// log.
+    pub fn carried_text(&self) -> String {
+        self.carried.map_or("nothing".to_owned(), |purpose| purpose.to_string())
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -121,7 +164,7 @@
         Rc::new(Self { clock, source, idle: RefCell::default() })
     }
 
-    /// Returns an idle connection to `address`, or establishes a new one.
+    /// Returns an idle connection to `address`, or establishes a new one, for `purpose`.
     ///
     /// # Errors
     ///
@@ -129,10 +172,12 @@
     pub async fn acquire(
         &self,
         address: SocketAddrV4,
+        purpose: Purpose,
         reuse: Reuse,
     ) -> io::Result<PooledConnection> {
         if reuse == Reuse::Allowed {
-            if let Some(conn) = self.take_idle(address) {
+            if let Some(mut conn) = self.take_idle(address) {
+                conn.purpose = purpose;
                 return Ok(conn);
             }
         }
@@ -150,7 +195,8 @@
             task,
             address,
             idle_until: Millis::ZERO,
-            is_new: true,
+            purpose,
+            carried: None,
             head_limit,
         })
     }
@@ -178,7 +224,7 @@
     /// server keeps it open when idle.
     pub fn release(&self, mut conn: PooledConnection, keep_alive: Option<Millis>) {
         let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
-        conn.is_new = false;
+        conn.carried = Some(conn.purpose);
         conn.idle_until = self.clock.now() + Millis(keep_alive.0 * KEEP_ALIVE_USED_PERCENT / 100);
         let mut idle = self.idle.borrow_mut();
         let conns = idle.entry(conn.address).or_default();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -21,6 +21,7 @@
 use crate::event_log::EventLog;
 use crate::issuer;
 use crate::pool::Pool;
+use crate::pool::Purpose;
 use crate::pool::Reuse;
 use crate::pool::SendError;
 
@@ -102,7 +103,7 @@
         let unanswered = |why: String| StoreError::Unanswered(why);
         let mut conn = self
             .pool
-            .acquire(self.address, Reuse::Allowed)
+            .acquire(self.address, Purpose::StoreCalls, Reuse::Allowed)
             .await
             .map_err(|e| unanswered(e.to_string()))?;
         let req = self.adapter.encode_store_call(&call.with_store_revisions());
