Believe an answer only if it names its request

Cause: what belongs to a request was decided by kinds of status, each with a condition of its own. Successes, unsealed 5xx and refusals on kept connections were rejected without an id; 3xx, 4xx, and 5xx with a seal were passed on. Announcements of such answers (a limit, a pause) were recorded, too.

Change: one rule by the id, core::forward::attribution, for all who read an answer of a server or of another host: an answer belongs to the request that it names. One that names none is believed only where it states that nothing was run and nothing was sent over the connection before. Where both ids were missing, any two matched; a request without an id is rejected (400) now, since no answer to it can be told from another's.

Evidence: an_answer_that_names_no_request_never_reaches_a_caller writes answers of 16 statuses, with and without a seal, before the second answer on a connection, on a safe, a non-idempotent and a streaming route. Before the change it fails at status 301; now the order gets 502, the others their own answer.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -1,6 +1,9 @@
 //! Forwarding of opaque requests to backend servers: routes, the list of servers and their health,
 //! retries, and the state of each request.
 
+pub mod attribution;
+#[cfg(test)]
+mod attribution_tests;
 pub mod budget;
 pub mod events;
 pub mod health;
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -133,6 +133,8 @@
     Rejection {
         /// A header field is invalid.
         Malformed = "malformed",
+        /// The request has no id.
+        Unnamed = "unnamed",
         /// No configuration is known yet.
         NoConfiguration = "no_configuration",
         /// Another host has passed the request on, which serves by a newer configuration.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -78,7 +78,9 @@
 
 fn rejection_status(rejection: Rejection) -> StatusCode {
     match rejection {
-        Rejection::Malformed | Rejection::BodyBroken => StatusCode::BAD_REQUEST,
+        Rejection::Malformed | Rejection::Unnamed | Rejection::BodyBroken => {
+            StatusCode::BAD_REQUEST
+        }
         Rejection::NoConfiguration
         | Rejection::OlderConfiguration
         | Rejection::Behind
@@ -285,7 +287,9 @@
     caller: &CallerRequest,
 ) -> Result<Admitted, Rejection> {
     let Allowed { configuration, route, team } = allow(gateway, &head, caller).await?;
-    let hash = xxh3_64(caller.id.as_deref().unwrap_or("").as_bytes());
+    // Without an id, no answer can be known to be the one to this request.
+    let id = caller.id.as_deref().filter(|id| !id.is_empty()).ok_or(Rejection::Unnamed)?;
+    let hash = xxh3_64(id.as_bytes());
     let service = route
         .service(hash)
         .and_then(|name| configuration.service(name))
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -77,10 +77,7 @@
         let (mut head, body) = response.into_parts();
         self.add_tried(relay::take_tried(&mut head.headers));
         let reply = gateway.adapter.decode_reply(&head);
-        let is_own = reply.id.as_deref() == self.caller.id.as_deref();
-        if !is_own {
-            gateway.log_unnamed_answer(self.caller.id.as_deref(), &head, &reply, &conn);
-        }
+        let is_own = gateway.is_own_answer(self.caller.id.as_deref(), &head, &reply, &conn);
         if !is_own || (head.status.is_success() && !reply.sealed) {
             return unanswered(AttemptEnd::Broken, EndReason::OtherAnswer);
         }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -93,11 +93,11 @@
             StatusCode::MISDIRECTED_REQUEST => Announcer::At(address),
             _ => Announcer::Asked(&asked),
         };
-        gateway.record_announcements(announcer, &reply);
-        if reply.id.as_deref() != self.caller.id.as_deref() {
-            gateway.log_unnamed_answer(self.caller.id.as_deref(), &head, &reply, &conn);
+        if !gateway.is_own_answer(self.caller.id.as_deref(), &head, &reply, &conn) {
+            return unanswered(AttemptEnd::Broken, EndReason::OtherAnswer);
         }
-        if let Some(ended) = self.check_reply(&head, &reply, target, conn.is_new()) {
+        gateway.record_announcements(announcer, &reply);
+        if let Some(ended) = self.check_reply(&head, &reply, target) {
             if let Some(address) = reply.at_fault {
                 self.check_declining_stage(address).await;
             }
@@ -206,23 +206,16 @@
         }
     }
 
-    /// Checks the head of an answer; returns the result of the attempt if the answer is unusable.
+    /// Checks the head of an answer to this request; returns the result of the attempt if the answer is
+    /// unusable.
     fn check_reply(
         &self,
         head: &http::response::Parts,
         reply: &ServerReply,
         target: &Target,
-        is_new_connection: bool,
     ) -> Option<AttemptResult> {
         let routing = &self.gateway.routing;
-        if reply.id.is_some() && reply.id.as_deref() != self.caller.id.as_deref() {
-            return Some(unanswered(AttemptEnd::Broken, EndReason::OtherAnswer));
-        }
         if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-            // On a kept connection a refusal that names no request may be that of an earlier one.
-            if reply.id.is_none() && !is_new_connection {
-                return Some(unanswered(AttemptEnd::Broken, EndReason::OtherAnswer));
-            }
             let at_fault = routing.record_decline(target.server(), reply.at_fault);
             self.gateway.event_log.line(
                 Event::RequestDeclined,
@@ -240,8 +233,7 @@
             };
             return Some(unanswered(end, EndReason::Declined));
         }
-        let unusable = !reply.sealed || reply.encoded || reply.id.is_none();
-        if head.status.is_success() && unusable {
+        if head.status.is_success() && (!reply.sealed || reply.encoded) {
             return Some(unanswered(AttemptEnd::Broken, EndReason::Unsealed));
         }
         if head.status.is_server_error() && !reply.sealed {
--- a/crates/gateway/src/server_calls.rs
+++ b/crates/gateway/src/server_calls.rs
@@ -110,9 +110,8 @@
         let response = conn.send(req).await.ok()?;
         let (head, body) = response.into_parts();
         let reply = self.adapter.decode_reply(&head);
-        // Reports, orders and health checks have no id: this answers an earlier request.
-        if reply.id.is_some() {
-            self.log_unnamed_answer(None, &head, &reply, &conn);
+        // Reports, orders and health checks have no id.
+        if !self.is_own_answer(None, &head, &reply, &conn) {
             return None;
         }
         self.record_announcements(Announcer::At(address), &reply);
