Give orders connections of their own

What callers and the issuer could see: answers to a host's own messages (orders, reports, health checks) have no id, and these shared the kept connections of callers' requests.

Cause: the pool knew addresses only. Change: a connection carries messages of one purpose. One that has carried an order or a health check is closed; reports keep connections of their own, since a late copy of a report is only an old report, and orders state what they expect.

Evidence: no_message_follows_an_order_on_its_connection_and_only_reports_follow_a_report failed before (the second order was believed done, the server had answered 409) and passes now.

--- a/crates/gateway/src/attribution.rs
+++ b/crates/gateway/src/attribution.rs
@@ -36,7 +36,7 @@
                     ("status", &head.status.as_u16()),
                     ("sealed", &reply.sealed),
                     ("purpose", &conn.purpose()),
-                    ("carried", &conn.carried_text()),
+                    ("is_new", &conn.is_new()),
                     ("is_own", &is_own),
                 ],
             );
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -30,7 +30,7 @@
 
 /// The longest wait for a connection to be established within the region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The largest number of idle connections to one address.
+/// The largest number of idle connections to one address for one purpose.
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 /// The idle time that is assumed of a server that names none.
 const DEFAULT_KEEP_ALIVE: Millis = Millis(4_000);
@@ -55,7 +55,8 @@
     }
 }
 
-/// What a connection is used for.
+/// What a connection is used for. Answers to a host's own messages name none of them, so a connection
+/// carries messages of one purpose only.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Purpose {
     /// Requests of callers, to servers and to other hosts.
@@ -70,6 +71,17 @@
     StoreCalls,
 }
 
+impl Purpose {
+    /// Returns whether a connection may carry another message after the answer to one. A late copy of the
+    /// answer to an order would pass for the answer to the next one; that of a report is only old.
+    fn keeps_connection(self) -> bool {
+        match self {
+            Self::Requests | Self::Reports | Self::StoreCalls => true,
+            Self::Order | Self::HealthCheck => false,
+        }
+    }
+}
+
 impl Display for Purpose {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -90,8 +102,7 @@
     address: SocketAddrV4,
     idle_until: Millis,
     purpose: Purpose,
-    // What the connection was used for before the present message; `None` on a new one.
-    carried: Option<Purpose>,
+    is_new: bool,
     head_limit: HeadLimit,
 }
 
@@ -104,7 +115,7 @@
 impl PooledConnection {
     /// Returns whether the connection was established for the present request.
     pub fn is_new(&self) -> bool {
-        self.carried.is_none()
+        self.is_new
     }
 
     /// Returns what the connection is used for.
@@ -112,12 +123,6 @@
         self.purpose
     }
 
-    /// Returns what the connection was used for last before the present message, as a text for the
-    /// log.
-    pub fn carried_text(&self) -> String {
-        self.carried.map_or("nothing".to_owned(), |purpose| purpose.to_string())
-    }
-
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -149,13 +154,13 @@
     Fresh,
 }
 
-/// The idle connections of each address.
+/// The idle connections of each address and purpose.
 #[derive(Debug)]
 pub struct Pool {
     clock: Clock,
     /// The address that connections are made from.
     source: Option<Ipv4Addr>,
-    idle: RefCell<HashMap<SocketAddrV4, Vec<PooledConnection>>>,
+    idle: RefCell<HashMap<(SocketAddrV4, Purpose), Vec<PooledConnection>>>,
 }
 
 impl Pool {
@@ -176,8 +181,7 @@
         reuse: Reuse,
     ) -> io::Result<PooledConnection> {
         if reuse == Reuse::Allowed {
-            if let Some(mut conn) = self.take_idle(address) {
-                conn.purpose = purpose;
+            if let Some(conn) = self.take_idle(address, purpose) {
                 return Ok(conn);
             }
         }
@@ -196,15 +200,15 @@
             address,
             idle_until: Millis::ZERO,
             purpose,
-            carried: None,
+            is_new: true,
             head_limit,
         })
     }
 
-    fn take_idle(&self, address: SocketAddrV4) -> Option<PooledConnection> {
+    fn take_idle(&self, address: SocketAddrV4, purpose: Purpose) -> Option<PooledConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        let conns = idle.get_mut(&address)?;
+        let conns = idle.get_mut(&(address, purpose))?;
         while let Some(conn) = conns.pop() {
             if now < conn.idle_until && conn.sender.is_ready() {
                 return Some(conn);
@@ -213,21 +217,26 @@
         None
     }
 
-    /// Returns whether an idle connection to `address` can be used.
+    /// Returns whether an idle connection to `address` can be used for requests.
     pub fn has_idle(&self, address: SocketAddrV4) -> bool {
         let now = self.clock.now();
         let is_usable = |conn: &PooledConnection| now < conn.idle_until && conn.sender.is_ready();
-        self.idle.borrow().get(&address).is_some_and(|conns| conns.iter().any(is_usable))
+        let idle = self.idle.borrow();
+        idle.get(&(address, Purpose::Requests)).is_some_and(|conns| conns.iter().any(is_usable))
     }
 
-    /// Returns a connection to the pool after a complete answer. `keep_alive` is how long the
+    /// Returns a connection to the pool after a complete answer, or closes it if it may carry no other
+    /// message. `keep_alive` is how long the
     /// server keeps it open when idle.
     pub fn release(&self, mut conn: PooledConnection, keep_alive: Option<Millis>) {
+        if !conn.purpose.keeps_connection() {
+            return;
+        }
         let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).min(MAX_KEEP_ALIVE);
-        conn.carried = Some(conn.purpose);
+        conn.is_new = false;
         conn.idle_until = self.clock.now() + Millis(keep_alive.0 * KEEP_ALIVE_USED_PERCENT / 100);
         let mut idle = self.idle.borrow_mut();
-        let conns = idle.entry(conn.address).or_default();
+        let conns = idle.entry((conn.address, conn.purpose)).or_default();
         if conns.len() < MAX_IDLE_PER_ADDRESS {
             conns.push(conn);
         }
@@ -245,6 +254,6 @@
 
     /// Closes all idle connections to `address`.
     pub fn close_idle(&self, address: SocketAddrV4) {
-        self.idle.borrow_mut().remove(&address);
+        self.idle.borrow_mut().retain(|(at, _), _| *at != address);
     }
 }
--- a/crates/gateway/src/server_calls.rs
+++ b/crates/gateway/src/server_calls.rs
@@ -93,7 +93,7 @@
         order: &Order<'_>,
     ) -> Option<OrderReply> {
         let req = self.adapter.encode_order(server, order);
-        let sending = self.send_request(address, req, Purpose::Order, Reuse::Allowed);
+        let sending = self.send_request(address, req, Purpose::Order, Reuse::Fresh);
         let (status, _) = time::timeout(ORDER_TIMEOUT, sending).await.ok()??;
         Some(self.adapter.decode_order_reply(status))
     }
