Send nothing to a server that a stopping host can't see answered

What callers saw: requests that a stopping host had read late in its grace period were passed on, run, and answered 502 or broken off at its end, orders among them; safe ones were sent to one server after the other.

Cause: until the phase Answering nothing asked whether a request that is sent now can still end.

Change: a stopping host sends a request only if its answer can come before that phase: its deadline falls earlier, or the route's requests almost always end in the time left (core::forward::durations, the estimate of RFC 6298 with three deviations, by the tokens of a stream). The same holds before each further attempt, and after the wait for room; a silent server isn't given up for an attempt without time. A begun stream goes on. A grace period that a reload shortens counts at once.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -5,6 +5,9 @@
 #[cfg(test)]
 mod attribution_tests;
 pub mod budget;
+pub mod durations;
+#[cfg(test)]
+mod durations_tests;
 pub mod events;
 pub mod health;
 pub mod item_log;
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -51,6 +51,19 @@
         Self { closing: DRAIN_NOTICE.min(answering), answering, exiting }
     }
 
+    /// Returns whether a request that is sent at `elapsed` after the signal to stop can be answered by its
+    /// server before the host answers it. `deadline` is the time left until its deadline, and `expected`
+    /// the time that it is expected to take, if that is known.
+    pub fn has_time_for(
+        &self,
+        elapsed: Millis,
+        deadline: Millis,
+        expected: Option<Millis>,
+    ) -> bool {
+        let needed = expected.map_or(deadline, |expected| expected.min(deadline));
+        needed <= self.answering.since(elapsed)
+    }
+
     /// Returns the phase at `elapsed` after the signal to stop.
     pub fn phase(&self, elapsed: Millis) -> ShutdownPhase {
         match elapsed {
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -64,7 +64,7 @@
             gateway.avoid_host(relay);
             return unanswered(AttemptEnd::NotSent, EndReason::Connect);
         };
-        self.sent_at = gateway.clock.now();
+        self.set_sent();
         let req = self.build_relayed_request(attempts_left);
         self.log_passed_on(relay);
         let response = match self.send_to_host(&mut conn, req).await {
@@ -103,6 +103,9 @@
         }
         // The other host has tried what the route allows before it passed on a server's failure.
         let is_failure = head.status.is_server_error();
+        if !is_failure {
+            self.record_duration();
+        }
         self.end_reason = if is_failure { EndReason::ServerError } else { EndReason::Answered };
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -77,7 +77,7 @@
         }
         let req = self.build_request(target);
         self.log_sent(target);
-        self.sent_at = gateway.clock.now();
+        self.set_sent();
         let servers = quarantine::crash_ids(&gateway, target);
         gateway.crashes.on_start(self.run, &self.fingerprints, servers);
         let sent = self.send_request(&mut conn, req, target).await;
@@ -112,6 +112,12 @@
         self.receive_whole_answer(head, reply, body, conn, target).await
     }
 
+    /// Records that an attempt is sent now.
+    pub(super) fn set_sent(&mut self) {
+        self.sent_at = self.gateway.clock.now();
+        self.first_sent_at.get_or_insert(self.sent_at);
+    }
+
     /// Finds out whether the server at `address` has crashed because of the request. A request that
     /// is declined at once met a server that was down before.
     async fn check_declining_stage(&self, address: SocketAddrV4) {
@@ -280,6 +286,7 @@
             };
         }
         self.gateway.routing.record_success(target);
+        self.record_duration();
         self.end_reason = EndReason::Answered;
         self.send_whole_answer(response);
         AttemptResult::Done
@@ -365,6 +372,7 @@
         }
         self.begin_answer(&head);
         self.end_reason = EndReason::Streamed;
+        self.record_duration();
         self.gateway.counters.stream_ended(self.first_event_delay, self.longest_gap);
         let held = self.gateway.clock.now().since(self.sent_at);
         self.gateway.routing.on_answered(&self.service.name, held);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -87,6 +87,8 @@
     // The time from the start of the request to its first event.
     first_event_delay: Millis,
     last_event_at: Millis,
+    // When the first attempt was sent.
+    first_sent_at: Option<Millis>,
     // When the present attempt was sent.
     sent_at: Millis,
     // The longest time between two successive events.
@@ -209,6 +211,7 @@
             version,
             first_event_delay: Millis::ZERO,
             last_event_at: started,
+            first_sent_at: None,
             sent_at: started,
             longest_gap: Millis::ZERO,
             target_text: String::new(),
@@ -267,7 +270,7 @@
             return;
         }
         loop {
-            if self.refuse_if_quarantined() {
+            if self.refuse_if_quarantined() || self.refuse_if_stopping() {
                 return;
             }
             let Some(destination) = self.wait_for_destination().await else {
@@ -286,8 +289,8 @@
                 return;
             };
             self.is_on_trial = false;
-            // Another host may have found a cause of crashes during the wait.
-            if self.refuse_if_quarantined() {
+            // Another host may have found a cause of crashes during the wait, or this one was told to stop.
+            if self.refuse_if_quarantined() || self.refuse_if_stopping() {
                 return;
             }
             let ended = match &destination {
@@ -332,6 +335,33 @@
         true
     }
 
+    /// Returns whether an attempt that is sent now can bring the answer before this host stops.
+    fn has_time(&self) -> bool {
+        let left = self.deadline.since(self.gateway.clock.now());
+        let expected = self.gateway.durations.borrow().expected(&self.route.name, self.work());
+        self.gateway.has_time_for(left, expected)
+    }
+
+    /// Ends the request without another attempt if this host stops before a server could answer it;
+    /// returns whether it did. Other hosts can serve the request. An answer that has begun goes on, since
+    /// its caller would lose what it has.
+    fn refuse_if_stopping(&mut self) -> bool {
+        if self.outcome.has_begun() || self.has_time() {
+            return false;
+        }
+        self.end_reason = EndReason::HostStopping;
+        let next = self.outcome.final_step();
+        self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY);
+        true
+    }
+
+    /// Records how long it took from the sending of the request to the end of its answer.
+    fn record_duration(&self) {
+        let duration = self.gateway.clock.now().since(self.first_sent_at.unwrap_or(self.sent_at));
+        let mut durations = self.gateway.durations.borrow_mut();
+        durations.record(&self.route.name, self.work(), duration);
+    }
+
     /// Records how an attempt ended.
     fn record_end(&self, end: AttemptEnd, destination: &Destination, why: EndReason) {
         let log = |key: &'static str, to: &dyn Display| {
--- a/crates/gateway/src/exchange/room_wait.rs
+++ b/crates/gateway/src/exchange/room_wait.rs
@@ -109,6 +109,7 @@
             target.is_some_and(|target| self.may_replace_current(&target))
         };
         self.outcome.would_retry(AttemptEnd::Silent, conditions)
+            && (self.outcome.has_begun() || self.has_time())
             && (has_other_target() || self.choose_host().is_some())
     }
 
--- a/crates/gateway/src/exchange/tokens.rs
+++ b/crates/gateway/src/exchange/tokens.rs
@@ -29,6 +29,12 @@
         RequestTokens { held: prompt + MEAN_HELD_FRACTION * answer, total: prompt + answer }
     }
 
+    /// Returns what the duration of the request grows with: the largest number of tokens of a stream, or
+    /// 1.
+    pub(super) fn work(&self) -> u32 {
+        self.caller.max_tokens.filter(|_| self.route.streaming).unwrap_or(1)
+    }
+
     /// Returns the number of tokens that servers without the request's KV cache have to prefill: the
     /// prompt, or the mean of the tokens held once the answer has begun.
     pub(super) fn tokens_to_prefill(&self) -> u32 {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -20,6 +20,7 @@
 use yuccanotch_core::clock::Clock;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::durations::Durations;
 
 use crate::adapter::ProtocolAdapter;
 use crate::answer::AnswerBody;
@@ -80,6 +81,8 @@
     pub views: Rc<Views>,
     /// Loads, health and retry budgets of the backend servers.
     pub routing: Rc<RoutingState>,
+    /// How long requests take.
+    pub durations: RefCell<Durations>,
     /// Metrics that the host exposes.
     pub counters: Counters,
     /// Recent reports of model servers.
@@ -170,6 +173,7 @@
             store,
             views,
             routing,
+            durations: RefCell::default(),
             counters: Counters::new().map_err(io::Error::other)?,
             reports: ReportCache::new(reports_clock),
             crashes,
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -1,9 +1,11 @@
 //! The shutdown of a host. `core::shutdown` says when its phases begin.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use tokio::sync::watch as watch_channel;
 use tokio::time;
+use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
 use yuccanotch_core::shutdown::ShutdownPhase;
 use yuccanotch_core::shutdown::ShutdownPlan;
@@ -16,11 +18,13 @@
 /// Tells the tasks of the process how far its shutdown has come.
 pub struct Shutdown {
     tx: watch_channel::Sender<ShutdownPhase>,
+    // When the signal to stop came.
+    began: Cell<Option<Millis>>,
 }
 
 impl Shutdown {
     pub(crate) fn new() -> Self {
-        Self { tx: watch_channel::Sender::new(ShutdownPhase::Running) }
+        Self { tx: watch_channel::Sender::new(ShutdownPhase::Running), began: Cell::new(None) }
     }
 
     /// Returns whether the process was told to stop.
@@ -46,11 +50,25 @@
     }
 }
 
+impl Gateway {
+    /// Returns whether a request that is sent now can be answered by its server before this process
+    /// exits, if it was told to. `deadline` is the time left until the deadline of the request, and
+    /// `expected` the time that it is expected to take, if that is known.
+    pub(crate) fn has_time_for(&self, deadline: Millis, expected: Option<Millis>) -> bool {
+        let Some(began) = self.shutdown.began.get() else {
+            return true;
+        };
+        let plan = ShutdownPlan::new(self.changeable().grace);
+        plan.has_time_for(self.clock.now().since(began), deadline, expected)
+    }
+}
+
 /// Ends the host: it reports that it is not ready, then closes callers' connections, gives the
 /// requests that are still in progress shortly before the end of the grace period a final answer, and
 /// returns when all have ended or the period is over.
 pub async fn run(gateway: &Gateway) {
     let began = gateway.clock.now();
+    gateway.shutdown.began.set(Some(began));
     loop {
         // The grace period may change meanwhile.
         let plan = ShutdownPlan::new(gateway.changeable().grace);
