Bound the heads that servers keep open

What operators of a like system saw: a faulty server sent bytes without end, and the machine ran out of memory. Here: one answer is bounded, the sum was not. 120 orders at a server that sends 390 kB of a head and then nothing took a host with a memory limit of 64 MB to a peak of 78.7 MB.

Cause: the read buffer of a connection to a server may grow to 400 kB by the library's default, and no account has it. Change: it is 32 KiB; a longer head breaks the attempt. Callers' connections are counted, and a request has one connection to a server, so the sum is bounded by them.

Evidence: many_heads_without_end_do_not_fill_the_memory failed before (peak 78.7 MB), passes with 30.0 MB.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -30,6 +30,9 @@
 
 /// The longest wait for a connection to be established within the region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The largest read buffer of a connection, in bytes, which bounds the head of an answer. Callers'
+/// connections count in the memory budget, and each of their requests has one connection to a server.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// The largest number of idle connections to one address for one purpose.
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 /// The idle time that is assumed of a server that names none.
@@ -188,7 +191,10 @@
         let stream = net::connect(self.source, address, CONNECT_TIMEOUT).await?;
         let head_limit = HeadLimit::default();
         let stream = LimitedStream::new(stream, head_limit.clone());
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
             // The request in progress, if any, gets the error as the result of its send.
