Count the events that servers keep open

Change: what an incomplete event holds beyond its first 8 KiB is reserved as chunks are. Without room the attempt ends (event_too_long), and the stream goes on at another server where it may; a sound stream's ordinary events need no room that faulty ones have taken.

--- a/crates/core/src/forward/events.rs
+++ b/crates/core/src/forward/events.rs
@@ -53,9 +53,14 @@
         !self.buf.is_empty()
     }
 
+    /// Returns the number of buffered bytes of an event that is not complete.
+    pub fn partial_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Discards a buffered part of an event, since the next bytes are those of another attempt.
     pub fn discard_partial_event(&mut self) {
-        self.buf.clear();
+        self.buf = BytesMut::new();
         self.scanned = 0;
     }
 
--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -71,6 +71,8 @@
         StreamBroken = "stream_broken",
         /// An event of the stream does not follow the one before it.
         StreamOrder = "stream_order",
+        /// An event of the stream is too long, or the memory budget has no room for it.
+        EventTooLong = "event_too_long",
         /// The stream ended inside an event.
         StreamPart = "stream_part",
         /// The answer is not the rest of the stream that has begun.
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -14,8 +14,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time;
+use yuccanotch_core::bytes::NoRoom;
+use yuccanotch_core::bytes::Reservation;
+use yuccanotch_core::bytes::UseKind;
 use yuccanotch_core::clock::Millis;
 use yuccanotch_core::event::Event;
+use yuccanotch_core::forward::events::EventError;
 use yuccanotch_core::forward::outcome::AttemptEnd;
 use yuccanotch_core::forward::outcome::AttemptTarget;
 use yuccanotch_core::forward::reason::EndReason;
@@ -44,6 +48,10 @@
 
 /// The largest accepted body of an answer that is not a stream, in bytes.
 pub(super) const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// The bytes of an incomplete event that are not reserved.
+const FREE_EVENT_BYTES: usize = 8 << 10;
+/// The most by which the buffer of an event is larger than its bytes, as a factor.
+const BUFFER_GROWTH: usize = 2;
 /// The shortest time after which a decline because of a later server shows that the request has
 /// waited for it.
 const MIN_STALL: Millis = Millis(150);
@@ -325,6 +333,7 @@
     ) -> AttemptResult {
         self.version = self.version.or(reply.version);
         self.events.discard_partial_event();
+        let mut partial_event = self.gateway.byte_budget.reservation(UseKind::Chunks);
         let mut timeout = if self.events.last_event_id().is_some() {
             self.event_timeout()
         } else {
@@ -350,9 +359,18 @@
                     Err(_) => continue,
                 },
             };
-            let Ok(whole) = self.events.push(&data) else {
-                return unanswered(AttemptEnd::Broken, EndReason::StreamOrder);
+            let whole = match self.events.push(&data) {
+                Ok(whole) => whole,
+                Err(EventError::TooLong) => {
+                    return unanswered(AttemptEnd::Broken, EndReason::EventTooLong);
+                }
+                Err(EventError::NoId | EventError::Gap) => {
+                    return unanswered(AttemptEnd::Broken, EndReason::StreamOrder);
+                }
             };
+            if self.reserve_partial_event(&mut partial_event).is_err() {
+                return unanswered(AttemptEnd::Broken, EndReason::EventTooLong);
+            }
             if whole.count > 0 {
                 self.gateway.crashes.on_progress(self.run);
                 self.record_working();
@@ -383,6 +401,22 @@
         AttemptResult::Done
     }
 
+    /// Makes `reservation` that of the event whose end has not come. The first bytes are free, so that
+    /// ordinary events need no room that others have taken.
+    fn reserve_partial_event(&self, reservation: &mut Reservation) -> Result<(), NoRoom> {
+        let bytes = self.events.partial_bytes().saturating_sub(FREE_EVENT_BYTES);
+        let needed = bytes * BUFFER_GROWTH;
+        if needed <= reservation.bytes() {
+            reservation.shrink_to(needed);
+            return Ok(());
+        }
+        let grown = reservation.grow(needed - reservation.bytes());
+        if grown.is_err() {
+            self.gateway.note_exhausted(UseKind::Chunks);
+        }
+        grown
+    }
+
     /// Sends the head of a stream to the caller, unless it already has one.
     fn begin_answer(&mut self, head: &http::response::Parts) {
         let Some(head_tx) = self.head_tx.take() else {
