End an attempt that repeats old events without end

What callers saw: a stream that stood still until they left or its deadline. A server that sends events which the caller has, again and again, was read for as long: each part that arrived began the wait for silence anew, though no event of it went on, and no check of the server followed.

Change: an attempt may repeat each event that was delivered before once; more is an error of the stream, and the attempt ends as broken. The stream goes on at another server, as after any break.

--- a/crates/check/src/forward_case.rs
+++ b/crates/check/src/forward_case.rs
@@ -183,7 +183,7 @@
         if is_cut {
             bytes.truncate(self.rng.random_range(0..=bytes.len()));
         }
-        splitter.discard_partial_event();
+        splitter.begin_attempt();
         let chunk = self.rng.random_range(1..40);
         for data in bytes.chunks(chunk) {
             let Ok(complete_events) = splitter.push(data) else {
--- a/crates/core/src/forward/events.rs
+++ b/crates/core/src/forward/events.rs
@@ -9,6 +9,9 @@
 /// The most bytes of an event that are buffered until it is complete.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// The most events of an attempt that may have been delivered before, however many were.
+const MAX_REPEATED_EVENTS: u64 = 4_096;
+
 /// Complete events that may be sent to the caller.
 #[derive(Debug, Default)]
 pub struct CompleteEvents {
@@ -25,6 +28,8 @@
     NoId,
     /// Events between the last one delivered and this one are missing.
     Gap,
+    /// More events came again than can have been delivered before.
+    Repeated,
     /// An event is longer than [`MAX_EVENT_BYTES`].
     TooLong,
 }
@@ -35,12 +40,14 @@
     buf: BytesMut,
     scanned: usize,
     last: Option<u64>,
+    // The events of the present attempt that were delivered before.
+    repeated: u64,
 }
 
 impl EventSplitter {
     /// Creates a splitter that continues after the event with the id `last`.
     pub fn new(last: Option<u64>) -> Self {
-        Self { buf: BytesMut::new(), scanned: 0, last }
+        Self { buf: BytesMut::new(), scanned: 0, last, repeated: 0 }
     }
 
     /// Returns the id of the last event returned.
@@ -59,9 +66,10 @@
     }
 
     /// Discards a buffered part of an event, since the next bytes are those of another attempt.
-    pub fn discard_partial_event(&mut self) {
+    pub fn begin_attempt(&mut self) {
         self.buf = BytesMut::new();
         self.scanned = 0;
+        self.repeated = 0;
     }
 
     /// Buffers `data` and returns the events that are complete, without those that were returned
@@ -81,7 +89,13 @@
             self.scanned = 0;
             let id = event_id(&event).ok_or(EventError::NoId)?;
             match last {
-                Some(last) if id <= last && !planted!(ForwardEventTwice) => continue,
+                Some(last) if id <= last && !planted!(ForwardEventTwice) => {
+                    self.repeated += 1;
+                    if self.repeated > last.min(MAX_REPEATED_EVENTS) {
+                        return Err(EventError::Repeated);
+                    }
+                    continue;
+                }
                 Some(last) if id > last + 1 => return Err(EventError::Gap),
                 _ => {}
             }
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -189,7 +189,7 @@
     let whole = events.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("events in order");
     assert_eq!(&whole.bytes[..], b"id: 1\ndata: a\n\n");
     assert!(events.has_partial_event());
-    events.discard_partial_event();
+    events.begin_attempt();
     let whole = events.push(b"id: 2\ndata: b\n\nid: 3\ndata: c\n\n").expect("events in order");
     assert_eq!(whole.count, 2);
     assert_eq!(events.last_event_id(), Some(3));
@@ -203,6 +203,17 @@
     assert_eq!(events.push(b"id: 7\n\n").err(), Some(EventError::Gap));
 }
 
+/// Guards against a server that sends the same event without end, which is no progress.
+#[test]
+fn an_attempt_repeats_each_delivered_event_once_at_most() {
+    let mut events = EventSplitter::new(Some(2));
+    for _ in 0..2 {
+        events.begin_attempt();
+        events.push(b"id: 1\n\nid: 2\n\n").expect("two events that came before");
+        assert_eq!(events.push(b"id: 2\n\n").err(), Some(EventError::Repeated));
+    }
+}
+
 #[test]
 fn retries_stay_within_this_hosts_share_of_the_budget() {
     let limits = RetryBudgetLimits { ratio: 0.2, slack: 100.0, window: Millis(10_000) };
--- a/crates/core/tests/forward_properties.rs
+++ b/crates/core/tests/forward_properties.rs
@@ -140,7 +140,7 @@
         let mut events = EventSplitter::new(None);
         let mut got = Vec::new();
         let run = |events: &mut EventSplitter, got: &mut Vec<u8>, cut: usize, chunk: usize| {
-            events.discard_partial_event();
+            events.begin_attempt();
             let from = events.last_event_id().map_or(1, |last| last + 1);
             let rest: Vec<u8> = (from..=count).flat_map(event).collect();
             for piece in rest[..cut.min(rest.len())].chunks(chunk) {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -332,7 +332,7 @@
         conn: PooledConnection,
     ) -> AttemptResult {
         self.version = self.version.or(reply.version);
-        self.events.discard_partial_event();
+        self.events.begin_attempt();
         let mut partial_event = self.gateway.byte_budget.reservation(UseKind::Chunks);
         let mut timeout = if self.events.last_event_id().is_some() {
             self.event_timeout()
@@ -364,7 +364,7 @@
                 Err(EventError::TooLong) => {
                     return unanswered(AttemptEnd::Broken, EndReason::EventTooLong);
                 }
-                Err(EventError::NoId | EventError::Gap) => {
+                Err(EventError::NoId | EventError::Gap | EventError::Repeated) => {
                     return unanswered(AttemptEnd::Broken, EndReason::StreamOrder);
                 }
             };
