Take a change of protocol for no answer

What callers would see: a 101 without a body, as the final answer to a request of any kind, and then a connection on which nothing further is answered. Found with the report of a server that stops in the middle of its head: of 21 places at which an answer breaks off, with a close and with a reset, on three kinds of routes, this one reached a caller.

Cause: the client reads past interim answers, except for 101, which it returns as final; no check named it. Change: it is no answer of any request (protocol_change); the attempt ends as broken, also at another host.

Evidence: an_answer_whose_server_closes_in_its_middle_never_looks_whole and its twin with a reset failed at 101 before; they and an_answer_that_ends_with_its_connection_is_whole_only_after_a_close pass. All other places of that report held before: 502, or a stream that ends as incomplete.

--- a/crates/core/src/forward/reason.rs
+++ b/crates/core/src/forward/reason.rs
@@ -59,6 +59,8 @@
         HostDeclined = "host_declined",
         /// The answer belongs to another request.
         OtherAnswer = "other_answer",
+        /// The answer changes the protocol of the connection, which no request asks for.
+        ProtocolChange = "protocol_change",
         /// A success response has no signature of the server, or has a content encoding.
         Unsealed = "unsealed",
         /// An error response has no signature of the server.
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -81,6 +81,9 @@
         if !is_own || (head.status.is_success() && !reply.sealed) {
             return unanswered(AttemptEnd::Broken, EndReason::OtherAnswer);
         }
+        if head.status.is_informational() {
+            return unanswered(AttemptEnd::Broken, EndReason::ProtocolChange);
+        }
         if !reply.sealed && is_refusal(head.status) {
             gateway.avoid_host(relay);
             return unanswered(AttemptEnd::NotSent, EndReason::HostDeclined);
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -229,6 +229,9 @@
         target: &Target,
     ) -> Option<AttemptResult> {
         let routing = &self.gateway.routing;
+        if head.status.is_informational() {
+            return Some(unanswered(AttemptEnd::Broken, EndReason::ProtocolChange));
+        }
         if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             let at_fault = routing.record_decline(target.server(), reply.at_fault);
             self.gateway.event_log.line(
