Serve callers by no older version than another host has for this one

Cause: a request between hosts names the sender's version, an answer named none. The host learned of the newer version by gossip only, and while it believed that the store answers, it waited for that.

Change: an answer between hosts names the version that served the request, in a header of the connection, so that the landed release drops it. Requests that it passes on name the newest version that it has heard of.

--- a/crates/core/src/catch_up/fetches.rs
+++ b/crates/core/src/catch_up/fetches.rs
@@ -39,7 +39,7 @@
     running: SmallVec<[Fetch; MAX_RUNNING]>,
     /// Sources from which a fetch failed, and until when others are asked first.
     aside: SmallVec<[(SocketAddrV4, Millis); 4]>,
-    /// A host that a source has named and that is asked next.
+    /// A host that is asked next, since a source or its own answer has named it.
     referral: Option<SocketAddrV4>,
 }
 
@@ -72,6 +72,11 @@
         Some(source)
     }
 
+    /// Makes the next fetch one from `source`, which is known to have newer changes.
+    pub fn refer(&mut self, source: SocketAddrV4) {
+        self.referral = Some(source);
+    }
+
     fn best_of(&self, sources: &[SocketAddrV4]) -> Option<SocketAddrV4> {
         let is_idle = |source: &&SocketAddrV4| !self.is_running(**source);
         let preferred = sources.iter().find(|source| self.may_ask(**source));
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -170,6 +170,8 @@
     VersionAdopted = 2301, Info, "version adopted";
     /// A version of the configuration older than the adopted one was ignored.
     OlderVersionIgnored = 2302, Warn, "older version ignored";
+    /// Another host has served a request of this one by a newer version of the configuration.
+    NewerVersionUsed = 2303, Info, "newer version used";
     /// Calls of a gateway to the store fail.
     StoreLost = 2401, Warn, "store lost";
     /// Calls of a gateway to the store succeed again.
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -286,6 +286,10 @@
     body: Incoming,
     caller: &CallerRequest,
 ) -> Result<Admitted, Rejection> {
+    let is_caught_up = || !gateway.views.is_behind_used();
+    if gateway.views.configuration().is_some() && !wait_until(gateway, caller, is_caught_up).await {
+        return Err(Rejection::Behind);
+    }
     let Allowed { configuration, route, team } = allow(gateway, &head, caller).await?;
     // Without an id, no answer can be known to be the one to this request.
     let id = caller.id.as_deref().filter(|id| !id.is_empty()).ok_or(Rejection::Unnamed)?;
@@ -297,8 +301,8 @@
         .clone();
     let body = read_body(gateway, body, &configuration.limits, caller).await?;
     let started = gateway.clock.now();
-    let caller = caller.clone();
-    Ok(Admitted { head, body, caller, route, service, team, started, relayed: None })
+    let (caller, configuration) = (caller.clone(), configuration.version);
+    Ok(Admitted { head, body, caller, configuration, route, service, team, started, relayed: None })
 }
 
 /// What the configuration says about a request that it allows.
@@ -324,12 +328,7 @@
     let Some(newest) = gateway.peers.node().newer_revision(now, own_revision) else {
         return found;
     };
-    let longest = gateway.sync.waits().request_wait();
-    let wait = caller.deadline.map_or(longest, |left| longest.min(Millis(left.0 / 2)));
-    let end = now + wait;
-    while gateway.views.revision() < newest && gateway.clock.now() < end {
-        time::sleep(CATCH_UP_POLL).await;
-    }
+    wait_until(gateway, caller, || gateway.views.revision() >= newest).await;
     match find(gateway, head, caller) {
         Err(Rejection::NoRoute | Rejection::UnknownKey) if gateway.views.revision() < newest => {
             Err(Rejection::Behind)
@@ -338,6 +337,25 @@
     }
 }
 
+/// Waits until this host has caught up as far as `has_caught_up` says, for as long as a request may wait
+/// for that; returns whether it has.
+async fn wait_until(
+    gateway: &Gateway,
+    caller: &CallerRequest,
+    has_caught_up: impl Fn() -> bool,
+) -> bool {
+    let longest = gateway.sync.waits().request_wait();
+    let wait = caller.deadline.map_or(longest, |left| longest.min(Millis(left.0 / 2)));
+    let end = gateway.clock.now() + wait;
+    while !has_caught_up() {
+        if gateway.clock.now() >= end {
+            return false;
+        }
+        time::sleep(CATCH_UP_POLL).await;
+    }
+    true
+}
+
 fn find(
     gateway: &Gateway,
     head: &http::request::Parts,
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -76,6 +76,7 @@
         };
         let (mut head, body) = response.into_parts();
         self.add_tried(relay::take_tried(&mut head.headers));
+        let version = relay::take_configuration(&mut head.headers);
         let reply = gateway.adapter.decode_reply(&head);
         let is_own = gateway.is_own_answer(self.caller.id.as_deref(), &head, &reply, &conn);
         if !is_own || (head.status.is_success() && !reply.sealed) {
@@ -94,6 +95,9 @@
         if let Some(ended) = self.check_rest(&head) {
             return ended;
         }
+        if let Some(version) = version {
+            gateway.on_version_used(version, relay);
+        }
         if self.route.streaming && head.status.is_success() {
             return self.relay_stream(head, reply, body, conn).await;
         }
@@ -126,7 +130,7 @@
             attempts_left,
             version: self.version,
             tried: self.tried.clone(),
-            configuration: self.gateway.views.configuration().map(|c| c.version),
+            configuration: self.gateway.views.newest_version(),
         };
         relayed.write(&mut fields);
         let mut req = Request::new(Full::new(self.body.clone()));
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -102,6 +102,8 @@
     // The id of the request on this host, for the quarantine.
     run: RequestId,
     fingerprints: Fingerprints,
+    // The version of the configuration that allowed the request.
+    configuration: u64,
     // Whether another host has passed the request on.
     is_relayed: bool,
     // Whether the request is tried although its rank is not admitted.
@@ -118,6 +120,8 @@
     pub body: Bytes,
     /// The decoded parameters of the head.
     pub caller: CallerRequest,
+    /// The version of the configuration that allowed the request.
+    pub configuration: u64,
     /// The route that matched the request.
     pub route: Arc<Route>,
     /// The service that the route selects for the request.
@@ -172,7 +176,8 @@
         admitted: Admitted,
         head_tx: oneshot::Sender<Response<AnswerBody>>,
     ) -> Self {
-        let Admitted { head, body, caller, route, service, team, started, relayed } = admitted;
+        let Admitted { head, body, caller, configuration, route, service, team, started, relayed } =
+            admitted;
         let is_relayed = relayed.is_some();
         let outcome = match &relayed {
             Some(relayed) => RequestState::passed_on(route.repeat, relayed.attempts_left),
@@ -194,6 +199,7 @@
             retry_after: None,
             deadline: started + wait.since(DEADLINE_MARGIN),
             outcome,
+            configuration,
             is_relayed,
             events: EventSplitter::new(caller.resume_after),
             gateway,
@@ -416,6 +422,7 @@
     fn add_relay_fields(&self, fields: &mut HeaderMap) {
         if self.is_relayed {
             relay::write_tried(fields, &self.tried);
+            relay::write_configuration(fields, self.configuration);
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
+use http::header;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -18,9 +19,11 @@
 /// On a request: how many more servers may get it, the weights version of the answer so far, and the
 /// servers that have had it, as `COUNT;VERSION;NAME,NAME`.
 const RELAY: HeaderName = HeaderName::from_static("yuccanotch-relay");
-/// On a request: the version of the configuration that the sending host serves by. Hosts of earlier
-/// releases send none.
-const CONFIGURATION: HeaderName = HeaderName::from_static("yuccanotch-configuration");
+/// On a request: the newest version of the configuration by which the sending host's callers may have been
+/// served. On an answer: the version by which the request was served. Hosts of earlier releases send none;
+/// on answers the header belongs to the connection, so that they do not return it to callers.
+const CONFIGURATION: HeaderName = HeaderName::from_static(CONFIGURATION_NAME);
+const CONFIGURATION_NAME: &str = "yuccanotch-configuration";
 /// On an answer: the servers that have had the request.
 const TRIED: HeaderName = HeaderName::from_static("yuccanotch-tried");
 /// The most names that are read of a list of servers.
@@ -81,6 +84,18 @@
     }
 }
 
+/// Adds the version of the configuration by which a request was served to the head of its answer.
+pub fn write_configuration(fields: &mut HeaderMap, version: u64) {
+    fields.insert(CONFIGURATION, HeaderValue::from(version));
+    fields.append(header::CONNECTION, HeaderValue::from_static(CONFIGURATION_NAME));
+}
+
+/// Takes the version of the configuration by which a request was served out of the head of its answer.
+pub fn take_configuration(fields: &mut HeaderMap) -> Option<u64> {
+    let value = fields.remove(CONFIGURATION)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Takes the servers that have had a request out of the head of its answer.
 pub fn take_tried(fields: &mut HeaderMap) -> TriedServers {
     let value = fields.remove(TRIED);
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -84,6 +84,24 @@
 }
 
 impl Gateway {
+    /// Records that the host that takes requests at `relay` has served one of this host by `version` of the
+    /// configuration. If that is newer than this host's, this one gets it from there before it serves
+    /// others: callers must not be served by an older version than before.
+    pub(crate) fn on_version_used(&self, version: u64, relay: SocketAddrV4) {
+        let own = self.views.configuration().map_or(0, |c| c.version);
+        if version <= own || !self.views.on_version_used(version) {
+            return;
+        }
+        self.event_log.line(
+            Event::NewerVersionUsed,
+            &[("version", &version), ("in_force", &own), ("host", &relay)],
+        );
+        if let Some(source) = self.peers.node().control_at(*relay.ip()) {
+            self.sync.fetches.borrow_mut().refer(source);
+        }
+        self.sync.referred.notify_one();
+    }
+
     /// Returns whether this host follows the store, and is not behind what the store should have
     /// told it.
     fn expects_changes_from_store(&self, now: Millis) -> bool {
@@ -125,11 +143,12 @@
         let revision = gateway.views.revision();
         let newest = gateway.peers.node().newer_revision(now, revision);
         gateway.sync.lag.borrow_mut().on_revisions(now, revision, newest);
-        if gateway.expects_changes_from_store(now) {
+        let is_behind_used = gateway.views.is_behind_used();
+        if gateway.expects_changes_from_store(now) && !is_behind_used {
             continue;
         }
         let sources = gateway.peers.node().newer_sources(now, revision);
-        let newest = newest.unwrap_or(revision);
+        let newest = newest.unwrap_or(revision + u64::from(is_behind_used));
         let next = gateway.sync.fetches.borrow_mut().next(now, &sources);
         if let Some(source) = next {
             tokio::task::spawn_local(fetch(gateway.clone(), source, newest));
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -30,6 +30,8 @@
     clock: Clock,
     event_log: Rc<EventLog>,
     configuration: RefCell<Option<Rc<Configuration>>>,
+    // The newest version by which a request of this host's callers was served, here or elsewhere.
+    used_version: Cell<u64>,
     servers: RefCell<ServerList>,
     items: RefCell<ItemLog>,
     keys: StoreKeys,
@@ -64,6 +66,7 @@
             clock,
             event_log,
             configuration: RefCell::default(),
+            used_version: Cell::new(0),
             servers: RefCell::default(),
             items: RefCell::default(),
             servers_read: Cell::new(false),
@@ -79,6 +82,25 @@
         self.configuration.borrow().clone()
     }
 
+    /// Records that another host has served a request of this one by `version` of the configuration;
+    /// returns whether this host has an older one.
+    pub fn on_version_used(&self, version: u64) -> bool {
+        self.used_version.set(self.used_version.get().max(version));
+        self.is_behind_used()
+    }
+
+    /// Returns whether a request of this host's callers was served by a newer version of the
+    /// configuration than this host has.
+    pub fn is_behind_used(&self) -> bool {
+        self.configuration.borrow().as_ref().is_none_or(|c| c.version < self.used_version.get())
+    }
+
+    /// Returns the newest version by which a request of this host's callers may have been served.
+    pub fn newest_version(&self) -> Option<u64> {
+        let own = self.configuration.borrow().as_ref().map(|c| c.version);
+        own.max(Some(self.used_version.get()).filter(|version| *version > 0))
+    }
+
     /// Adopts an encoded configuration if its version is newer than the one in force. `source`
     /// names its origin in the log.
     fn adopt_configuration(&self, value: &Bytes, source: &str) {
