Refuse a request that crashes servers at all hosts at once

Cause: crashes within a second count as one event, and a request is refused after two. Six crashes at all of which it was in flight, and nothing else, were one.

Change: a request that was in flight at four or more servers lost at once is refused, if no server without it was lost with them, no rival was in flight there, and it has not succeeded in the 10 s before. Successes of whole requests are remembered for that, as those of parts are.

--- a/crates/core/src/quarantine/causes.rs
+++ b/crates/core/src/quarantine/causes.rs
@@ -44,6 +44,7 @@
                 crashes,
                 has_succeeded: entry.success_at.is_some(),
                 stands_out: self.stands_out(entry),
+                is_at_all_losses: !entry.crashes.iter().any(|r| self.has_other_cause(entry, r)),
             })
         });
         let thresholds = Thresholds {
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -39,7 +39,7 @@
     Millis(u64::try_from(to_signed(now).saturating_sub(at)).unwrap_or(0))
 }
 
-fn to_signed(span: Millis) -> i64 {
+pub(super) fn to_signed(span: Millis) -> i64 {
     i64::try_from(span.0).unwrap_or(i64::MAX)
 }
 
@@ -194,6 +194,8 @@
     /// Whether the crashes cannot be a mere outage of the servers, at which whatever many requests
     /// share is in flight too.
     pub(super) stands_out: bool,
+    /// Whether all servers that were lost together had the fingerprint in flight.
+    pub(super) is_at_all_losses: bool,
 }
 
 impl Candidate<'_> {
@@ -205,6 +207,18 @@
         self.crashes.iter().any(|record| record.crash == *crash)
     }
 
+    /// Returns whether this is a request that came at several servers at once, which were all lost, and
+    /// no server without it. In an outage, servers without it would be lost too, or a rival would be in
+    /// flight at some of them; and a request that is that frequent would have succeeded before.
+    fn is_burst(&self, open: &[&CrashRecord], rivals: &[&Candidate<'_>]) -> bool {
+        let is_rivalled = |record: &&CrashRecord| rivals.iter().any(|r| r.includes(&record.crash));
+        let is_request = !self.fingerprint.is_part() && !self.has_succeeded;
+        is_request
+            && self.is_at_all_losses
+            && open.len() >= MIN_CRASHES_OF_LONE_REQUEST
+            && !open.iter().any(is_rivalled)
+    }
+
     /// Returns whether this is a request that comes again and again and was in flight at a crash each
     /// time, so that it is refused whatever else was.
     fn is_repeated_request(&self, window: Millis) -> bool {
@@ -266,16 +280,18 @@
         let events = count_events(&open, window, min_run_ms);
         let is_convincing = !candidate.fingerprint.is_part() || candidate.stands_out;
         let is_repeated = candidate.is_repeated_request(window) && !open.is_empty();
-        let has_events = is_repeated || events >= thresholds.events(candidate.fingerprint);
-        if !has_events || !is_convincing {
-            continue;
-        }
         let is_rival = |c: &&Candidate<'_>| {
             c.fingerprint != candidate.fingerprint
                 && c.fingerprint.is_part() == candidate.fingerprint.is_part()
                 && !causes.contains(&c.fingerprint)
         };
         let rivals: Vec<&Candidate<'_>> = candidates.iter().filter(is_rival).collect();
+        let has_events = is_repeated
+            || events >= thresholds.events(candidate.fingerprint)
+            || candidate.is_burst(&open, &rivals);
+        if !has_events || !is_convincing {
+            continue;
+        }
         let is_ambiguous = !is_repeated && is_ambiguous(candidate, &open, &rivals);
         if is_ambiguous && !planted!(PartUnexplained) {
             continue;
--- a/crates/core/src/quarantine/settings.rs
+++ b/crates/core/src/quarantine/settings.rs
@@ -27,6 +27,8 @@
     pub confirmation_ttl: Millis,
     /// How long the success of a request with a part is remembered.
     pub success_ttl: Millis,
+    /// How long the success of a request itself is remembered.
+    pub request_success_ttl: Millis,
 }
 
 impl Default for QuarantineSettings {
@@ -42,6 +44,7 @@
             progress_proof: Millis(1_000),
             confirmation_ttl: Millis(2_000),
             success_ttl: Millis(120_000),
+            request_success_ttl: Millis(10_000),
         }
     }
 }
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -7,6 +7,7 @@
 
 use super::evidence::age;
 use super::evidence::moment;
+use super::evidence::to_signed;
 use super::evidence::CrashRecord;
 use super::evidence::Evidence;
 use super::evidence::Moment;
@@ -65,6 +66,8 @@
     pub(super) losses: VecDeque<ServerLoss>,
     /// When requests with parts that are in no crash last succeeded.
     part_successes: HashMap<Fingerprint, Moment>,
+    /// When requests that are in no crash last succeeded on this host.
+    request_successes: HashMap<Fingerprint, Moment>,
     /// When a request with a part first succeeded on this host.
     pub(super) first_success_at: Option<Moment>,
     /// Changes that were not taken yet.
@@ -83,6 +86,7 @@
             remote_runs: HashMap::new(),
             losses: VecDeque::new(),
             part_successes: HashMap::new(),
+            request_successes: HashMap::new(),
             first_success_at: None,
             changes: VecDeque::new(),
         }
@@ -387,9 +391,9 @@
                 entry.on_other_success(at);
             }
         }
-        for part in fingerprints.iter().filter(|f| f.is_part()) {
-            if !self.entries.contains_key(part) {
-                self.remember_success(now, *part, at);
+        for fingerprint in fingerprints {
+            if !self.entries.contains_key(fingerprint) {
+                self.remember_success(now, *fingerprint, at);
             }
         }
         if changed {
@@ -397,15 +401,29 @@
         }
     }
 
-    /// Remembers the success of a part that is in no crash, within the capacity.
-    fn remember_success(&mut self, now: Millis, part: Fingerprint, at: Moment) {
-        if self.part_successes.len() >= self.settings.capacity {
-            let span = self.settings.success_ttl;
-            self.part_successes.retain(|_, at| age(now, *at) < span);
+    /// Remembers the success of a fingerprint that is in no crash, within the capacity.
+    fn remember_success(&mut self, now: Millis, fingerprint: Fingerprint, at: Moment) {
+        let (successes, span) = if fingerprint.is_part() {
+            (&mut self.part_successes, self.settings.success_ttl)
+        } else {
+            (&mut self.request_successes, self.settings.request_success_ttl)
+        };
+        if successes.len() >= self.settings.capacity {
+            successes.retain(|_, at| age(now, *at) < span);
+        }
+        if successes.len() < self.settings.capacity {
+            successes.insert(fingerprint, at);
         }
-        if self.part_successes.len() < self.settings.capacity {
-            self.part_successes.insert(part, at);
+    }
+
+    /// Returns when a fingerprint that is in no crash last succeeded, and forgets it.
+    fn take_success(&mut self, fingerprint: Fingerprint, crashed_at: Moment) -> Option<Moment> {
+        if fingerprint.is_part() {
+            return self.part_successes.remove(&fingerprint);
         }
+        let span = to_signed(self.settings.request_success_ttl);
+        let at = self.request_successes.remove(&fingerprint)?;
+        (crashed_at - at < span).then_some(at)
     }
 
     /// Adds a crash to a fingerprint, unless a known success refutes it; returns whether it is new.
@@ -417,11 +435,11 @@
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             return entry.add_crash(record, max_crashes);
         }
-        let success = self.part_successes.get(&fingerprint).copied();
-        if success.is_some_and(|at| record.at <= at) {
+        let success = self.take_success(fingerprint, record.at);
+        if let Some(at) = success.filter(|at| record.at <= *at) {
+            self.remember_success(Millis(u64::try_from(at).unwrap_or(0)), fingerprint, at);
             return false;
         }
-        self.part_successes.remove(&fingerprint);
         let mut entry = Evidence::new(success);
         entry.add_crash(record, max_crashes);
         self.entries.insert(fingerprint, entry);
--- a/crates/core/src/quarantine/tests.rs
+++ b/crates/core/src/quarantine/tests.rs
@@ -399,3 +399,54 @@
     let unknown = bodies.iter().filter(|b| status(b) != QuarantineStatus::Suspect).count();
     assert_eq!(unknown, 0);
 }
+
+/// Starts "poison" at `count` servers at once, which are lost within a second.
+fn lose_servers_of_one_request(fixture: &mut Fixture, count: u8) {
+    let servers: Vec<String> = (0..count).map(|i| format!("s-{i}")).collect();
+    for (request, server) in (10..).zip(&servers) {
+        fixture.start(request, "poison", server);
+    }
+    for server in &servers {
+        fixture.now = fixture.now + Millis(40);
+        fixture.state.on_crash(fixture.now, &crash(server));
+    }
+}
+
+/// Guards against a request that comes at all hosts at once, crashes a server at each, and is served
+/// again when it comes the next time, since crashes that fall together count as one.
+#[test]
+fn a_request_at_all_servers_that_are_lost_at_once_is_quarantined() {
+    let mut fixture = Fixture::new();
+    lose_servers_of_one_request(&mut fixture, 4);
+    assert_eq!(fixture.status("poison"), QuarantineStatus::Quarantined);
+}
+
+#[test]
+fn a_request_at_few_servers_that_are_lost_at_once_is_not_quarantined() {
+    let mut fixture = Fixture::new();
+    lose_servers_of_one_request(&mut fixture, 3);
+    assert_ne!(fixture.status("poison"), QuarantineStatus::Quarantined);
+}
+
+/// Guards against an outage that is taken for the work of a request which comes often.
+#[test]
+fn a_request_that_succeeded_shortly_before_its_servers_are_lost_is_not_quarantined() {
+    for (pause, is_quarantined) in [(Millis(500), false), (Millis(20_000), true)] {
+        let mut fixture = Fixture::new();
+        fixture.start(1, "poison", "a");
+        fixture.state.on_end(fixture.now, RequestId(1), true);
+        fixture.now = fixture.now + pause;
+        lose_servers_of_one_request(&mut fixture, 6);
+        let status = fixture.status("poison");
+        assert_eq!(status == QuarantineStatus::Quarantined, is_quarantined, "{pause:?}");
+    }
+}
+
+#[test]
+fn a_request_at_most_servers_that_are_lost_at_once_is_not_quarantined() {
+    let mut fixture = Fixture::new();
+    fixture.start(1, "another", "a");
+    fixture.state.on_crash(fixture.now, &crash("a"));
+    lose_servers_of_one_request(&mut fixture, 6);
+    assert_ne!(fixture.status("poison"), QuarantineStatus::Quarantined);
+}
