--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,10 +2,13 @@
 
 mod at_host;
 mod attempt;
+mod final_answer;
 mod rank;
 mod request_log;
 mod room_wait;
 mod silence;
+mod stopping;
+mod stream;
 mod tokens;
 
 use std::fmt::Display;
@@ -14,9 +17,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::header;
 use http::request;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -38,26 +39,17 @@
 use yuccanotch_core::quarantine::Fingerprints;
 
 use crate::adapter::CallerRequest;
-use crate::answer;
 use crate::answer::AnswerBody;
 use crate::answer::CallerGone;
 use crate::answer::ChunkSender;
+pub use crate::exchange::final_answer::retry_after;
+pub use crate::exchange::final_answer::retry_elsewhere;
 use crate::host::Gateway;
-use crate::relay;
 use crate::relay::Relayed;
 use crate::relay::TriedServers;
 use crate::routing::InProgress;
 use crate::routing::Target;
 
-/// The shortest and longest time that a refused caller is told to wait before it tries again, in
-/// ms.
-const RETRY_AFTER_MS: (u64, u64) = (400, 1_600);
-/// The longest time that a caller is told to wait that other hosts can serve at once, in ms; it spreads
-/// the returns of those that one host refuses in the same moment.
-const MAX_ELSEWHERE_MS: u64 = 100;
-/// The longest time that is added to the end of a pause for callers that are refused because of it,
-/// in ms.
-const MAX_PAUSE_SPREAD_MS: u64 = 100;
 /// How long before the caller's deadline the host sends its final answer.
 const DEADLINE_MARGIN: Millis = Millis(8);
 /// The time that must be left until the deadline for another attempt.
@@ -341,33 +333,6 @@
         true
     }
 
-    /// Returns whether an attempt that is sent now can bring the answer before this host stops.
-    fn has_time(&self) -> bool {
-        let left = self.deadline.since(self.gateway.clock.now());
-        let expected = self.gateway.durations.borrow().expected(&self.route.name, self.work());
-        self.gateway.has_time_for(left, expected)
-    }
-
-    /// Ends the request without another attempt if this host stops before a server could answer it;
-    /// returns whether it did. Other hosts can serve the request. An answer that has begun goes on, since
-    /// its caller would lose what it has.
-    fn refuse_if_stopping(&mut self) -> bool {
-        if self.outcome.has_begun() || self.has_time() {
-            return false;
-        }
-        self.end_reason = EndReason::HostStopping;
-        let next = self.outcome.final_step();
-        self.finish_unanswered(next, None, StatusCode::BAD_GATEWAY);
-        true
-    }
-
-    /// Records how long it took from the sending of the request to the end of its answer.
-    fn record_duration(&self) {
-        let duration = self.gateway.clock.now().since(self.first_sent_at.unwrap_or(self.sent_at));
-        let mut durations = self.gateway.durations.borrow_mut();
-        durations.record(&self.route.name, self.work(), duration);
-    }
-
     /// Records how an attempt ended.
     fn record_end(&self, end: AttemptEnd, destination: &Destination, why: EndReason) {
         let log = |key: &'static str, to: &dyn Display| {
@@ -417,95 +382,4 @@
     fn id(&self) -> &str {
         self.caller.id.as_deref().unwrap_or("")
     }
-
-    /// Adds what a host that passed the request on needs to know to the head of an answer.
-    fn add_relay_fields(&self, fields: &mut HeaderMap) {
-        if self.is_relayed {
-            relay::write_tried(fields, &self.tried);
-            relay::write_configuration(fields, self.configuration);
-        }
-    }
-
-    /// Sends a server's complete answer to the caller as the final one.
-    fn send_whole_answer(&mut self, response: Response<Bytes>) {
-        let (mut head, body) = response.into_parts();
-        self.add_relay_fields(&mut head.headers);
-        self.log_done(head.status);
-        if let Some(head_tx) = self.head_tx.take() {
-            let body = AnswerBody::whole(body);
-            let _ = head_tx.send(answer::respond(head.status, head.headers, body));
-        }
-    }
-
-    /// Ends a request that got no usable answer, in the way that `next` says. `server_answer` is
-    /// the failure to pass on, and `unknown_status` the status if it is not known whether the
-    /// request ran.
-    fn finish_unanswered(
-        &mut self,
-        next: NextStep,
-        server_answer: Option<Response<Bytes>>,
-        unknown_status: StatusCode,
-    ) {
-        match next {
-            NextStep::PassOn if server_answer.is_some() => {
-                if let Some(server_answer) = server_answer {
-                    self.send_whole_answer(server_answer);
-                }
-            }
-            NextStep::BreakOff => {
-                self.gateway.counters.request_ended(self.end_reason);
-                self.log_end(Event::AnswerBrokenOff);
-                self.chunks = None;
-            }
-            NextStep::Refuse => self.answer_with_status(StatusCode::SERVICE_UNAVAILABLE),
-            NextStep::PassOn | NextStep::Unknown | NextStep::Retry | NextStep::AwaitBudget => {
-                self.answer_with_status(unknown_status)
-            }
-        }
-    }
-
-    /// Sends a final answer of the host's own, with an empty body.
-    fn answer_with_status(&mut self, status: StatusCode) {
-        let mut fields: HeaderMap = self.gateway.adapter.own_headers(self.caller.id.as_deref());
-        if status == StatusCode::SERVICE_UNAVAILABLE {
-            let pause = || self.gateway.routing.time_all_paused(&self.service);
-            let value = match self.retry_after {
-                _ if self.end_reason == EndReason::HostStopping => retry_elsewhere(),
-                Some(span) => retry_after_value(span),
-                None => pause().map_or_else(retry_after, retry_after_pause),
-            };
-            fields.insert(header::RETRY_AFTER, value);
-        }
-        self.add_relay_fields(&mut fields);
-        self.log_done(status);
-        if let Some(head_tx) = self.head_tx.take() {
-            let body = AnswerBody::whole(Bytes::new());
-            let _ = head_tx.send(answer::respond(status, fields, body));
-        }
-    }
-}
-
-/// Returns a random `Retry-After` value in seconds, so that refused callers do not all return at
-/// once.
-pub fn retry_after() -> HeaderValue {
-    let (least, most) = RETRY_AFTER_MS;
-    retry_after_value(Millis(rand::random_range(least..most)))
-}
-
-/// Returns the `Retry-After` value of a refusal because this host stops: any other one may take the
-/// request.
-pub fn retry_elsewhere() -> HeaderValue {
-    retry_after_value(Millis(rand::random_range(0..MAX_ELSEWHERE_MS)))
-}
-
-/// Returns the `Retry-After` value of a refusal because servers are in a pause for `left` more; a
-/// little longer, so that refused callers do not all return at once.
-fn retry_after_pause(left: Millis) -> HeaderValue {
-    retry_after_value(left + Millis(rand::random_range(0..MAX_PAUSE_SPREAD_MS)))
-}
-
-/// Encodes a `Retry-After` value, in seconds.
-fn retry_after_value(span: Millis) -> HeaderValue {
-    let text = format!("{}.{:03}", span.0 / 1_000, span.0 % 1_000);
-    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
