Name in an answer between hosts where its configuration can be fetched

By reading: the host that had served was looked up by its address among the known hosts, and those of other failure domains are mostly not known; then the fetch waited for gossip.

The answer names the control address beside the version, and it must be of the host that was asked. A host that cannot get the version for 10 s serves by its own again rather than not at all.

--- a/crates/core/src/peering/node/sources.rs
+++ b/crates/core/src/peering/node/sources.rs
@@ -1,7 +1,6 @@
 //! The hosts from which this one can get changes that it does not have.
 
 use std::cmp::Reverse;
-use std::net::Ipv4Addr;
 use std::net::SocketAddrV4;
 
 use crate::clock::Millis;
@@ -28,12 +27,6 @@
         newer.into_iter().map(|k| k.peer.control).collect()
     }
 
-    /// Returns the control address of the known host with the address `ip`.
-    pub fn control_at(&self, ip: Ipv4Addr) -> Option<SocketAddrV4> {
-        let mut controls = self.peers.values().map(|k| k.peer.control);
-        controls.find(|control| *control.ip() == ip)
-    }
-
     /// Returns the control addresses of the live hosts of this host's domain that have applied the
     /// changes up to `revision`, in an order that differs between hosts.
     pub fn holders(&self, now: Millis, revision: u64) -> Vec<SocketAddrV4> {
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -416,13 +416,14 @@
         }
     }
 
-    /// Returns when a fingerprint that is in no crash last succeeded, and forgets it.
-    fn take_success(&mut self, fingerprint: Fingerprint, crashed_at: Moment) -> Option<Moment> {
+    /// Returns when a fingerprint that is in no crash last succeeded before or after `crashed_at`, if that
+    /// still counts then.
+    fn known_success(&self, fingerprint: Fingerprint, crashed_at: Moment) -> Option<Moment> {
         if fingerprint.is_part() {
-            return self.part_successes.remove(&fingerprint);
+            return self.part_successes.get(&fingerprint).copied();
         }
         let span = to_signed(self.settings.request_success_ttl);
-        let at = self.request_successes.remove(&fingerprint)?;
+        let at = self.request_successes.get(&fingerprint).copied()?;
         (crashed_at - at < span).then_some(at)
     }
 
@@ -435,11 +436,12 @@
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             return entry.add_crash(record, max_crashes);
         }
-        let success = self.take_success(fingerprint, record.at);
-        if let Some(at) = success.filter(|at| record.at <= *at) {
-            self.remember_success(Millis(u64::try_from(at).unwrap_or(0)), fingerprint, at);
+        let success = self.known_success(fingerprint, record.at);
+        if success.is_some_and(|at| record.at <= at) {
             return false;
         }
+        self.part_successes.remove(&fingerprint);
+        self.request_successes.remove(&fingerprint);
         let mut entry = Evidence::new(success);
         entry.add_crash(record, max_crashes);
         self.entries.insert(fingerprint, entry);
--- a/crates/gateway/src/exchange/at_host.rs
+++ b/crates/gateway/src/exchange/at_host.rs
@@ -30,6 +30,7 @@
 use crate::pool::SendError;
 use crate::relay;
 use crate::relay::Relayed;
+use crate::relay::ServedBy;
 
 /// The silence of another host after which a request that may run again is sent elsewhere. It is
 /// longer than the time in which that host itself gives up silent servers.
@@ -76,7 +77,7 @@
         };
         let (mut head, body) = response.into_parts();
         self.add_tried(relay::take_tried(&mut head.headers));
-        let version = relay::take_configuration(&mut head.headers);
+        let served_by = ServedBy::take(&mut head.headers, relay);
         let reply = gateway.adapter.decode_reply(&head);
         let is_own = gateway.is_own_answer(self.caller.id.as_deref(), &head, &reply, &conn);
         if !is_own || (head.status.is_success() && !reply.sealed) {
@@ -95,8 +96,8 @@
         if let Some(ended) = self.check_rest(&head) {
             return ended;
         }
-        if let Some(version) = version {
-            gateway.on_version_used(version, relay);
+        if let Some(served_by) = served_by {
+            gateway.on_version_used(served_by);
         }
         if self.route.streaming && head.status.is_success() {
             return self.relay_stream(head, reply, body, conn).await;
--- a/crates/gateway/src/exchange/final_answer.rs
+++ b/crates/gateway/src/exchange/final_answer.rs
@@ -15,6 +15,7 @@
 use crate::answer::AnswerBody;
 use crate::exchange::Exchange;
 use crate::relay;
+use crate::relay::ServedBy;
 
 /// The shortest and longest time that a refused caller is told to wait before it tries again, in
 /// ms.
@@ -31,7 +32,8 @@
     pub(super) fn add_relay_fields(&self, fields: &mut HeaderMap) {
         if self.is_relayed {
             relay::write_tried(fields, &self.tried);
-            relay::write_configuration(fields, self.configuration);
+            let control = self.gateway.settings.control;
+            ServedBy { version: self.configuration, control }.write(fields);
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,8 +20,9 @@
 /// servers that have had it, as `COUNT;VERSION;NAME,NAME`.
 const RELAY: HeaderName = HeaderName::from_static("yuccanotch-relay");
 /// On a request: the newest version of the configuration by which the sending host's callers may have been
-/// served. On an answer: the version by which the request was served. Hosts of earlier releases send none;
-/// on answers the header belongs to the connection, so that they do not return it to callers.
+/// served. On an answer: the version by which the request was served, and where the host has it, as
+/// `VERSION;ADDRESS`. Hosts of earlier releases send none; on answers the header belongs to the connection,
+/// so that they do not return it to callers.
 const CONFIGURATION: HeaderName = HeaderName::from_static(CONFIGURATION_NAME);
 const CONFIGURATION_NAME: &str = "yuccanotch-configuration";
 /// On an answer: the servers that have had the request.
@@ -84,16 +85,32 @@
     }
 }
 
-/// Adds the version of the configuration by which a request was served to the head of its answer.
-pub fn write_configuration(fields: &mut HeaderMap, version: u64) {
-    fields.insert(CONFIGURATION, HeaderValue::from(version));
-    fields.append(header::CONNECTION, HeaderValue::from_static(CONFIGURATION_NAME));
+/// By which version of the configuration another host has served a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServedBy {
+    /// The version.
+    pub version: u64,
+    /// The address at which the host passes on the changes that it has.
+    pub control: SocketAddrV4,
 }
 
-/// Takes the version of the configuration by which a request was served out of the head of its answer.
-pub fn take_configuration(fields: &mut HeaderMap) -> Option<u64> {
-    let value = fields.remove(CONFIGURATION)?;
-    value.to_str().ok()?.parse().ok()
+impl ServedBy {
+    /// Adds the version and the address to the head of an answer.
+    pub fn write(&self, fields: &mut HeaderMap) {
+        if let Ok(value) = HeaderValue::from_str(&format!("{};{}", self.version, self.control)) {
+            fields.insert(CONFIGURATION, value);
+            fields.append(header::CONNECTION, HeaderValue::from_static(CONFIGURATION_NAME));
+        }
+    }
+
+    /// Takes them out of the head of an answer of the host that takes requests at `relay`; returns `None` if
+    /// it has none that can be read, or they name another host.
+    pub fn take(fields: &mut HeaderMap, relay: SocketAddrV4) -> Option<Self> {
+        let value = fields.remove(CONFIGURATION)?;
+        let (version, control) = value.to_str().ok()?.split_once(';')?;
+        let served = Self { version: version.parse().ok()?, control: control.parse().ok()? };
+        (served.control.ip() == relay.ip()).then_some(served)
+    }
 }
 
 /// Takes the servers that have had a request out of the head of its answer.
--- a/crates/gateway/src/server_calls.rs
+++ b/crates/gateway/src/server_calls.rs
@@ -28,6 +28,7 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 /// The largest accepted answer to a report request or an order, in bytes.
 const MAX_ANSWER_BYTES: usize = 256 << 10;
+
 impl Gateway {
     /// Requests a model server's report; returns `None` if it does not come in time or cannot be
     /// read.
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -27,6 +27,7 @@
 use yuccanotch_core::event::Event;
 
 use crate::host::Gateway;
+use crate::relay::ServedBy;
 use crate::sync::client::Fetched;
 use crate::sync::wire::PackedValues;
 
@@ -84,21 +85,20 @@
 }
 
 impl Gateway {
-    /// Records that the host that takes requests at `relay` has served one of this host by `version` of the
-    /// configuration. If that is newer than this host's, this one gets it from there before it serves
-    /// others: callers must not be served by an older version than before.
-    pub(crate) fn on_version_used(&self, version: u64, relay: SocketAddrV4) {
+    /// Records by which version of the configuration another host has served a request of this one. If that
+    /// is newer than this host's, this one gets it from there before it serves others: callers must not be
+    /// served by an older version than before.
+    pub(crate) fn on_version_used(&self, served_by: ServedBy) {
+        let ServedBy { version, control } = served_by;
         let own = self.views.configuration().map_or(0, |c| c.version);
         if version <= own || !self.views.on_version_used(version) {
             return;
         }
         self.event_log.line(
             Event::NewerVersionUsed,
-            &[("version", &version), ("in_force", &own), ("host", &relay)],
+            &[("version", &version), ("in_force", &own), ("host", &control)],
         );
-        if let Some(source) = self.peers.node().control_at(*relay.ip()) {
-            self.sync.fetches.borrow_mut().refer(source);
-        }
+        self.sync.fetches.borrow_mut().refer(control);
         self.sync.referred.notify_one();
     }
 
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -24,14 +24,19 @@
 use crate::adapter::StoreKeys;
 use crate::event_log::EventLog;
 
+/// How long a host that cannot get the version by which another one has served its callers waits for it.
+/// After that it serves by its own again rather than not at all.
+const USED_VERSION_TTL: Millis = Millis(10_000);
+
 /// The configuration in force, the list of servers and the store revision that they reflect.
 pub struct Views {
     adapter: Rc<dyn ProtocolAdapter>,
     clock: Clock,
     event_log: Rc<EventLog>,
     configuration: RefCell<Option<Rc<Configuration>>>,
-    // The newest version by which a request of this host's callers was served, here or elsewhere.
-    used_version: Cell<u64>,
+    // The newest version by which another host has served a request of this one, and when that was heard
+    // last.
+    used_version: Cell<(u64, Millis)>,
     servers: RefCell<ServerList>,
     items: RefCell<ItemLog>,
     keys: StoreKeys,
@@ -66,7 +71,7 @@
             clock,
             event_log,
             configuration: RefCell::default(),
-            used_version: Cell::new(0),
+            used_version: Cell::new((0, Millis::ZERO)),
             servers: RefCell::default(),
             items: RefCell::default(),
             servers_read: Cell::new(false),
@@ -85,20 +90,26 @@
     /// Records that another host has served a request of this one by `version` of the configuration;
     /// returns whether this host has an older one.
     pub fn on_version_used(&self, version: u64) -> bool {
-        self.used_version.set(self.used_version.get().max(version));
+        let (newest, _) = self.used_version.get();
+        if version >= newest {
+            self.used_version.set((version, self.clock.now()));
+        }
         self.is_behind_used()
     }
 
-    /// Returns whether a request of this host's callers was served by a newer version of the
+    /// Returns whether a request of this host's callers was lately served by a newer version of the
     /// configuration than this host has.
     pub fn is_behind_used(&self) -> bool {
-        self.configuration.borrow().as_ref().is_none_or(|c| c.version < self.used_version.get())
+        let (newest, heard_at) = self.used_version.get();
+        let is_recent = self.clock.now().since(heard_at) < USED_VERSION_TTL;
+        is_recent && self.configuration.borrow().as_ref().is_none_or(|c| c.version < newest)
     }
 
     /// Returns the newest version by which a request of this host's callers may have been served.
     pub fn newest_version(&self) -> Option<u64> {
         let own = self.configuration.borrow().as_ref().map(|c| c.version);
-        own.max(Some(self.used_version.get()).filter(|version| *version > 0))
+        let (used, _) = self.used_version.get();
+        own.max(self.is_behind_used().then_some(used))
     }
 
     /// Adopts an encoded configuration if its version is newer than the one in force. `source`
