Send complete events before an attempt ends for want of room

Found by reading. The events are sent first now. events_before_one_without_room_reach_the_caller failed before and passes.

--- a/crates/gateway/src/exchange/stream.rs
+++ b/crates/gateway/src/exchange/stream.rs
@@ -25,6 +25,7 @@
 const FREE_EVENT_BYTES: usize = 8 << 10;
 /// The most by which the buffer of an event is larger than its bytes, as a factor.
 const BUFFER_GROWTH: usize = 2;
+
 impl Exchange {
     /// Checks the head of an answer that comes after a stream has begun; returns the result of the
     /// attempt unless it is the rest of that stream, which has the same status and media type. Whatever
@@ -81,9 +82,6 @@
                     return unanswered(AttemptEnd::Broken, EndReason::StreamOrder);
                 }
             };
-            if self.reserve_partial_event(&mut partial_event).is_err() {
-                return unanswered(AttemptEnd::Broken, EndReason::EventTooLong);
-            }
             if whole.count > 0 {
                 self.gateway.crashes.on_progress(self.run);
                 self.record_working();
@@ -94,6 +92,10 @@
                     chunks.send(whole.bytes).await;
                 }
             }
+            // The attempt may end here, so the complete events come first.
+            if self.reserve_partial_event(&mut partial_event).is_err() {
+                return unanswered(AttemptEnd::Broken, EndReason::EventTooLong);
+            }
         }
         if self.events.has_partial_event() {
             return unanswered(AttemptEnd::Broken, EndReason::StreamPart);
